--- /dev/null
+++ b/beechrock/__init__.py
@@ -0,0 +1,6 @@
+"""beechrock decides, inside each server of a fleet, what the server takes, runs and turns away."""
+
+from beechrock.decide import Node
+from beechrock.interface import Settings
+
+__all__ = ["Node", "Settings"]
--- a/dunestack/decide.py
+++ b/beechrock/decide.py
@@ -1,4 +1,4 @@
-"""All decisions of one node, sans I/O. Settings, events and actions: ``dunestack/interface.py``.
+"""All decisions of one node, sans I/O. Settings, events and actions: ``beechrock/interface.py``.
 
 The Abacus Filter: a request whose predicted wait fits its aim is taken; another is refused with a retry-after
 naming a slot with spare capacity or, once those are spent, with the wish not to try elsewhere.
@@ -7,8 +7,8 @@
 import math
 from heapq import heappop, heappush
 
-from dunestack import interface as api
-from dunestack.interface import Downstream, Effect, Outcome, Request, Say, StopMode
+from beechrock import interface as api
+from beechrock.interface import Downstream, Effect, Outcome, Request, Say, StopMode
 
 FIRST_OFFSET_S = 3.0     # d0 of the design; the told longest retry-after replaces it where that is shorter
 OFFSET_SLOTS = 3         # d0 in slots, so that T0 = d0 / 3 and the doubling steps stay the paper's
--- a/dunestack/interface.py
+++ b/beechrock/interface.py
@@ -1,7 +1,7 @@
 """The decision module's interface: what it is told (Settings, events) and what it says (actions).
 
 Plain data only. Every time is in seconds, every size in kilobytes. A setting that a site does not
-give is None; what follows from its absence is decided in ``dunestack.decide``.
+give is None; what follows from its absence is decided in ``beechrock.decide``.
 """
 
 from dataclasses import dataclass, field
--- a/dunestack/simhost.py
+++ b/beechrock/simhost.py
@@ -3,9 +3,9 @@
 import sys
 from typing import BinaryIO
 
-from dunestack import interface as api
-from dunestack import wire
-from dunestack.decide import Node
+from beechrock import interface as api
+from beechrock import wire
+from beechrock.decide import Node
 
 Reply = list[tuple[int, api.Action | wire.Fault]]
 
@@ -81,7 +81,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"dunestack: {error}", file=sys.stderr)
+        print(f"beechrock: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/dunestack/wire.py
+++ b/beechrock/wire.py
@@ -1,4 +1,4 @@
-"""Codec between the bench's binary frames and ``dunestack.interface``; it decides nothing."""
+"""Codec between the bench's binary frames and ``beechrock.interface``; it decides nothing."""
 
 import json
 import struct
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Any, TypeVar
 
-from dunestack import interface as api
+from beechrock import interface as api
 
 BATCH = struct.Struct(">IIId")
 REPLY = struct.Struct(">III")
--- a/tests/test_abacus.py
+++ b/tests/test_abacus.py
@@ -3,7 +3,7 @@
 import pytest
 from world import PLAIN, SAFE, Driver, ids, of, settings
 
-from dunestack import interface as api
+from beechrock import interface as api
 
 
 def test_the_first_offset_is_three_slots_and_follows_the_longest_retry_after_honoured() -> None:
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -9,8 +9,8 @@
 import pytest
 from world import settings
 
-from dunestack import Node
-from dunestack import interface as api
+from beechrock import Node
+from beechrock import interface as api
 
 STEP_S = 0.05
 MEMORY_KB = 2500.0
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-SOURCE = Path(__file__).parent.parent / "dunestack" / "decide.py"
+SOURCE = Path(__file__).parent.parent / "beechrock" / "decide.py"
 
 
 def test_decide_has_at_most_400_lines_that_are_not_blank() -> None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from dunestack import interface as api
-from dunestack import simhost, wire
+from beechrock import interface as api
+from beechrock import simhost, wire
 
 SETTINGS = {
     "extra": {"cpus": 2, "memLimitKb": 1000.0, "ownStats": ["runnable", "novel", "cpu_busy"],
@@ -140,7 +140,7 @@
 
 
 def run_adapter(data: bytes) -> "subprocess.CompletedProcess[bytes]":
-    command = [sys.executable, "-m", "dunestack.simhost"]
+    command = [sys.executable, "-m", "beechrock.simhost"]
     return subprocess.run(command, input=data, capture_output=True, timeout=30)
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -5,8 +5,8 @@
 from itertools import count
 from typing import Any, TypeVar
 
-from dunestack import Node
-from dunestack import interface as api
+from beechrock import Node
+from beechrock import interface as api
 
 A = TypeVar("A")
 
