--- /dev/null
+++ b/beechrock/config.py
@@ -0,0 +1,95 @@
+"""The one place that reads the environment, LB_CONFIG and the deploy/ files; it checks and gives defaults."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import ujson
+
+from beechrock.interface import Settings, SettingsError
+from beechrock.settings import settings_from
+
+Address = tuple[str, int]
+EXIT_CODE = 2
+MOST_CONFIG = 4 << 20
+STOP_MS, MEMORY_MB, SOCKETS = 3000.0, 192.0, 1024.0
+
+
+class ConfigError(ValueError):
+    """Configuration that cannot be used; the text names the file or variable and the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    agent: Address
+    ledger: Address | None
+    registry: Address | None
+    seed: int
+    stop_s: float
+    memory_mb: float
+    sockets: int
+    settings: Settings
+    gauges: tuple[str, ...]
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """What this process is told by its environment and the files that it names."""
+    path = environ.get("LB_CONFIG", "")
+    if not path:
+        raise ConfigError("LB_CONFIG: not set; it names the node's configuration file")
+    where = f"LB_CONFIG {path}"
+    try:
+        told = ujson.loads(Path(path).read_bytes()[:MOST_CONFIG])
+    except OSError as error:
+        raise ConfigError(f"{where}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{where}: not JSON ({error})") from None
+    if not isinstance(told, dict):
+        raise ConfigError(f"{where}: not a JSON object")
+    limits = told.get("limits", {})
+    if not isinstance(limits, dict):
+        raise ConfigError(f"{where}: limits: not an object")
+    try:
+        settings, gauges = settings_from(told.get("settings"))
+    except SettingsError as error:
+        raise ConfigError(f"{where}: {error}") from None
+    name = environ.get("LB_NAME") or told.get("name")
+    if not isinstance(name, str) or not name or len(name.split()) != 1:
+        raise ConfigError(f"{where}: name: one word is needed")
+    listen = environ.get("LB_LISTEN") or told.get("listen")
+    return Config(
+        name=name,
+        listen=_address(listen, "LB_LISTEN" if environ.get("LB_LISTEN") else f"{where}: listen"),
+        agent=_address(told.get("agent"), f"{where}: agent"),
+        ledger=_address(told["ledger"], f"{where}: ledger") if told.get("ledger") else None,
+        registry=_address(told["registry"], f"{where}: registry") if told.get("registry") else None,
+        seed=_seed(told.get("seed", "0"), f"{where}: seed"),
+        stop_s=_number(told, "stop_ms", STOP_MS, where) / 1000,
+        memory_mb=_number(limits, "memory_mb", MEMORY_MB, f"{where}: limits"),
+        sockets=int(_number(limits, "sockets", SOCKETS, f"{where}: limits")),
+        settings=settings, gauges=gauges,
+    )
+
+
+def _address(value: object, where: str) -> Address:
+    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ConfigError(f"{where}: {value!r} is not HOST:PORT")
+    return host.strip("[]"), int(port)
+
+
+def _number(told: Mapping[str, Any], key: str, default: float, where: str) -> float:
+    value = told.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not value > 0:
+        raise ConfigError(f"{where}: {key}: {value!r} is not a number above 0")
+    return float(value)
+
+
+def _seed(value: object, where: str) -> int:
+    try:
+        return int(value, 16) if isinstance(value, str) else int(str(value))
+    except ValueError:
+        raise ConfigError(f"{where}: {value!r} is not a number in hex") from None
--- /dev/null
+++ b/beechrock/core/counters.py
@@ -0,0 +1,46 @@
+"""Counts of what a node takes in, sends and answers, printed on request and at exit."""
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+from typing import Any
+
+log = logging.getLogger("beechrock")
+
+
+class Counters:
+    """Named counts (``group.name``) and named maxima; both appear when first used."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, float] = {}
+
+    def add(self, name: str, amount: float = 1) -> None:
+        self._counts[name] = self._counts.get(name, 0) + amount
+
+    def top(self, name: str, value: float) -> None:
+        if value > self._counts.get(name, 0):
+            self._counts[name] = value
+
+    def __getitem__(self, name: str) -> float:
+        return self._counts.get(name, 0)
+
+    def lines(self) -> list[str]:
+        return [f"{name} {value:.10g}" for name, value in sorted(self._counts.items())]
+
+    def report(self) -> None:
+        log.info("counters: %s", ", ".join(self.lines()) or "none")
+
+    def trouble(self, where: str, error: BaseException) -> None:
+        """An exception that must not pass in silence, nor end the node."""
+        self.add("trouble." + where)
+        log.error("%s: %s: %s", where, type(error).__name__, error, exc_info=error)
+
+    def spawn(self, work: Coroutine[Any, Any, None], where: str) -> "asyncio.Task[None]":
+        """A task whose exception is logged and counted."""
+        task = asyncio.get_running_loop().create_task(work, name=where)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: "asyncio.Task[None]") -> None:
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.trouble(task.get_name(), error)
--- /dev/null
+++ b/beechrock/core/keys.py
@@ -0,0 +1,56 @@
+"""The table of keys: which kept request a further try repeats."""
+
+from beechrock.core.requests import Request
+
+SLACK_S = 0.05      # sockets judge every time limit this much longer
+
+
+class Entry:
+    """The request that holds a key, and until when a try that arrives is a repeat of it."""
+
+    __slots__ = ("request", "until")
+
+    def __init__(self, request: Request, until: float) -> None:
+        self.request, self.until = request, until
+
+
+class KeyTable:
+    """Entries by key. They outlive their end by ``linger_s``, as a repeat can be read late."""
+
+    def __init__(self, capacity: int, linger_s: float) -> None:
+        self.capacity, self.linger_s = capacity, linger_s
+        self._entries: dict[tuple[int, str], Entry] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @staticmethod
+    def key(request: Request) -> tuple[int, str] | None:
+        name = request.nonce or request.entity
+        return None if name is None else (request.klass, name)
+
+    def find(self, request: Request) -> Request | None:
+        """The request of which this one is a repeat: it arrived while that one's entry was alive."""
+        key = self.key(request)
+        entry = self._entries.get(key) if key else None
+        # A repeat within the window must be known even where the judge's clock reads 50 ms more than ours.
+        return entry.request if entry is not None and request.born <= entry.until + SLACK_S else None
+
+    def keep(self, request: Request, until: float) -> bool:
+        key = self.key(request)
+        if key is None:
+            return True     # nothing to remember it by, and nothing to mistake it for
+        if key not in self._entries and len(self._entries) >= self.capacity:
+            return False
+        self._entries[key] = Entry(request, until)
+        return True
+
+    def forget(self, request: Request) -> None:
+        key = self.key(request)
+        if key and (entry := self._entries.get(key)) is not None and entry.request is request:
+            del self._entries[key]
+
+    def sweep(self, now: float) -> None:
+        dead = [key for key, e in self._entries.items() if e.until + SLACK_S + self.linger_s < now]
+        for key in dead:
+            del self._entries[key]
--- /dev/null
+++ b/beechrock/core/module.py
@@ -0,0 +1,341 @@
+"""The module's actor: what happened goes in as one batch a tick, what the module says is carried out."""
+
+import asyncio
+import logging
+import math
+from collections.abc import Callable
+from dataclasses import replace
+
+from beechrock import interface as api
+from beechrock.core.counters import Counters
+from beechrock.core.keys import KeyTable
+from beechrock.core.mailbox import Mailbox
+from beechrock.core.requests import (
+    Answer,
+    CallDone,
+    Calls,
+    CallWanted,
+    Gone,
+    Leave,
+    Message,
+    Request,
+    RunEnded,
+    Sampled,
+    Taken,
+    Verdict,
+    Work,
+    WorkUp,
+)
+from beechrock.core.wheel import Wheel
+from beechrock.decide import Node
+
+log = logging.getLogger("beechrock")
+
+TICK_S = 0.004
+MAILBOX = 40_000        # more than every stream of every connection at once
+SAMPLE_LEAD_S = 0.02    # gauges are asked for this long before the timer that carries them
+SWEEP_S = 1.0
+OVERDUE_S = 0.02        # the module answers before the due time; what it leaves until then gets an error
+
+
+class ModuleActor:
+    """Owns the decision module, the request book, the key table and the wheel of one node."""
+
+    def __init__(
+        self, settings: api.Settings, seed: int, clock: Callable[[], float], counters: Counters
+    ) -> None:
+        self.settings, self.seed, self.clock, self.counters = settings, seed, clock, counters
+        now = clock()
+        self.tick_s = settings.tick_s or TICK_S
+        self.wheel = Wheel(self.tick_s, now)
+        self.mailbox: Mailbox[Message] = Mailbox(MAILBOX)
+        self.book: dict[int, Request] = {}          # by id, until answered and not running
+        self.traces: dict[str, Request] = {}
+        self.keys = self._key_table()
+        self.node = Node(settings, seed, now)
+        self.generation = self.last_id = 0
+        self.next_events: list[api.Event] = []      # of what was carried out after a batch
+        self.gauges = api.Gauges()
+        self.advice: float | None = None
+        self.healthy, self.stored = True, False
+        self.idle_s = 0.0
+        self.leaving_until: float | None = None
+        self.work: Work | None = None
+        self.calls: Calls | None = None
+        self.wheel.at(now + SWEEP_S, self._sweep)
+
+    def _key_table(self) -> KeyTable:
+        s = self.settings
+        room = int(s.memory_kb / s.key_kb) if s.key_kb else 20_000
+        return KeyTable(max(64, min(room, 20_000)), max(c.give_up_s for c in s.classes))
+
+    @property
+    def open(self) -> int:
+        """Requests that are still owed an answer."""
+        return sum(not r.answered and not r.gone for r in self.book.values())
+
+    def post(self, message: Message) -> bool:
+        """Put a message into the mailbox; a full one is counted, and said to the sender."""
+        if self.mailbox.put(message):
+            return True
+        self.counters.add("trouble.mailbox_full")
+        return False
+
+    # --- time
+
+    async def run(self) -> None:
+        """Tick when something came in or a timer is due, at most once every ``tick_s``."""
+        loop, last = asyncio.get_running_loop(), -math.inf
+        while True:
+            due = self.wheel.next_due()
+            alarm = loop.call_later(max(0.0, due - self.clock()), self.mailbox.wake)
+            await self.mailbox.wait()
+            alarm.cancel()
+            now = self.clock()
+            if now - due > 0:
+                self.counters.top("lag.most_ms", round(1000 * (now - due), 1))
+            if 0 <= now - last < self.tick_s:
+                await asyncio.sleep(self.tick_s - (now - last))
+            last = self.clock()
+            try:
+                self.tick(last)
+            except Exception as error:  # one bad batch must not end the node and lose all it holds
+                self.counters.trouble("tick", error)
+
+    def tick(self, now: float) -> None:
+        """One batch: timers, messages, the module's decisions, and carrying them out."""
+        self.wheel.advance(now)
+        events, self.next_events = self.next_events, []
+        later: list[Message] = []
+        new: set[tuple[int, str]] = set()
+        for message in self.mailbox.drain():
+            if isinstance(message, Taken) and (key := KeyTable.key(message.request)) is not None:
+                if key in new:      # whether the first of them is kept shows only after this batch
+                    later.append(message)
+                    continue
+                new.add(key)
+            self._take_in(message, events, now)
+        for message in later:
+            self.mailbox.put(message)
+        if events:
+            for action in self.node.decide(now, events):
+                self._carry_out(action, now)
+        if self.next_events:
+            self.mailbox.wake()
+
+    # --- what happened
+
+    def _take_in(self, message: Message, events: list[api.Event], now: float) -> None:
+        match message:
+            case Taken(request):
+                self._taken(request, events, now)
+            case Gone(request):
+                if not request.answered and not request.gone and request.id in self.book:
+                    request.gone = True
+                    self.counters.add("intake.gone")
+                    events.append(api.CallerGone(request.id))
+                    self._release(request, events, now)
+            case RunEnded(trace, outcome, elapsed, result):
+                found = self.traces.get(trace)
+                if found is not None and found.running:
+                    self._run_ended(found, outcome, elapsed, result, events, now)
+            case CallWanted(trace, mark, body):
+                found = self.traces.get(trace)
+                if found is not None and found.running:
+                    found.call_mark, found.call_body = mark, body
+                    self.counters.add("intake.calls_wanted")
+                    events.append(api.CallNeeded(found.id))
+            case CallDone(request, outcome, elapsed, reply):
+                if request.running and request.call_body is not None:
+                    self.counters.add("calls." + outcome.value)
+                    if outcome is api.Outcome.OK and self.work is not None:
+                        request.call_body = None
+                        self.work.deliver(request, reply)
+                    events.append(api.CallEnded(request.id, outcome, elapsed))
+            case Sampled(gauges):
+                self.gauges = gauges
+            case WorkUp(cold, age):
+                self._work_up(cold, age, now)
+            case Leave(left):
+                if self.leaving_until is None:
+                    self.leaving_until = now + left
+                    events.append(api.Leaving(left))
+
+    def _taken(self, request: Request, events: list[api.Event], now: float) -> None:
+        self.counters.add("intake.requests")
+        if request.trace in self.traces:    # two runs under one name could not be told apart
+            self.counters.add("intake.reused_traces")
+            request.answered = True
+            request.answer(Answer(Verdict.FAILED, b"this trace is in use", advice=self.advice))
+            return
+        self.last_id += 1
+        request.id = self.last_id
+        first = self.keys.find(request)
+        settings = self.settings.classes[request.klass]
+        if first is not None and settings.effect is api.Effect.SAFE and first.over and (
+            now > first.ended_at + (self.settings.fresh_s or 0.0)
+        ):
+            first = None
+        request.first = first
+        if first is not None:
+            self.counters.add("intake.repeats")
+        self.book[request.id] = self.traces[request.trace] = request
+        events.append(api.Arrived(api.Request(
+            id=request.id, klass=request.klass, kb=request.kb, waited_s=max(0.0, now - request.born),
+            repeats=first.id if first is not None else None,
+            key=_number(request.entity), tenant=request.tenant, caller=request.caller, rank=request.rank,
+            retry=request.retry, write=settings.effect is not api.Effect.SAFE,
+        )))
+        self.wheel.at(max(now, request.born + settings.give_up_s + OVERDUE_S), lambda: self._overdue(request))
+
+    def _overdue(self, request: Request) -> None:
+        """Guard: an answer that the module still owes after the due time is given here."""
+        if not request.answered and not request.gone and not request.over:
+            self.counters.add("trouble.overdue")
+            self._answer(request, Answer(Verdict.FAILED, b"out of time"), self.clock())
+
+    def _run_ended(
+        self, request: Request, outcome: api.Outcome, elapsed: float, result: bytes,
+        events: list[api.Event], now: float,
+    ) -> None:
+        """With OK and ERROR the outcome is the answer itself, unless one went out earlier."""
+        self.counters.add("runs." + outcome.value)
+        request.running = False
+        if request.call_body is not None and self.calls is not None:
+            self.calls.abandon(request)     # an end of the run voids its call
+            request.call_body = None
+        if outcome is api.Outcome.OK:
+            request.result = result
+        if not request.answered and not request.gone:
+            served = outcome is api.Outcome.OK
+            self._send(request, Answer(Verdict.SERVED, result) if served else Answer(Verdict.FAILED))
+        events.append(api.Finished(request.id, outcome, elapsed))
+        self._release(request, events, now)
+
+    def _release(self, request: Request, events: list[api.Event], now: float) -> None:
+        """Drop a request from the book once nothing is owed and nothing runs; repeats get what it came to."""
+        if request.running or not (request.answered or request.gone) or request.over:
+            return
+        request.over, request.ended_at = True, now
+        request.body, request.first = b"", None
+        self.book.pop(request.id, None)
+        self.traces.pop(request.trace, None)
+        waiters, request.waiters = request.waiters, []
+        for waiter in waiters:
+            self._share_out(waiter, request, events, now)
+
+    def _share_out(self, waiter: Request, first: Request, events: list[api.Event], now: float) -> None:
+        if waiter.answered or waiter.gone:
+            return      # a wait for a share that has been ended gets no further word
+        outcome = api.Outcome.ERROR if first.result is None else api.Outcome.OK
+        self.counters.add("shares." + outcome.value)
+        if first.result is None:
+            self._send(waiter, Answer(Verdict.FAILED))
+        else:
+            waiter.result = first.result
+            self._send(waiter, Answer(Verdict.SERVED, first.result))
+        events.append(api.Finished(waiter.id, outcome, now - (waiter.shared_at or now)))
+        self._release(waiter, events, now)
+
+    def _work_up(self, cold: bool, age_s: float, now: float) -> None:
+        """The cores may come up long after this process: the ramp from cold counts from their start."""
+        if self.last_id == 0 and self.leaving_until is None:
+            self.generation += 1
+            started = replace(self.settings, cold_start=self.settings.cold_start or cold)
+            self.node = Node(started, self.seed, now)
+            self.node.started = now - age_s
+            for action in self.node.decide(now, []):
+                self._carry_out(action, now)
+
+    # --- what the module says
+
+    def _carry_out(self, action: api.Action, now: float) -> None:
+        match action:
+            case api.SetTimer(token, delay):
+                self._set_timer(token, now + delay)
+            case api.Health(good, stored):
+                self.healthy, self.stored = good, stored
+            case api.Advertise(value):
+                self.advice = value
+            case api.CloseIdle(after):
+                self.idle_s = after
+            case api.Log(text):
+                log.info("module: %s", text)
+            case _ if (request := self.book.get(action.id)) is not None:
+                self._carry_out_for(request, action, now)
+
+    def _carry_out_for(self, request: Request, action: api.Action, now: float) -> None:
+        match action:
+            case api.Run() if self.work is not None and not request.running:
+                request.running = True
+                self.counters.add("sent.launches")
+                self.work.launch(request)
+            case api.Run() if self.work is not None and request.paused:
+                request.paused = False
+                self.work.resume(request)
+            case api.Refuse(_, after, no_retry):
+                self._answer(request, Answer(Verdict.REFUSED, b"", after, no_retry), now)
+            case api.Fail():
+                self._answer(request, Answer(Verdict.FAILED), now)
+            case api.Stop() if self.work is not None and request.running:
+                request.paused = True
+                self.counters.add("sent.stops")
+                self.work.stop(request)
+            case api.Call(_, wait) if self.calls is not None and request.call_body is not None:
+                self.counters.add("sent.calls")
+                self.calls.call(request, request.call_body, wait)
+            case api.Skip() if self.work is not None and request.call_body is not None:
+                self.counters.add("sent.skips")
+                request.call_body = None
+                self.work.forgo(request, request.call_mark)
+            case api.Keep(_, ttl):
+                if not self.keys.keep(request, now + ttl):
+                    self.counters.add("trouble.keys_full")
+            case api.Forget():
+                self.keys.forget(request)
+            case api.Share():
+                first = request.first
+                request.shared_at = now
+                if first is None or first.over:
+                    self._share_out(request, first or request, self.next_events, now)
+                else:
+                    first.waiters.append(request)
+
+    def _answer(self, request: Request, answer: Answer, now: float) -> None:
+        if not request.answered and not request.gone:
+            self._send(request, answer)
+        self._release(request, self.next_events, now)
+
+    def _send(self, request: Request, answer: Answer) -> None:
+        """The one place that hands an answer to a front: each request gets precisely one."""
+        request.answered = True
+        self.counters.add("answered." + answer.verdict.value)
+        request.answer(replace(answer, advice=self.advice))
+
+    # --- timers
+
+    def _set_timer(self, token: int, at: float) -> None:
+        generation = self.generation
+
+        def fire() -> None:
+            if generation == self.generation:
+                self.next_events.append(api.TimerFired(token, self.gauges))
+
+        if self.work is not None:
+            self.wheel.at(at - SAMPLE_LEAD_S, self.work.sample)
+        self.wheel.at(at, fire)
+
+    def _sweep(self) -> None:
+        now = self.clock()
+        self.keys.sweep(now)
+        self.wheel.at(now + SWEEP_S, self._sweep)
+
+
+def _number(text: str | None) -> int | None:
+    """A key as the module's number: hexadecimal ones as they are."""
+    if not text:
+        return None
+    try:
+        return int(text, 16) % 2**64 or None
+    except ValueError:
+        return int.from_bytes(text.encode()[:8].ljust(8, b"\0"), "big") or None
--- /dev/null
+++ b/beechrock/core/requests.py
@@ -0,0 +1,139 @@
+"""Requests, their answers, and the parties that a node's core deals with, in terms of no wire."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from beechrock.interface import Gauges, Outcome
+
+
+class Verdict(Enum):
+    """The three final answers."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A final answer. REFUSED says that this try never ran; ``advice`` is the value the module advertises."""
+
+    verdict: Verdict
+    body: bytes = b""
+    retry_after_s: float | None = None
+    no_retry: bool = False
+    advice: float | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """One try, from a front's reading of it until its answer is out and its run is over."""
+
+    trace: str              # names it towards those who run it and those it calls
+    klass: int
+    route: str
+    born: float             # when it reached the machine, by the Unix clock
+    body: bytes
+    answer: Callable[[Answer], None]
+    kb: float = 1.0
+    rank: float | None = None
+    caller: int | None = None
+    tenant: int | None = None
+    retry: bool = False
+    nonce: str | None = None    # keyed classes: the same for all tries
+    entity: str | None = None   # reads: what it is about
+    id: int = 0
+    first: "Request | None" = None                          # the try that this one repeats
+    waiters: "list[Request]" = field(default_factory=list)  # repeats that share this one's result
+    answered: bool = False
+    gone: bool = False
+    running: bool = False
+    paused: bool = False
+    over: bool = False
+    shared_at: float | None = None
+    result: bytes | None = None     # of a run that went well
+    ended_at: float = 0.0
+    call_mark: int = 0              # which call the run waits for
+    call_body: bytes | None = None
+
+
+class Work(Protocol):
+    """Those who run requests: the agent, or servers that speak SCGI. They report to the module's actor."""
+
+    def launch(self, request: Request) -> None: ...
+    def stop(self, request: Request) -> None: ...
+    def resume(self, request: Request) -> None: ...
+    def deliver(self, request: Request, reply: bytes) -> None: ...
+    def forgo(self, request: Request, mark: int) -> None: ...
+    def sample(self) -> None: ...
+    def exercise(self, report: Callable[[bool], None]) -> None: ...
+
+
+class Calls(Protocol):
+    """What lies below."""
+
+    def call(self, request: Request, body: bytes, wait_s: float) -> None: ...
+    def abandon(self, request: Request) -> None: ...
+
+
+# What the parties tell the module's actor.
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """A front has read a whole request; from here on it is owed one final answer."""
+
+    request: Request
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    request: Request
+
+
+@dataclass(frozen=True, slots=True)
+class RunEnded:
+    trace: str
+    outcome: Outcome
+    elapsed_s: float
+    result: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class CallWanted:
+    trace: str
+    mark: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CallDone:
+    request: Request
+    outcome: Outcome
+    elapsed_s: float
+    reply: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Sampled:
+    gauges: Gauges
+
+
+@dataclass(frozen=True, slots=True)
+class WorkUp:
+    """Those who run requests came up this long ago, with or without what a warm start has."""
+
+    cold: bool
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """The notice to leave: the process is stopped this long from now."""
+
+    left_s: float
+
+
+Message = Taken | Gone | RunEnded | CallWanted | CallDone | Sampled | WorkUp | Leave
--- /dev/null
+++ b/beechrock/core/wheel.py
@@ -0,0 +1,66 @@
+"""A timer wheel of coarse ticks."""
+
+from collections.abc import Callable
+
+SLOTS = 1024
+
+
+class Timer:
+    """One entry of the wheel; ``cancel`` keeps it from firing."""
+
+    __slots__ = ("action", "due")
+
+    def __init__(self, due: int, action: Callable[[], None]) -> None:
+        self.due, self.action = due, action
+
+    def cancel(self) -> None:
+        self.action = _nothing
+
+
+def _nothing() -> None:
+    pass
+
+
+class Wheel:
+    """Timers by the tick in which they fall due; a slot also holds those of later turns."""
+
+    def __init__(self, tick_s: float, now: float) -> None:
+        self.tick_s = tick_s
+        self._slots: list[list[Timer]] = [[] for _ in range(SLOTS)]
+        self._done = int(now / tick_s)      # the last tick that was worked off
+        self._armed = 0
+
+    def at(self, when: float, action: Callable[[], None]) -> Timer:
+        """Fire in the first tick that is not before ``when``, and never in the one that is going on."""
+        due = max(-int(-when / self.tick_s // 1), self._done + 1)
+        timer = Timer(due, action)
+        self._slots[due % SLOTS].append(timer)
+        self._armed += 1
+        return timer
+
+    def advance(self, now: float) -> int:
+        """Fire what is due by ``now``, in order of ticks; gives the number of timers fired."""
+        target, fired = int(now / self.tick_s), 0
+        # After a long pause a whole turn sees every slot; more turns would see nothing new.
+        for tick in range(max(self._done + 1, target - SLOTS + 1), target + 1):
+            slot = self._slots[tick % SLOTS]
+            if not slot:
+                continue
+            due = [timer for timer in slot if timer.due <= target]
+            if due:
+                self._slots[tick % SLOTS] = [timer for timer in slot if timer.due > target]
+                self._armed -= len(due)
+                fired += len(due)
+                self._done = max(self._done, tick)
+                for timer in due:
+                    timer.action()
+        self._done = max(self._done, target)
+        return fired
+
+    def next_due(self) -> float:
+        """When the next timer may fire; at most a turn from now."""
+        if self._armed:
+            for tick in range(self._done + 1, self._done + SLOTS):
+                if any(timer.due <= tick for timer in self._slots[tick % SLOTS]):
+                    return tick * self.tick_s
+        return (self._done + SLOTS) * self.tick_s
--- a/beechrock/interface.py
+++ b/beechrock/interface.py
@@ -71,6 +71,7 @@
     aim_stretch: float | None = None
     calls: bool | None = None
     skip_worth: float | None = None
+    name: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +80,7 @@
 
     share: float | None = None
     quota_per_s: float | None = None
+    name: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/beechrock/net/frames.py
@@ -0,0 +1,284 @@
+"""The platform's front: binary frames in, answers out. It decides nothing."""
+
+import asyncio
+import functools
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from beechrock.core.module import ModuleActor
+from beechrock.core.requests import Answer, Gone, Request, Taken, Verdict
+from beechrock.interface import Effect
+from beechrock.net.peer import BadInputError, Peer
+
+HEAD = struct.Struct(">IBI")
+LEAST, MOST = 5, 262_144
+ASK, ANSWER, GONE, CHECK, CHECKED, NO_MORE = 1, 2, 3, 4, 5, 6
+SERVED, REFUSED, FAILED = 0, 8, 13
+CODES = {Verdict.SERVED: SERVED, Verdict.REFUSED: REFUSED, Verdict.FAILED: FAILED}
+MOST_OPEN = 32
+MOST_BODY = 2048
+MOST_OUT = 262_144
+MAILBOX = 4 * MOST_OPEN
+MOST_GAPS = 4096        # stream numbers remembered one by one above the highest that are known as a whole
+MOST_WAITING = 32       # health checks that wait for real work, over all connections
+
+
+class BadRequestError(Exception):
+    """A frame that is whole, but asks for what cannot be."""
+
+
+def fields_of(data: bytes) -> tuple[dict[str, str], bytes]:
+    """Fields and what follows them."""
+    if not data:
+        raise BadRequestError("no fields")
+    found: dict[str, str] = {}
+    at = 1
+    try:
+        for _ in range(data[0]):
+            name_end = at + 1 + data[at]
+            value_at = name_end + 2
+            value_end = value_at + int.from_bytes(data[name_end:value_at], "big")
+            if value_end > len(data):
+                raise BadRequestError("a field is cut off")
+            name = data[at + 1:name_end].decode()
+            if name in found:
+                raise BadRequestError(f"field {name} twice")
+            found[name] = data[value_at:value_end].decode()
+            at = value_end
+    except IndexError:
+        raise BadRequestError("a field is cut off") from None
+    except UnicodeDecodeError:
+        raise BadRequestError("a field is not text") from None
+    return found, data[at:]
+
+
+def fields(values: dict[str, str]) -> bytes:
+    out = bytearray([len(values)])
+    for name, value in values.items():
+        out += bytes([len(name)]) + name.encode() + len(value).to_bytes(2, "big") + value.encode()
+    return bytes(out)
+
+
+def frame(kind: int, stream: int, payload: bytes = b"") -> bytes:
+    return HEAD.pack(LEAST + len(payload), kind, stream) + payload
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A message to a connection: an answer, a check's result, an error, or the wish for no more."""
+
+    kind: int
+    stream: int = 0
+    code: int = 0
+    values: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+def _advice(value: float | None) -> tuple[tuple[str, str], ...]:
+    return () if value is None else (("advice", f"{value:.4f}"),)
+
+
+class Streams:
+    """Which stream numbers a connection has used; old ones are known as a whole."""
+
+    def __init__(self) -> None:
+        self._below, self._above = 0, set[int]()
+
+    def use(self, stream: int) -> bool:
+        """Mark as used; False if it was."""
+        if stream <= self._below or stream in self._above:
+            return False
+        self._above.add(stream)
+        while self._below + 1 in self._above or len(self._above) > MOST_GAPS:
+            self._below = self._below + 1 if self._below + 1 in self._above else min(self._above)
+            self._above.discard(self._below)
+        return True
+
+
+class FramesPeer(Peer[Reply]):
+    """One connection of a front end."""
+
+    where = "frames"
+
+    def __init__(self, front: "FramesFront") -> None:
+        super().__init__(front.module.counters, HEAD.size + MOST, MOST_OUT, MAILBOX)
+        self.front, self.module = front, front.module
+        self.open: dict[int, Request | None] = {}      # None: a health check that waits for work
+        self.streams = Streams()
+        self.heard_at = self.module.clock()
+
+    def parse(self) -> None:
+        while len(self.inbox) >= 4 and not self.closing:
+            length = int.from_bytes(self.inbox.peek(4), "big")
+            # Nothing after a length out of bounds can be told apart, nor may it be waited for.
+            if not LEAST <= length <= MOST:
+                raise BadInputError(f"a frame of length {length}")
+            if len(self.inbox) < 4 + length:
+                return
+            _, kind, stream = HEAD.unpack(self.inbox.read(HEAD.size))
+            payload = self.inbox.read(length - LEAST)
+            self.heard_at = self.module.clock()
+            self._frame(kind, stream, payload)
+
+    def _frame(self, kind: int, stream: int, payload: bytes) -> None:
+        if kind == ASK and stream:
+            self._ask(stream, payload)
+        elif kind == GONE:
+            request = self.open.pop(stream, None)
+            if request is not None:
+                self.module.post(Gone(request))
+        elif kind == CHECK:
+            self._check(stream, payload)
+        else:
+            raise BadInputError(f"a frame of type {kind} on stream {stream}")
+
+    def _ask(self, stream: int, payload: bytes) -> None:
+        if not self.streams.use(stream):    # an answer on that stream would be a second one
+            self.counters.add("intake.frames_bad")
+            self.post(Reply(ANSWER, 0, FAILED, body=f"stream {stream} was used before".encode()))
+            return
+        try:
+            request = self._request(stream, *fields_of(payload))
+        except BadRequestError as error:
+            self.counters.add("intake.frames_bad")
+            self.post(Reply(ANSWER, stream, FAILED, body=str(error).encode()))
+            return
+        if len(self.open) >= MOST_OPEN or not self.module.post(Taken(request)):
+            self.counters.add("intake.frames_beyond_limit")
+            self.post(Reply(ANSWER, stream, REFUSED))
+            return
+        self.open[stream] = request
+
+    def _request(self, stream: int, told: dict[str, str], body: bytes) -> Request:
+        klass = self.front.routes.get(told.get("route", ""))
+        if klass is None:
+            raise BadRequestError(f"route: unknown class {told.get('route', '')!r}")
+        settings = self.module.settings.classes[klass]
+        nonce = told.get("nonce") or None
+        if (settings.effect is Effect.KEYED) is not (nonce is not None):
+            raise BadRequestError("nonce: keyed classes need one, others have none")
+        if len(body) > MOST_BODY:
+            raise BadRequestError(f"body: {len(body)} bytes, over {MOST_BODY}")
+        trace = told.get("trace", "")
+        if len(trace) != 16 or set(trace) - set("0123456789abcdef"):
+            raise BadRequestError("trace: not 16 hex digits")
+        caller = _number(told, "client", 0, 2**32)
+        return Request(
+            trace=trace, klass=klass, route=told["route"], born=_number(told, "born", 0, 2**53) / 1000.0,
+            body=body, answer=functools.partial(self._answer, stream), kb=_number(told, "size", 0, 2000),
+            rank=_number(told, "order", 0, 1), caller=int(caller), retry=told.get("redo") == "1",
+            nonce=nonce, entity=told.get("entity") or None,
+        )
+
+    def _answer(self, stream: int, answer: Answer) -> None:
+        self.open.pop(stream, None)
+        values = _advice(answer.advice)
+        if answer.retry_after_s:
+            values += (("pause", str(max(1, round(1000 * answer.retry_after_s)))),)
+        if answer.no_retry:
+            values += (("terminal", "1"),)
+        if not self.post(Reply(ANSWER, stream, CODES[answer.verdict], values, answer.body)):
+            self.counters.add("answered.without_connection")
+
+    def _check(self, stream: int, payload: bytes) -> None:
+        try:
+            told, _ = fields_of(payload) if payload else ({}, b"")
+        except BadRequestError as error:
+            raise BadInputError(f"a health check: {error}") from None
+        self.counters.add("intake.checks")
+        work = self.module.work
+        if told.get("thorough") == "1" and not self.module.stored and work and self.module.healthy and (
+            len(self.open) < MOST_OPEN
+        ):
+            self.open[stream] = None
+            work.exercise(functools.partial(self._checked, stream))
+        else:
+            self._checked(stream, True)
+
+    def _checked(self, stream: int, worked: bool) -> None:
+        self.open.pop(stream, None)
+        good = worked and self.module.healthy
+        self.counters.add("answered.checks_good" if good else "answered.checks_bad")
+        self.post(Reply(CHECKED, stream, 0 if good else 1, _advice(self.module.advice)))
+
+    def encode(self, message: Reply) -> bytes:
+        if message.kind == NO_MORE:
+            return frame(NO_MORE, 0)
+        payload = bytes([message.code]) + fields(dict(message.values)) + message.body
+        return frame(message.kind, message.stream, payload)
+
+    def bad_input(self, problem: str) -> None:
+        self.post(Reply(ANSWER, 0, FAILED, body=problem.encode()))
+
+    def settled(self) -> bool:
+        return not self.open
+
+    def input_ended(self) -> None:
+        # A front end that has sent its last request may still wait for answers.
+        self.finish()
+
+
+class FramesFront:
+    """Listens for front ends and keeps their connections."""
+
+    def __init__(self, module: ModuleActor, most: int) -> None:
+        self.module, self.most = module, most
+        self.routes = {c.name: place for place, c in enumerate(module.settings.classes)}
+        self.peers: set[FramesPeer] = set()
+        self.leaving = False
+        self.server: asyncio.Server | None = None
+        self.peer: Callable[[], FramesPeer] = lambda: FramesPeer(self)
+
+    async def start(self, host: str, port: int) -> None:
+        self.server = await asyncio.start_server(self._accepted, host, port, backlog=1024, limit=65_536)
+        self._sweep()
+
+    def _sweep(self) -> None:
+        """Close connections that carried nothing for the time that the module named."""
+        now = self.module.clock()
+        if self.module.idle_s:
+            for peer in self.peers:
+                if not peer.open and now - peer.heard_at > self.module.idle_s:
+                    peer.finish()
+        self.module.wheel.at(now + 0.5, self._sweep)
+
+    def leave(self) -> None:
+        """Ask for no new requests on any connection, those to come included; go on reading all the same."""
+        self.leaving = True
+        for peer in self.peers:
+            peer.post(Reply(NO_MORE))
+
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        peer = self.peer()
+        counters = self.module.counters
+        counters.add("intake.frames_connections")
+        if self.leaving:
+            peer.post(Reply(NO_MORE))
+        if len(self.peers) >= self.most:    # descriptors are kept for the agent and the ledger
+            counters.add("intake.frames_connections_beyond_limit")
+            peer.post(Reply(ANSWER, 0, REFUSED, body=b"too many connections"))
+            peer.finish()
+        self.peers.add(peer)
+        counters.top("intake.frames_most_connections", len(self.peers))
+        try:
+            await peer.serve(reader, writer)
+        finally:
+            self.peers.discard(peer)
+            for request in peer.open.values():
+                if request is not None:
+                    self.module.post(Gone(request))
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+
+
+def _number(told: dict[str, str], name: str, least: float, below: float) -> float:
+    try:
+        value = float(told.get(name, ""))
+    except ValueError:
+        raise BadRequestError(f"{name}: not a number") from None
+    if not least <= value < below:
+        raise BadRequestError(f"{name}: not from {least} to under {below}")
+    return value
--- /dev/null
+++ b/beechrock/net/peer.py
@@ -0,0 +1,131 @@
+"""The actor at one end of a connection: a mailbox, and a ring buffer a direction."""
+
+import asyncio
+from typing import Generic, TypeVar
+
+from beechrock.core.counters import Counters
+from beechrock.core.mailbox import Mailbox
+from beechrock.net.ring import FullError, RingBuffer
+
+T = TypeVar("T")
+CHUNK = 16_384
+LINGER_S = 1.0      # how long a closing connection still reads, so that its last answers are not cut off
+
+
+class BadInputError(Exception):
+    """The other side sent what its protocol does not allow; nothing after it can be understood."""
+
+
+class Peer(Generic[T]):
+    """Reads bytes into ``inbox`` and parses them; turns the mailbox's messages into bytes in ``outbox``.
+
+    One kind of peer overrides ``parse``, ``encode``, and what it needs of the rest.
+    """
+
+    where = "peer"
+
+    def __init__(self, counters: Counters, most_in: int, most_out: int, mailbox: int) -> None:
+        self.counters = counters
+        self.inbox, self.outbox = RingBuffer(most_in), RingBuffer(most_out)
+        self.mailbox: Mailbox[T] = Mailbox(mailbox)
+        self.closing = False    # read no more messages; close once ``settled``
+        self.lost = False
+
+    # What a kind of peer adds.
+
+    def parse(self) -> None:
+        """Take whole messages out of ``inbox``."""
+        raise NotImplementedError
+
+    def encode(self, message: T) -> bytes:
+        raise NotImplementedError
+
+    def bad_input(self, problem: str) -> None:
+        """Say what was wrong, where the protocol has words for that."""
+
+    def settled(self) -> bool:
+        """Whether nothing is owed on this connection."""
+        return True
+
+    # The actor.
+
+    def post(self, message: T) -> bool:
+        if self.lost:
+            return False
+        if self.mailbox.put(message):
+            return True
+        self.counters.add(f"trouble.{self.where}_mailbox_full")
+        return False
+
+    def finish(self) -> None:
+        """Read no more; close once all that is owed has been written."""
+        self.closing = True
+        self.mailbox.wake()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Run until the connection ends."""
+        writer.transport.set_write_buffer_limits(high=0)    # what waits to be sent waits in the ring
+        sending = self.counters.spawn(self._send(writer), self.where + ".send")
+        receiving = self.counters.spawn(self._receive(reader), self.where + ".receive")
+        try:
+            await asyncio.wait((sending, receiving), return_when=asyncio.FIRST_COMPLETED)
+            if sending.done() and not receiving.done():
+                await asyncio.wait((receiving,), timeout=LINGER_S)
+        finally:
+            self.lost = True
+            sending.cancel()
+            receiving.cancel()
+            writer.close()
+
+    async def _receive(self, reader: asyncio.StreamReader) -> None:
+        try:
+            while data := await reader.read(CHUNK):
+                if self.closing:
+                    continue
+                try:
+                    view = memoryview(data)
+                    while view and not self.closing:
+                        taken = min(len(view), self.inbox.room)
+                        self.inbox.write(view[:taken])
+                        view = view[taken:]
+                        self.parse()
+                        if not self.closing and not self.inbox.room:
+                            raise BadInputError("a message that does not fit")
+                except (BadInputError, FullError) as error:
+                    self.counters.add(f"intake.{self.where}_malformed")
+                    self.bad_input(str(error))
+                    self.finish()
+                while not self.closing and self._crowded():     # who does not read is not read from
+                    await asyncio.sleep(0.01)
+            if not self.closing:
+                self.input_ended()
+        except (ConnectionError, OSError, TimeoutError):
+            self.counters.add(f"intake.{self.where}_resets")
+
+    def input_ended(self) -> None:
+        """The other side sends no more."""
+
+    def _crowded(self) -> bool:
+        return len(self.outbox) > self.outbox.most // 4 or len(self.mailbox) > self.mailbox.capacity // 2
+
+    async def _send(self, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                await self.mailbox.wait()
+                for message in self.mailbox.drain():
+                    data = self.encode(message)
+                    if len(data) > self.outbox.room:
+                        await self._flush(writer)
+                    self.outbox.write(data)
+                await self._flush(writer)
+                if self.closing and self.settled() and not len(self.mailbox):
+                    if writer.can_write_eof():
+                        writer.write_eof()
+                    return
+        except (ConnectionError, OSError, TimeoutError):
+            self.counters.add(f"sent.{self.where}_resets")
+
+    async def _flush(self, writer: asyncio.StreamWriter) -> None:
+        while len(self.outbox):
+            writer.write(self.outbox.read(CHUNK))
+            await writer.drain()
--- /dev/null
+++ b/beechrock/net/ring.py
@@ -0,0 +1,75 @@
+"""The ring buffer that stands in each direction of each connection."""
+
+START = 4096
+
+
+class FullError(Exception):
+    """More was to be stored than the buffer may hold."""
+
+
+class RingBuffer:
+    """Bytes in order. It grows by doubling up to ``most``, and is small again once it is empty."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self._data = bytearray(min(START, most))
+        self._start = self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    @property
+    def room(self) -> int:
+        return self.most - self._length
+
+    def write(self, data: bytes | memoryview) -> None:
+        size = len(data)
+        if size > self.room:
+            raise FullError(f"{self._length} + {size} bytes in a buffer of {self.most}")
+        if self._length + size > len(self._data):
+            self._resize(self._length + size)
+        at = (self._start + self._length) % len(self._data)
+        first = min(size, len(self._data) - at)
+        self._data[at:at + first] = data[:first]
+        self._data[:size - first] = data[first:]
+        self._length += size
+
+    def peek(self, size: int, skip: int = 0) -> bytes:
+        """Up to ``size`` bytes after the first ``skip``; they stay."""
+        size = max(0, min(size, self._length - skip))
+        at = (self._start + skip) % len(self._data)
+        first = bytes(self._data[at:at + size])
+        return first if len(first) == size else first + bytes(self._data[:size - len(first)])
+
+    def skip(self, size: int) -> None:
+        size = min(size, self._length)
+        self._start, self._length = (self._start + size) % len(self._data), self._length - size
+        if not self._length:
+            self._start = 0
+            if len(self._data) > START:
+                self._data = bytearray(min(START, self.most))
+
+    def read(self, size: int) -> bytes:
+        data = self.peek(size)
+        self.skip(len(data))
+        return data
+
+    def line(self, most: int) -> bytes | None:
+        """The next line without its CR LF, or None while it is incomplete; FullError once it is too long."""
+        found = self.peek(most + 2).find(b"\r\n")
+        if found < 0:
+            if self._length >= most + 2:
+                raise FullError(f"a line of over {most} bytes")
+            return None
+        line = self.peek(found)
+        self.skip(found + 2)
+        return line
+
+    def _resize(self, need: int) -> None:
+        size = len(self._data)
+        while size < need:
+            size *= 2
+        kept = self.peek(self._length)
+        self._data = bytearray(min(size, self.most))
+        self._data[:len(kept)] = kept
+        self._start = 0
--- a/beechrock/wire.py
+++ b/beechrock/wire.py
@@ -1,13 +1,12 @@
 """Codec between the bench's binary frames and ``beechrock.interface``; it decides nothing."""
 
-import json
 import struct
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from enum import Enum
-from typing import Any, TypeVar
+from typing import Any
 
 from beechrock import interface as api
+from beechrock.settings import gauges_from, settings_from_json
 
 BATCH = struct.Struct(">IIId")
 REPLY = struct.Struct(">III")
@@ -24,7 +23,6 @@
 WHO = struct.Struct(">BH")
 
 HINT_BIT, RETRY_BIT, WRITE_BIT = 1, 2, 4
-E = TypeVar("E", bound=Enum)
 
 OUTCOMES = {
     200: api.Outcome.OK,
@@ -36,13 +34,6 @@
     499: api.Outcome.STOPPED,
     410: api.Outcome.MOOT,
 }
-DOWNSTREAM = {"one_for_all": "shared"}
-GAUGES = {
-    "cpu_busy": "cpu_busy",
-    "runnable": "runnable",
-    "mem_used": "memory_used",
-    "sockets": "connections",
-}
 
 
 class WireError(Exception):
@@ -74,141 +65,6 @@
     text: str
 
 
-# --- settings ---------------------------------------------------------------------------------
-
-
-def _section(where: dict[str, Any], name: str) -> dict[str, Any]:
-    value = where.get(name)
-    if value is None:
-        return {}
-    if not isinstance(value, dict):
-        raise api.SettingsError(f"settings: {name} is not an object")
-    return value
-
-
-def _num(where: dict[str, Any], name: str) -> float | None:
-    value = where.get(name)
-    if value is None:
-        return None
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise api.SettingsError(f"settings: {name} is not a number")
-    return float(value)
-
-
-def _need(where: dict[str, Any], name: str) -> float:
-    value = _num(where, name)
-    if value is None or value <= 0:
-        raise api.SettingsError(f"settings: {name} is missing or not above 0")
-    return value
-
-
-def _count(where: dict[str, Any], name: str) -> int | None:
-    value = _num(where, name)
-    return None if value is None else int(value)
-
-
-def _word(kind: type[E], text: object, default: E) -> E:
-    """An unknown word is handled as the absent setting."""
-    try:
-        return kind(text)
-    except ValueError:
-        return default
-
-
-def _at(values: object, place: int) -> Any:
-    return values[place] if isinstance(values, list) and place < len(values) else None
-
-
-def _class(entry: object, place: int, extra: dict[str, Any]) -> api.ClassSettings:
-    if not isinstance(entry, dict):
-        raise api.SettingsError(f"settings: grades[{place}] is not an object")
-    worth = _num(entry, "worth")
-    calls = _at(extra.get("classCalls"), place)
-    skip = _at(extra.get("classSkipWorth"), place)
-    return api.ClassSettings(
-        aim_s=_need(entry, "promiseS"),
-        give_up_s=_need(entry, "giveUpS"),
-        worth=1.0 if worth is None else worth,
-        late_share=_num(entry, "lateShare") or 0.0,
-        effect=_word(api.Effect, entry.get("effect"), api.Effect.SAFE),
-        window_s=_num(entry, "windowS"),
-        aim_stretch=_num(entry, "aimStretch"),
-        calls=None if calls is None else bool(calls),
-        skip_worth=None if skip is None else float(skip),
-    )
-
-
-def _tenant(entry: object, place: int) -> api.TenantSettings:
-    if not isinstance(entry, dict):
-        raise api.SettingsError(f"settings: tenants[{place}] is not an object")
-    return api.TenantSettings(share=_num(entry, "portion"), quota_per_s=_num(entry, "quotaPerS"))
-
-
-def settings_from_json(text: bytes) -> tuple[api.Settings, tuple[str, ...]]:
-    """Translate the start message; also gives the order in which gauges will come."""
-    try:
-        told = json.loads(text)
-    except ValueError as error:
-        raise api.SettingsError(f"settings: not JSON ({error})") from None
-    if not isinstance(told, dict):
-        raise api.SettingsError("settings: not a JSON object")
-    extra, rules = _section(told, "extra"), _section(told, "guarantees")
-    limits, mix, prices = _section(told, "limits"), _section(told, "scoringMix"), _section(told, "prices")
-    grades = told.get("grades")
-    if not isinstance(grades, list) or not grades:
-        raise api.SettingsError("settings: grades is missing or empty")
-    tenants = told.get("tenants") or []
-    if not isinstance(tenants, list):
-        raise api.SettingsError("settings: tenants is not a list")
-    below = extra.get("downstream")
-    settings = api.Settings(
-        cores=int(_need(extra, "cpus")),
-        memory_kb=_need(extra, "memLimitKb"),
-        classes=tuple(_class(entry, place, extra) for place, entry in enumerate(grades)),
-        tenants=tuple(_tenant(entry, place) for place, entry in enumerate(tenants)),
-        over_share_worth=_num(told, "overShareWorth"),
-        worth_by_work=told.get("worthBy") == "work",
-        mix_whole=_num(mix, "whole"),
-        mix_worst_window=_num(mix, "worstWindow"),
-        mix_worst_class=_num(mix, "worstClass"),
-        mix_worst_tenant=_num(mix, "worstTenant"),
-        run_factor=_num(extra, "runFactor"),
-        key_kb=_num(extra, "keyKb"),
-        cold_start=bool(extra.get("freshStart")),
-        cold_from=_num(rules, "coldFrom"),
-        ramp_s=_num(rules, "rampTimeS"),
-        crowd_multiple=_num(rules, "fallMultiple"),
-        crowd_over_s=_num(rules, "overloadForS"),
-        answer_slack_s=_num(rules, "answerSlackS"),
-        drain_grace_s=_num(rules, "drainGraceS"),
-        passes_deadline=bool(extra.get("passesDeadline")),
-        tells_gone=bool(extra.get("cancelSeen")),
-        marks_retry=bool(_section(told, "clients").get("marksRetry")),
-        stop_mode=_word(api.StopMode, extra.get("stopMode"), api.StopMode.NONE),
-        say=_word(api.Say, extra.get("say"), api.Say.NONE),
-        heard_for_s=_num(extra, "heardForS"),
-        retry_after=limits.get("retryAfter") is not False,
-        max_retry_after_s=_num(limits, "maxRetryAfterS"),
-        downstream=_word(api.Downstream, DOWNSTREAM.get(str(below), below), api.Downstream.NONE),
-        calls_share=_num(extra, "depShare"),
-        calls_over_s=_num(extra, "callsOverS"),
-        linger_s=_num(extra, "lingerS"),
-        fresh_s=_num(extra, "freshS"),
-        deep_checks=bool(extra.get("deepChecks")),
-        idle_s=_num(extra, "idleS"),
-        callers=_count(extra, "callers"),
-        fleet_size=_count(told, "fleetSize"),
-        tick_s=_num(told, "tickS"),
-        price_waste=_num(prices, "waste"),
-        price_late_fail=_num(prices, "lateFail"),
-        price_call=_num(prices, "origin"),
-        price_connection=_num(prices, "connection"),
-        price_handshake=_num(prices, "handshake"),
-    )
-    names = extra.get("ownStats")
-    return settings, tuple(str(name) for name in names) if isinstance(names, list) else ()
-
-
 # --- events -----------------------------------------------------------------------------------
 
 
@@ -256,8 +112,7 @@
 
 def _elapsed(raw: memoryview, names: tuple[str, ...]) -> api.TimerFired:
     _, _, token, count, *values = ELAPSED.unpack_from(raw)
-    told = {GAUGES[n]: v for n, v in zip(names, values[:count], strict=False) if n in GAUGES}
-    return api.TimerFired(token, api.Gauges(**told))
+    return api.TimerFired(token, gauges_from(names, values[:count]))
 
 
 def _enlist(raw: memoryview, tail: memoryview) -> Start:
