Add the SCGI front, SCGI servers as workers, the inventory and budgets

The SCGI front reads one request a connection and shares core, rules and counters with the frames; runs go to small SCGI servers through the interface that the agent fills.

--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -10,53 +10,82 @@
 from beechrock import config
 from beechrock.core.counters import Counters
 from beechrock.core.module import ModuleActor
-from beechrock.core.requests import Leave
+from beechrock.core.requests import Leave, Work
+from beechrock.core.routed import Routed
 from beechrock.net.agent import Agent
 from beechrock.net.frames import FramesFront
 from beechrock.net.ledger import Ledger
 from beechrock.net.registry import Registry
+from beechrock.net.scgi import ScgiFront
+from beechrock.net.scgi_work import ScgiWork
 
 log = logging.getLogger("beechrock")
 EXIT_MARGIN_S = 0.25    # the process has ended this long before it would be killed
 
 
-async def serve(told: config.Config) -> None:
-    """Run until the notice to leave has been worked off."""
-    counters = Counters()
-    loop = asyncio.get_running_loop()
-    module = ModuleActor(told.settings, told.seed, time.time, counters)
-    registry = Registry(told.name, told.registry, counters) if told.registry else None
-    front = FramesFront(module, told.sockets * 5 // 8)
-    agent = Agent(module, told.gauges, told.agent)
-    module.work = agent
-    if told.ledger:
-        module.calls = Ledger(module, told.ledger)
-    leaving = asyncio.Event()
+class Program:
+    """The parts of one node, wired together."""
+
+    def __init__(self, told: config.Config) -> None:
+        self.told = told
+        self.counters = Counters()
+        self.module = ModuleActor(told.settings, told.seed, time.time, self.counters)
+        self.leaving = asyncio.Event()
+        # Front ends use up to half of the descriptors; the agent, the ledger and SCGI share the rest.
+        self.frames = FramesFront(self.module, told.sockets * 5 // 8) if told.listen else None
+        self.agent = Agent(self.module, told.gauges, told.agent) if told.agent else None
+        self.registry = Registry(told.name, told.registry, self.counters) if told.registry else None
+        self.scgi: ScgiFront | None = None
+        work: Work | None = self.agent
+        if told.scgi is not None:
+            upstreams = told.scgi.inventory.upstreams
+            self.scgi = ScgiFront(self.module, told.scgi.inventory, told.sockets // 8)
+            servers = ScgiWork(self.module, upstreams)
+            routes = frozenset(name for name, addresses in upstreams.items() if addresses)
+            work = servers if self.agent is None else Routed(routes, servers, self.agent) if routes else work
+        self.module.work = work
+        if told.ledger:
+            self.module.calls = Ledger(self.module, told.ledger)
+
+    def leave(self) -> None:
+        """The notice to leave: all is told of it, and all goes on listening and reading."""
+        if self.leaving.is_set():
+            return
+        self.leaving.set()
+        self.module.post(Leave(self.told.stop_s))
+        if self.frames is not None:
+            self.frames.leave()
+        if self.registry is not None:
+            self.registry.mailbox.put("draining")
 
-    def leave() -> None:
-        if not leaving.is_set():
-            leaving.set()
-            module.post(Leave(told.stop_s))
-            front.leave()
-            if registry is not None:
-                registry.mailbox.put("draining")
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.leave)
+        loop.add_signal_handler(signal.SIGUSR1, self.module.report)
+        if self.frames is not None and self.told.listen is not None:
+            await self.frames.start(*self.told.listen)
+            log.info("%s: frames on %s:%d", self.told.name, *self.told.listen)
+        if self.scgi is not None and self.told.scgi is not None:
+            await self.scgi.start(*self.told.scgi.listen)
+            log.info("%s: SCGI on %s:%d", self.told.name, *self.told.scgi.listen)
+        actors = {"module": self.module, "agent": self.agent, "registry": self.registry}
+        tasks = [self.counters.spawn(a.run(), name) for name, a in actors.items() if a is not None]
+        await self.leaving.wait()
+        # Requests in the backlog of a listening socket are ours too: it stays open, and read, to the end.
+        await asyncio.sleep(max(0.0, self.told.stop_s - EXIT_MARGIN_S))
+        for front in (self.frames, self.scgi):
+            if front is not None:
+                front.close()
+        await asyncio.sleep(EXIT_MARGIN_S / 3)
+        for task in tasks:
+            task.cancel()
+        self.module.report()
 
-    loop.add_signal_handler(signal.SIGTERM, leave)
-    loop.add_signal_handler(signal.SIGINT, leave)
-    loop.add_signal_handler(signal.SIGUSR1, counters.report)
-    await front.start(*told.listen)
-    tasks = [counters.spawn(module.run(), "module"), counters.spawn(agent.run(), "agent")]
-    if registry is not None:
-        tasks.append(counters.spawn(registry.run(), "registry"))
-    log.info("%s listens on %s:%d", told.name, *told.listen)
-    await leaving.wait()
-    # Requests in the backlog of the listening socket are ours too: it stays open, and read, to the end.
-    await asyncio.sleep(max(0.0, told.stop_s - EXIT_MARGIN_S))
-    front.close()
-    await asyncio.sleep(EXIT_MARGIN_S / 3)
-    for task in tasks:
-        task.cancel()
-    counters.report()
+
+async def serve(told: config.Config) -> None:
+    """Run until the notice to leave has been worked off."""
+    await Program(told).run()
 
 
 def main() -> int:
--- a/beechrock/config.py
+++ b/beechrock/config.py
@@ -1,5 +1,6 @@
 """The one place that reads the environment, LB_CONFIG and the deploy/ files; it checks and gives defaults."""
 
+import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -7,6 +8,7 @@
 
 import ujson
 
+from beechrock import inventory as inv
 from beechrock.interface import Settings, SettingsError
 from beechrock.settings import settings_from
 
@@ -14,17 +16,29 @@
 EXIT_CODE = 2
 MOST_CONFIG = 4 << 20
 STOP_MS, MEMORY_MB, SOCKETS = 3000.0, 192.0, 1024.0
+ROOT = Path(__file__).parent.parent
+SCGI_KEYS = {"enabled", "listen", "inventory"}
 
 
 class ConfigError(ValueError):
     """Configuration that cannot be used; the text names the file or variable and the key."""
 
 
+@dataclass(frozen=True, slots=True)
+class Scgi:
+    """The SCGI front, where it is on."""
+
+    listen: Address
+    inventory: inv.Inventory
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
+    """All that a node is told; without LB_CONFIG there is no ``listen`` and no ``agent``."""
+
     name: str
-    listen: Address
-    agent: Address
+    listen: Address | None
+    agent: Address | None
     ledger: Address | None
     registry: Address | None
     seed: int
@@ -33,47 +47,85 @@
     sockets: int
     settings: Settings
     gauges: tuple[str, ...]
+    scgi: Scgi | None
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """What this process is told by its environment and the files that it names."""
+def load(environ: Mapping[str, str], root: Path = ROOT) -> Config:
+    """What this process is told by its environment, and by the files that it names or finds in deploy/."""
+    scgi = _scgi(Path(environ.get("LB_SCGI") or root / "deploy" / "scgi.toml"), root)
     path = environ.get("LB_CONFIG", "")
-    if not path:
-        raise ConfigError("LB_CONFIG: not set; it names the node's configuration file")
-    where = f"LB_CONFIG {path}"
-    try:
-        told = ujson.loads(Path(path).read_bytes()[:MOST_CONFIG])
-    except OSError as error:
-        raise ConfigError(f"{where}: {error.strerror}") from None
-    except ValueError as error:
-        raise ConfigError(f"{where}: not JSON ({error})") from None
-    if not isinstance(told, dict):
-        raise ConfigError(f"{where}: not a JSON object")
+    if path:
+        told, where = _read(path)
+    elif scgi is not None:
+        told, where = {"name": "beechrock"}, "without LB_CONFIG"
+    else:
+        raise ConfigError("LB_CONFIG: not set, and the SCGI front is off; one of them is needed")
     limits = told.get("limits", {})
     if not isinstance(limits, dict):
         raise ConfigError(f"{where}: limits: not an object")
+    settled = told.get("settings", {})
+    if scgi is not None and isinstance(settled, dict):
+        settled = inv.over(settled, scgi.inventory) if path else scgi.inventory.settings
     try:
-        settings, gauges = settings_from(told.get("settings"))
+        settings, gauges = settings_from(settled)
     except SettingsError as error:
         raise ConfigError(f"{where}: {error}") from None
     name = environ.get("LB_NAME") or told.get("name")
     if not isinstance(name, str) or not name or len(name.split()) != 1:
         raise ConfigError(f"{where}: name: one word is needed")
     listen = environ.get("LB_LISTEN") or told.get("listen")
+    listen_at = "LB_LISTEN" if environ.get("LB_LISTEN") else f"{where}: listen"
     return Config(
         name=name,
-        listen=_address(listen, "LB_LISTEN" if environ.get("LB_LISTEN") else f"{where}: listen"),
-        agent=_address(told.get("agent"), f"{where}: agent"),
+        listen=_address(listen, listen_at) if path else None,
+        agent=_address(told.get("agent"), f"{where}: agent") if path else None,
         ledger=_address(told["ledger"], f"{where}: ledger") if told.get("ledger") else None,
         registry=_address(told["registry"], f"{where}: registry") if told.get("registry") else None,
         seed=_seed(told.get("seed", "0"), f"{where}: seed"),
         stop_s=_number(told, "stop_ms", STOP_MS, where) / 1000,
         memory_mb=_number(limits, "memory_mb", MEMORY_MB, f"{where}: limits"),
         sockets=int(_number(limits, "sockets", SOCKETS, f"{where}: limits")),
-        settings=settings, gauges=gauges,
+        settings=settings, gauges=gauges, scgi=scgi,
     )
 
 
+def _read(path: str) -> tuple[dict[str, Any], str]:
+    where = f"LB_CONFIG {path}"
+    try:
+        told = ujson.loads(Path(path).read_bytes()[:MOST_CONFIG])
+    except OSError as error:
+        raise ConfigError(f"{where}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{where}: not JSON ({error})") from None
+    if not isinstance(told, dict):
+        raise ConfigError(f"{where}: not a JSON object")
+    return told, where
+
+
+def _scgi(path: Path, root: Path) -> Scgi | None:
+    """The SCGI front's file; no file, like ``enabled = false``, keeps the front off."""
+    try:
+        told = tomllib.loads(path.read_text())
+    except FileNotFoundError:
+        return None
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    for key in told:
+        if key not in SCGI_KEYS:
+            raise ConfigError(f"{path}: {key}: unknown key")
+    if not isinstance(told.get("enabled", False), bool):
+        raise ConfigError(f"{path}: enabled: {told['enabled']!r} is neither true nor false")
+    if not told.get("enabled", False):
+        return None
+    if not isinstance(told.get("inventory"), str):
+        raise ConfigError(f"{path}: inventory: the path of a file is needed")
+    try:
+        inventory = inv.load(root / told["inventory"])
+    except inv.InventoryError as error:
+        raise ConfigError(f"{path}: inventory: {error}") from None
+    return Scgi(_address(told.get("listen"), f"{path}: listen"), inventory)
+
+
 def _address(value: object, where: str) -> Address:
     host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
     if not host or not port.isdigit() or not 0 < int(port) < 65536:
--- a/beechrock/core/counters.py
+++ b/beechrock/core/counters.py
@@ -17,6 +17,9 @@
     def add(self, name: str, amount: float = 1) -> None:
         self._counts[name] = self._counts.get(name, 0) + amount
 
+    def set(self, name: str, value: float) -> None:
+        self._counts[name] = value
+
     def top(self, name: str, value: float) -> None:
         if value > self._counts.get(name, 0):
             self._counts[name] = value
--- a/beechrock/core/keys.py
+++ b/beechrock/core/keys.py
@@ -19,15 +19,16 @@
 
     def __init__(self, capacity: int, linger_s: float) -> None:
         self.capacity, self.linger_s = capacity, linger_s
-        self._entries: dict[tuple[int, str], Entry] = {}
+        self._entries: dict[tuple[str, str], Entry] = {}
 
     def __len__(self) -> int:
         return len(self._entries)
 
     @staticmethod
-    def key(request: Request) -> tuple[int, str] | None:
+    def key(request: Request) -> tuple[str, str] | None:
+        """By service, not by class or team: a try may come again over another front, which knows no teams."""
         name = request.nonce or request.entity
-        return None if name is None else (request.klass, name)
+        return None if name is None else (request.route, name)
 
     def find(self, request: Request) -> Request | None:
         """The request of which this one is a repeat: it arrived while that one's entry was alive."""
--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -81,6 +81,14 @@
         self.counters.add("trouble.mailbox_full")
         return False
 
+    def report(self) -> None:
+        """Print the counters, and what each tenant's runs took from its budget in this period."""
+        for tenant, spent in zip(self.settings.tenants, self.node.spent, strict=True):
+            self.counters.set("spent." + tenant.name, spent)
+        self.counters.set("open.requests", self.open)
+        self.counters.set("open.keys", len(self.keys))
+        self.counters.report()
+
     # --- time
 
     async def run(self) -> None:
@@ -107,7 +115,7 @@
         self.wheel.advance(now)
         events, self.next_events = self.next_events, []
         later: list[Message] = []
-        new: set[tuple[int, str]] = set()
+        new: set[tuple[str, str]] = set()
         for message in self.mailbox.drain():
             if isinstance(message, Taken) and (key := KeyTable.key(message.request)) is not None:
                 if key in new:      # whether the first of them is kept shows only after this batch
@@ -135,10 +143,8 @@
                     self.counters.add("intake.gone")
                     events.append(api.CallerGone(request.id))
                     self._release(request, events, now)
-            case RunEnded(trace, outcome, elapsed, result):
-                found = self.traces.get(trace)
-                if found is not None and found.running:
-                    self._run_ended(found, outcome, elapsed, result, events, now)
+            case RunEnded() if (found := self.traces.get(message.trace)) is not None and found.running:
+                self._run_ended(found, message, events, now)
             case CallWanted(trace, mark, body):
                 found = self.traces.get(trace)
                 if found is not None and found.running:
@@ -194,22 +200,21 @@
             self.counters.add("trouble.overdue")
             self._answer(request, Answer(Verdict.FAILED, b"out of time"), self.clock())
 
-    def _run_ended(
-        self, request: Request, outcome: api.Outcome, elapsed: float, result: bytes,
-        events: list[api.Event], now: float,
-    ) -> None:
+    def _run_ended(self, request: Request, end: RunEnded, events: list[api.Event], now: float) -> None:
         """With OK and ERROR the outcome is the answer itself, unless one went out earlier."""
+        outcome = end.outcome
         self.counters.add("runs." + outcome.value)
         request.running = False
         if request.call_body is not None and self.calls is not None:
             self.calls.abandon(request)     # an end of the run voids its call
             request.call_body = None
         if outcome is api.Outcome.OK:
-            request.result = result
+            request.result, request.media = end.result, end.media
         if not request.answered and not request.gone:
             served = outcome is api.Outcome.OK
-            self._send(request, Answer(Verdict.SERVED, result) if served else Answer(Verdict.FAILED))
-        events.append(api.Finished(request.id, outcome, elapsed))
+            answer = Answer(Verdict.SERVED, end.result, media=end.media) if served else Answer(Verdict.FAILED)
+            self._send(request, answer)
+        events.append(api.Finished(request.id, outcome, end.elapsed_s))
         self._release(request, events, now)
 
     def _release(self, request: Request, events: list[api.Event], now: float) -> None:
@@ -232,8 +237,8 @@
         if first.result is None:
             self._send(waiter, Answer(Verdict.FAILED))
         else:
-            waiter.result = first.result
-            self._send(waiter, Answer(Verdict.SERVED, first.result))
+            waiter.result, waiter.media = first.result, first.media
+            self._send(waiter, Answer(Verdict.SERVED, first.result, media=first.media))
         events.append(api.Finished(waiter.id, outcome, now - (waiter.shared_at or now)))
         self._release(waiter, events, now)
 
@@ -267,7 +272,7 @@
     def _carry_out_for(self, request: Request, action: api.Action, now: float) -> None:
         match action:
             case api.Run() if self.work is not None and not request.running:
-                request.running = True
+                request.running, request.launched_at = True, now
                 self.counters.add("sent.launches")
                 self.work.launch(request)
             case api.Run() if self.work is not None and request.paused:
--- a/beechrock/core/requests.py
+++ b/beechrock/core/requests.py
@@ -25,6 +25,7 @@
     retry_after_s: float | None = None
     no_retry: bool = False
     advice: float | None = None
+    media: str = ""     # the body's media type, where those who made it told
 
 
 @dataclass(slots=True, eq=False)
@@ -54,6 +55,8 @@
     over: bool = False
     shared_at: float | None = None
     result: bytes | None = None     # of a run that went well
+    media: str = ""
+    launched_at: float = 0.0
     ended_at: float = 0.0
     call_mark: int = 0              # which call the run waits for
     call_body: bytes | None = None
@@ -99,6 +102,7 @@
     outcome: Outcome
     elapsed_s: float
     result: bytes = b""
+    media: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/beechrock/decide.py
+++ b/beechrock/decide.py
@@ -69,6 +69,7 @@
         self.aim_at = min(self.arrived + c.aim_s + (c.aim_stretch or 0.0) * work, self.due)
         self.useful_until = self.due if c.late_share > 0 else self.aim_at
         self.phase, self.calls, self.ran, self.answered = OVER, 0, False, False
+        self.spent_in: int | None = None    # the budget period that paid for it
 
 
 class Node:
@@ -100,6 +101,8 @@
         self.call_s = self.call_best = self.call_time_s = 0.0
         self.call_times = [0.0] * (int((s.calls_over_s or 0.0) / self.slot_s) + 2)
         self.lingering: list[float] = []
+        # Of each tenant: what its runs of this budget period took, and the period's number.
+        self.spent, self.periods = [0.0] * len(s.tenants), [0] * len(s.tenants)
 
     def decide(self, now: float, events: list[api.Event]) -> list[api.Action]:
         """Take in a whole batch, then do what it calls for."""
@@ -219,6 +222,9 @@
         heappush(self.dues, (job.due - DUE_MARGIN_TICKS * (self.s.tick_s or 0.0), req.id))
         if req.repeats is not None and self._repeat(job):
             return
+        if (over_s := self._over_budget_s(job)) > 0:    # the same on every node: no use to try another
+            self._answer(job, api.Refuse(req.id, over_s if self.s.retry_after else None, True))
+            return
         full = self._memory_full(0.0, MEMORY_HELD) or self._past_grace(job)
         if full or not self._fits(job):
             self._turn_away(job, elsewhere=full)
@@ -226,6 +232,25 @@
             self._turn_away(job, elsewhere=True)
         else:
             heappush(self.holds[job.must_call], (job.aim_at, req.id))
+            self._spend(job, c.price)
+
+    def _over_budget_s(self, job: Job) -> float:
+        """Seconds until the tenant's budget has room again, 0 if it has; each node has an equal part."""
+        place, tenants = job.req.tenant, self.s.tenants
+        if place is None or place >= len(tenants) or not (budget := tenants[place].budget):
+            return 0.0
+        period_s = tenants[place].budget_period_s or math.inf
+        period = 0 if period_s == math.inf else int(self.now / period_s)
+        if period != self.periods[place]:
+            self.periods[place], self.spent[place] = period, 0.0
+        over = self.spent[place] + job.c.price > budget / (self.s.fleet_size or 1) + 1e-9
+        return (period + 1) * period_s - self.now if over else 0.0
+
+    def _spend(self, job: Job, price: float) -> None:
+        place = job.req.tenant
+        if place is not None and place < len(self.spent):
+            job.spent_in = self.periods[place]
+            self.spent[place] += price
 
     def _fits(self, job: Job) -> bool:
         """The first stage: cores are free, or the predicted wait fits the time to the aim; so for calls."""
@@ -436,6 +461,8 @@
         job.answered = True
         if job.phase in (HELD, SHARING):
             self._move(job, OVER)
+            if job.spent_in is not None and job.spent_in == self.periods[job.req.tenant or 0]:
+                self._spend(job, -job.c.price)      # it never ran
             if not job.ran and self.keys.pop(job.req.id, None) is not None:
                 self.out.append(api.Forget(job.req.id))
 
--- a/beechrock/interface.py
+++ b/beechrock/interface.py
@@ -72,15 +72,18 @@
     calls: bool | None = None
     skip_worth: float | None = None
     name: str = ""
+    price: float = 1.0      # what one run takes from its tenant's budget
 
 
 @dataclass(frozen=True, slots=True)
 class TenantSettings:
-    """One tenant's share of the service and its rate within that share, over all nodes."""
+    """One tenant's share of the service, its rate within that share, and its budget, over all nodes."""
 
     share: float | None = None
     quota_per_s: float | None = None
     name: str = ""
+    budget: float | None = None
+    budget_period_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -13,7 +13,7 @@
 
 ENDS = {"PASS": Outcome.OK, "FAIL": Outcome.ERROR, "KILLED": Outcome.STOPPED, "NOOP": Outcome.MOOT}
 MOST_LINE = 4096
-MOST_BLOB = 1 << 20
+MOST_BLOB = 200_000      # an answer with it still is one frame
 MOST_COMMANDS = 40_000
 AGAIN_S = (0.02, 0.5)       # pause before a new link: the first, and the longest
 
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -18,8 +18,9 @@
 CODES = {Verdict.SERVED: SERVED, Verdict.REFUSED: REFUSED, Verdict.FAILED: FAILED}
 MOST_OPEN = 32
 MOST_BODY = 2048
-MOST_OUT = 262_144
-MAILBOX = 4 * MOST_OPEN
+MOST_OUT = 524_288
+MAILBOX = 4096          # one chunk of the smallest bad frames gives about 1,800 errors at once
+PARTIAL_S = 10.0        # a frame that has not come whole after this long never will
 MOST_GAPS = 4096        # stream numbers remembered one by one above the highest that are known as a whole
 MOST_WAITING = 32       # health checks that wait for real work, over all connections
 
@@ -224,7 +225,10 @@
 
     def __init__(self, module: ModuleActor, most: int) -> None:
         self.module, self.most = module, most
-        self.routes = {c.name: place for place, c in enumerate(module.settings.classes)}
+        # A service has a class for each contract; here, where no team is told, the first one counts.
+        self.routes: dict[str, int] = {}
+        for place, c in enumerate(module.settings.classes):
+            self.routes.setdefault(c.name, place)
         self.peers: set[FramesPeer] = set()
         self.leaving = False
         self.server: asyncio.Server | None = None
@@ -237,10 +241,10 @@
     def _sweep(self) -> None:
         """Close connections that carried nothing for the time that the module named."""
         now = self.module.clock()
-        if self.module.idle_s:
-            for peer in self.peers:
-                if not peer.open and now - peer.heard_at > self.module.idle_s:
-                    peer.finish()
+        for peer in self.peers:
+            limit = PARTIAL_S if len(peer.inbox) else self.module.idle_s
+            if limit and not peer.open and now - peer.heard_at > limit:
+                peer.finish()
         self.module.wheel.at(now + 0.5, self._sweep)
 
     def leave(self) -> None:
--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -9,6 +9,8 @@
 
 T = TypeVar("T")
 CHUNK = 16_384
+CROWDED = 64        # messages that may wait before their receiver is no longer read from
+UNREAD_S = 20.0     # how long the last answers may stay unread after the other side's end
 LINGER_S = 1.0      # how long a closing connection still reads, so that its last answers are not cut off
 
 
@@ -29,7 +31,7 @@
         self.inbox, self.outbox = RingBuffer(most_in), RingBuffer(most_out)
         self.mailbox: Mailbox[T] = Mailbox(mailbox)
         self.closing = False    # read no more messages; close once ``settled``
-        self.lost = False
+        self.lost = self.broken = False
 
     # What a kind of peer adds.
 
@@ -71,6 +73,11 @@
             await asyncio.wait((sending, receiving), return_when=asyncio.FIRST_COMPLETED)
             if sending.done() and not receiving.done():
                 await asyncio.wait((receiving,), timeout=LINGER_S)
+            # The end of what comes in is no reason to keep back what is owed: half a close is allowed.
+            while not sending.done() and not self.broken:
+                await asyncio.wait((sending,), timeout=UNREAD_S)
+                if self.settled():
+                    break
         finally:
             self.lost = True
             sending.cancel()
@@ -100,13 +107,14 @@
             if not self.closing:
                 self.input_ended()
         except (ConnectionError, OSError, TimeoutError):
+            self.broken = True
             self.counters.add(f"intake.{self.where}_resets")
 
     def input_ended(self) -> None:
         """The other side sends no more."""
 
     def _crowded(self) -> bool:
-        return len(self.outbox) > self.outbox.most // 4 or len(self.mailbox) > self.mailbox.capacity // 2
+        return len(self.outbox) > self.outbox.most // 4 or len(self.mailbox) > CROWDED
 
     async def _send(self, writer: asyncio.StreamWriter) -> None:
         try:
--- /dev/null
+++ b/beechrock/net/scgi.py
@@ -0,0 +1,237 @@
+"""The SCGI front: one request a connection, by the public SCGI specification; answers with ``Status:``."""
+
+import asyncio
+import math
+import secrets
+from dataclasses import dataclass
+
+from beechrock.core.module import ModuleActor
+from beechrock.core.requests import Answer, Gone, Request, Taken, Verdict
+from beechrock.interface import Effect
+from beechrock.inventory import Inventory
+from beechrock.net.peer import Peer
+
+MOST_HEADER = 16_384
+MOST_BODY = 65_536
+MOST_OUT = 1 << 21
+# A request that is not whole after this part of the shortest due time, or after this long, gets its answer.
+STALL_PART, STALL_S = 0.5, 30.0
+HELD_KB = 4.0           # memory of a request beside its body
+REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 408: "Request Timeout",
+           413: "Content Too Large", 431: "Request Header Fields Too Large",
+           500: "Internal Server Error", 503: "Service Unavailable"}
+
+
+class ScgiError(Exception):
+    """A request, or reply, that cannot be served; ``status`` says why."""
+
+    def __init__(self, status: int, problem: str) -> None:
+        super().__init__(problem)
+        self.status = status
+
+
+def headers_of(block: bytes) -> dict[str, str]:
+    """The headers of a request; CONTENT_LENGTH comes first, and SCGI is 1."""
+    if not block.endswith(b"\0"):
+        raise ScgiError(400, "headers do not end in a null byte")
+    parts = block[:-1].decode("latin-1").split("\0")
+    if len(parts) % 2:
+        raise ScgiError(400, "a header has no value")
+    names, values = parts[::2], parts[1::2]
+    if names[0] != "CONTENT_LENGTH" or not (values[0].isascii() and values[0].isdigit()):
+        raise ScgiError(400, "CONTENT_LENGTH is not first, or no number")
+    found = dict(zip(names, values, strict=True))
+    if len(found) < len(names):
+        raise ScgiError(400, "a header stands twice")
+    if found.get("SCGI") != "1":
+        raise ScgiError(400, "SCGI is not 1")
+    return found
+
+
+def request_bytes(headers: dict[str, str], body: bytes) -> bytes:
+    """A request as it goes over the wire."""
+    told = {"CONTENT_LENGTH": str(len(body)), "SCGI": "1", **headers}
+    block = "".join(f"{name}\0{value}\0" for name, value in told.items()).encode("latin-1", "replace")
+    return f"{len(block)}:".encode() + block + b"," + body
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def encode(self) -> bytes:
+        media = () if any(k == "Content-Type" for k, _ in self.headers) else (("Content-Type", "text/plain"),)
+        lines = [f"Status: {self.status} {REASONS.get(self.status, 'Unknown')}"]
+        lines += [f"{k}: {v}" for k, v in (*media, *self.headers, ("Content-Length", str(len(self.body))))]
+        return "\r\n".join(lines).encode("latin-1", "replace") + b"\r\n\r\n" + self.body
+
+
+def reply_to(answer: Answer) -> Reply:
+    """A final answer in the words of SCGI."""
+    headers: tuple[tuple[str, str], ...] = ()
+    if answer.advice is not None:
+        headers = (("X-Advice", f"{answer.advice:.4f}"),)
+    if answer.verdict is Verdict.SERVED:
+        media = answer.media or "application/octet-stream"
+        return Reply(200, answer.body, (("Content-Type", media), *headers))
+    if answer.verdict is Verdict.FAILED:
+        return Reply(500, answer.body or b"failed\n", headers)
+    if answer.retry_after_s:
+        headers += (("Retry-After", str(math.ceil(answer.retry_after_s))),)
+    if answer.no_retry:
+        headers += (("X-Retry-Elsewhere", "no"),)
+    return Reply(503, answer.body or b"turned away; it never ran\n", headers)
+
+
+class ScgiPeer(Peer[Reply]):
+    """One connection: a request in, one answer out."""
+
+    where = "scgi"
+
+    def __init__(self, front: "ScgiFront") -> None:
+        super().__init__(front.module.counters, MOST_HEADER + MOST_BODY, MOST_OUT, 4)
+        self.front, self.module = front, front.module
+        self.born = self.module.clock()
+        self.headers: dict[str, str] | None = None
+        self.request: Request | None = None
+        self.said = False       # the one answer of this connection is on its way
+        limit = min(STALL_S, STALL_PART * min(c.give_up_s for c in self.module.settings.classes))
+        # What never becomes whole is answered too, long before anybody's due time.
+        self.stall = self.module.wheel.at(self.born + limit, self._stalled)
+
+    def parse(self) -> None:
+        try:
+            if self.headers is None and not self._head():
+                return
+            self._body()
+        except ScgiError as error:
+            self._reject(error)
+
+    def _head(self) -> bool:
+        start = self.inbox.peek(8)
+        digits, colon, _ = start.partition(b":")
+        if not digits.isdigit() and (digits or colon):
+            raise ScgiError(400, "no netstring")
+        if not colon:
+            if len(start) >= 8:
+                raise ScgiError(400, "no netstring")
+            return False
+        if digits != b"0" and digits.startswith(b"0"):
+            raise ScgiError(400, "the netstring's length starts with 0")
+        size = int(digits)
+        if size > MOST_HEADER - 16:
+            raise ScgiError(431, f"headers of {size} bytes, over {MOST_HEADER - 16}")
+        if len(self.inbox) < len(digits) + 1 + size + 1:
+            return False
+        self.inbox.skip(len(digits) + 1)
+        block = self.inbox.read(size)
+        if self.inbox.read(1) != b",":
+            raise ScgiError(400, "the netstring does not end in a comma")
+        self.headers = headers_of(block)
+        if int(self.headers["CONTENT_LENGTH"][:10]) > MOST_BODY:
+            raise ScgiError(413, f"a body of over {MOST_BODY} bytes")
+        return True
+
+    def _body(self) -> None:
+        if self.headers is None or self.request is not None:
+            return
+        size = int(self.headers["CONTENT_LENGTH"])
+        if len(self.inbox) < size:
+            return
+        request = self._request(self.headers, self.inbox.read(size))
+        self.stall.cancel()
+        if not self.module.post(Taken(request)):
+            raise ScgiError(503, "too many requests")
+        self.request = request
+        self.inbox.skip(len(self.inbox))    # nothing may follow the body
+
+    def _request(self, told: dict[str, str], body: bytes) -> Request:
+        inventory = self.front.inventory
+        route = told.get("HTTP_X_ROUTE") or told.get("PATH_INFO", "").strip("/")
+        team = told.get("HTTP_X_TEAM", "")
+        if route not in inventory.upstreams:
+            raise ScgiError(404, f"X-Route: no service {route!r}")
+        if team not in inventory.teams:
+            raise ScgiError(403, f"X-Team: no team {team!r}")
+        klass = inventory.classes.get((team, route))
+        if klass is None:
+            raise ScgiError(403, f"X-Team: {team} has no contract for {route}")
+        nonce = told.get("HTTP_IDEMPOTENCY_KEY") or None
+        if self.module.settings.classes[klass].effect is not Effect.KEYED:
+            nonce = None
+        elif nonce is None or len(nonce) > 128:
+            raise ScgiError(400, "Idempotency-Key: needed by this service, of at most 128 characters")
+        return Request(
+            trace=secrets.token_hex(8), klass=klass, route=route, born=self.born, body=body,
+            answer=self._answer, kb=HELD_KB + len(body) / 1024, tenant=inventory.teams[team],
+            retry=told.get("HTTP_X_RETRY") == "1", nonce=nonce, entity=told.get("HTTP_X_ENTITY") or None,
+        )
+
+    def _answer(self, answer: Answer) -> None:
+        self._say(reply_to(answer))
+
+    def _stalled(self) -> None:
+        if self.request is None and not self.lost:
+            self._reject(ScgiError(408, "the request did not come whole in time"))
+
+    def input_ended(self) -> None:
+        # After a whole request this is half a close: the answer is still waited for.
+        if self.request is None:
+            if len(self.inbox) or self.headers is not None:
+                self._reject(ScgiError(400, "the request is cut off"))
+            else:
+                self.stall.cancel()
+                self.finish()
+
+    def _reject(self, error: ScgiError) -> None:
+        self.counters.add("intake.scgi_bad")
+        self.counters.add("answered.scgi_bad")
+        self._say(Reply(error.status, f"{error}\n".encode()))
+
+    def _say(self, reply: Reply) -> None:
+        if self.said:
+            return
+        self.said = True
+        self.stall.cancel()
+        if not self.post(reply):
+            self.counters.add("answered.without_connection")
+        self.finish()
+
+    def encode(self, message: Reply) -> bytes:
+        return message.encode()
+
+    def settled(self) -> bool:
+        return self.said or self.request is None
+
+
+class ScgiFront:
+    """Listens for SCGI callers."""
+
+    def __init__(self, module: ModuleActor, inventory: Inventory, most: int) -> None:
+        self.module, self.inventory, self.most = module, inventory, most
+        self.peers: set[ScgiPeer] = set()
+        self.server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        self.server = await asyncio.start_server(self._accepted, host, port, backlog=1024, limit=65_536)
+
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        peer = ScgiPeer(self)
+        self.module.counters.add("intake.scgi_connections")
+        if len(self.peers) >= self.most:
+            peer.stall.cancel()
+            peer._say(Reply(503, b"too many connections\n", (("Retry-After", "1"),)))
+        self.peers.add(peer)
+        try:
+            await peer.serve(reader, writer)
+        finally:
+            self.peers.discard(peer)
+            peer.stall.cancel()
+            if peer.request is not None and not peer.request.answered:
+                self.module.post(Gone(peer.request))
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
--- /dev/null
+++ b/beechrock/net/scgi_work.py
@@ -0,0 +1,156 @@
+"""Runs requests on small SCGI servers; fills the interface that the agent also fills."""
+
+import asyncio
+from collections.abc import Callable
+
+from beechrock.core.module import ModuleActor
+from beechrock.core.requests import Request, RunEnded
+from beechrock.interface import Outcome
+from beechrock.inventory import Address
+from beechrock.net.peer import Peer
+from beechrock.net.scgi import MOST_HEADER, ScgiError, request_bytes
+
+MOST_REPLY = 1 << 20
+CONNECT_S = 1.0
+
+
+def reply_of(data: bytes) -> tuple[int, str, bytes]:
+    """Status, media type and body of a whole reply; without a ``Status:`` it is 200, as in CGI."""
+    head, gap, body = data.partition(b"\r\n\r\n")
+    if not gap:
+        head, gap, body = data.partition(b"\n\n")
+    if not gap or len(head) > MOST_HEADER:
+        raise ScgiError(502, "a reply without an end of its headers")
+    headers = {}
+    for line in head.decode("latin-1").splitlines():
+        name, colon, value = line.partition(":")
+        if not colon:
+            raise ScgiError(502, "a reply's header has no colon")
+        headers[name.strip().lower()] = value.strip()
+    length = headers.get("content-length", str(len(body)))
+    status = headers.get("status", "200")[:3]
+    if length != str(len(body)) or not (status.isascii() and status.isdigit()):
+        raise ScgiError(502, "a reply that is cut off, or has no status")
+    return int(status), headers.get("content-type", ""), body
+
+
+class ScgiRun(Peer[bytes]):
+    """One request at one server, whose reply ends with the connection."""
+
+    where = "scgi_run"
+
+    def __init__(self, work: "ScgiWork") -> None:
+        super().__init__(work.module.counters, MOST_REPLY, MOST_REPLY, 2)
+        self.reply: bytes | None = None
+
+    def parse(self) -> None:
+        pass    # a reply is whole when the connection ends
+
+    def encode(self, message: bytes) -> bytes:
+        return message
+
+    def input_ended(self) -> None:
+        self.reply = self.inbox.read(len(self.inbox))
+        self.finish()
+
+
+class ScgiWork:
+    """Sends runs to the servers of their service, to the least busy one first."""
+
+    def __init__(self, module: ModuleActor, upstreams: dict[str, tuple[Address, ...]]) -> None:
+        self.module, self.upstreams = module, upstreams
+        self.counters = module.counters
+        self.runs: dict[Request, asyncio.Task[None]] = {}
+        self.load: dict[Address, int] = {}
+
+    def launch(self, request: Request) -> None:
+        self.runs[request] = self.counters.spawn(self._run(request), "scgi_work")
+
+    def stop(self, request: Request) -> None:
+        """A server cannot be told to pause: what is stopped is dropped, and reported so."""
+        task = self.runs.pop(request, None)
+        if task is not None:
+            task.cancel()
+            self._ended(request, Outcome.STOPPED)
+
+    def resume(self, request: Request) -> None:
+        self.counters.add("trouble.scgi_resume")
+
+    def deliver(self, request: Request, reply: bytes) -> None:
+        self.counters.add("trouble.scgi_deliver")
+
+    def forgo(self, request: Request, mark: int) -> None:
+        self.counters.add("trouble.scgi_forgo")
+
+    def sample(self) -> None:
+        """Small servers have no gauges."""
+
+    def exercise(self, report: Callable[[bool], None]) -> None:
+        self.counters.spawn(self._exercise(report), "scgi_work.exercise")
+
+    async def _exercise(self, report: Callable[[bool], None]) -> None:
+        """Good when each service has a server that takes connections."""
+        reached = []
+        for addresses in self.upstreams.values():
+            for address in addresses:
+                try:
+                    _, writer = await asyncio.wait_for(asyncio.open_connection(*address), CONNECT_S)
+                except (OSError, TimeoutError):
+                    continue
+                writer.close()
+                reached.append(True)
+                break
+        report(len(reached) == sum(bool(a) for a in self.upstreams.values()))
+
+    async def _run(self, request: Request) -> None:
+        settings = self.module.settings.classes[request.klass]
+        # A server that hangs must not hold its place among the runs for ever.
+        timer = self.module.wheel.at(request.born + settings.give_up_s, lambda: self._out_of_time(request))
+        try:
+            outcome, media, body = await self._try(request)
+        finally:
+            timer.cancel()
+        if self.runs.pop(request, None) is not None:
+            self._ended(request, outcome, media, body)
+
+    def _out_of_time(self, request: Request) -> None:
+        task = self.runs.pop(request, None)
+        if task is not None:
+            task.cancel()
+            self.counters.add("sent.scgi_out_of_time")
+            self._ended(request, Outcome.ERROR)
+
+    def _ended(self, request: Request, outcome: Outcome, media: str = "", body: bytes = b"") -> None:
+        elapsed = max(0.0, self.module.clock() - request.launched_at)
+        self.module.post(RunEnded(request.trace, outcome, elapsed, body, media))
+
+    async def _try(self, request: Request) -> tuple[Outcome, str, bytes]:
+        """The first server that takes the connection gets the request; it goes to no second one."""
+        addresses = self.upstreams.get(request.route, ())
+        for address in sorted(addresses, key=lambda a: self.load.get(a, 0)):
+            run = ScgiRun(self)
+            try:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(*address), CONNECT_S)
+            except (OSError, TimeoutError):
+                self.counters.add("sent.scgi_refused")
+                continue
+            headers = {"REQUEST_METHOD": "POST", "REQUEST_URI": f"/{request.route}",
+                       "PATH_INFO": f"/{request.route}", "HTTP_X_ROUTE": request.route,
+                       "HTTP_X_TRACE": request.trace}
+            if request.tenant is not None:
+                headers["HTTP_X_TEAM"] = self.module.settings.tenants[request.tenant].name
+            if request.nonce is not None:
+                headers["HTTP_IDEMPOTENCY_KEY"] = request.nonce
+            run.post(request_bytes(headers, request.body))
+            self.load[address] = self.load.get(address, 0) + 1
+            try:
+                await run.serve(reader, writer)
+            finally:
+                self.load[address] -= 1
+            try:
+                status, media, body = reply_of(run.reply or b"")
+            except ScgiError as error:
+                self.counters.add("intake.scgi_run_bad")
+                return Outcome.ERROR, "", str(error).encode()
+            return (Outcome.OK if 200 <= status < 300 else Outcome.ERROR), media, body
+        return Outcome.ERROR, "", b"no server reached"
--- a/beechrock/settings.py
+++ b/beechrock/settings.py
@@ -69,7 +69,7 @@
 def _class(entry: object, place: int, extra: dict[str, Any]) -> api.ClassSettings:
     if not isinstance(entry, dict):
         raise api.SettingsError(f"settings: grades[{place}] is not an object")
-    worth = _num(entry, "worth")
+    worth, price = _num(entry, "worth"), _num(entry, "price")
     calls = _at(extra.get("classCalls"), place)
     skip = _at(extra.get("classSkipWorth"), place)
     return api.ClassSettings(
@@ -83,6 +83,7 @@
         calls=None if calls is None else bool(calls),
         skip_worth=None if skip is None else float(skip),
         name=str(entry.get("name") or ""),
+        price=1.0 if price is None else price,
     )
 
 
@@ -93,6 +94,8 @@
         share=_num(entry, "portion"),
         quota_per_s=_num(entry, "quotaPerS"),
         name=str(entry.get("name") or ""),
+        budget=_num(entry, "budget"),
+        budget_period_s=_num(entry, "budgetPeriodS"),
     )
 
 
