--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 
 from beechrock import config
 from beechrock.core.counters import Counters
@@ -26,10 +27,11 @@
 class Program:
     """The parts of one node, wired together."""
 
-    def __init__(self, told: config.Config) -> None:
+    def __init__(self, told: config.Config, clock: Callable[[], float] = time.time) -> None:
         self.told = told
         self.counters = Counters()
-        self.module = ModuleActor(told.settings, told.seed, time.time, self.counters)
+        self.module = ModuleActor(told.settings, told.seed, clock, self.counters)
+        self.tasks: list[asyncio.Task[None]] = []
         self.leaving = asyncio.Event()
         # Front ends use up to half of the descriptors; the agent, the ledger and SCGI share the rest.
         self.frames = FramesFront(self.module, told.sockets * 5 // 8) if told.listen else None
@@ -58,11 +60,7 @@
         if self.registry is not None:
             self.registry.mailbox.put("draining")
 
-    async def run(self) -> None:
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.leave)
-        loop.add_signal_handler(signal.SIGUSR1, self.module.report)
+    async def start(self) -> None:
         if self.frames is not None and self.told.listen is not None:
             await self.frames.start(*self.told.listen)
             log.info("%s: frames on %s:%d", self.told.name, *self.told.listen)
@@ -70,15 +68,27 @@
             await self.scgi.start(*self.told.scgi.listen)
             log.info("%s: SCGI on %s:%d", self.told.name, *self.told.scgi.listen)
         actors = {"module": self.module, "agent": self.agent, "registry": self.registry}
-        tasks = [self.counters.spawn(a.run(), name) for name, a in actors.items() if a is not None]
-        await self.leaving.wait()
-        # Requests in the backlog of a listening socket are ours too: it stays open, and read, to the end.
-        await asyncio.sleep(max(0.0, self.told.stop_s - EXIT_MARGIN_S))
+        self.tasks = [self.counters.spawn(a.run(), name) for name, a in actors.items() if a is not None]
+
+    def close(self) -> None:
+        """Stop listening."""
         for front in (self.frames, self.scgi):
             if front is not None:
                 front.close()
+
+    async def run(self) -> None:
+        """From the first connection to the way out, as the signals ask."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.leave)
+        loop.add_signal_handler(signal.SIGUSR1, self.module.report)
+        await self.start()
+        await self.leaving.wait()
+        # Requests in the backlog of a listening socket are ours too: it stays open, and read, to the end.
+        await asyncio.sleep(max(0.0, self.told.stop_s - EXIT_MARGIN_S))
+        self.close()
         await asyncio.sleep(EXIT_MARGIN_S / 3)
-        for task in tasks:
+        for task in self.tasks:
             task.cancel()
         self.module.report()
 
--- a/beechrock/core/counters.py
+++ b/beechrock/core/counters.py
@@ -13,6 +13,7 @@
 
     def __init__(self) -> None:
         self._counts: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()    # the loop itself holds its tasks only weakly
 
     def add(self, name: str, amount: float = 1) -> None:
         self._counts[name] = self._counts.get(name, 0) + amount
@@ -41,9 +42,11 @@
     def spawn(self, work: Coroutine[Any, Any, None], where: str) -> "asyncio.Task[None]":
         """A task whose exception is logged and counted."""
         task = asyncio.get_running_loop().create_task(work, name=where)
+        self._tasks.add(task)
         task.add_done_callback(self._ended)
         return task
 
     def _ended(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             self.trouble(task.get_name(), error)
--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -55,6 +55,7 @@
         self.node = Node(settings, seed, now)
         self.generation = self.last_id = 0
         self.next_events: list[api.Event] = []      # of what was carried out after a batch
+        self.overdue: list[Request] = []            # may still be owed an answer after their due time
         self.gauges = api.Gauges()
         self.advice: float | None = None
         self.healthy, self.stored = True, False
@@ -128,6 +129,8 @@
         if events:
             for action in self.node.decide(now, events):
                 self._carry_out(action, now)
+        if self.overdue:
+            self._answer_overdue(now)
         if self.next_events:
             self.mailbox.wake()
 
@@ -192,13 +195,20 @@
             key=_number(request.entity), tenant=request.tenant, caller=request.caller, rank=request.rank,
             retry=request.retry, write=settings.effect is not api.Effect.SAFE,
         )))
-        self.wheel.at(max(now, request.born + settings.give_up_s + OVERDUE_S), lambda: self._overdue(request))
-
-    def _overdue(self, request: Request) -> None:
-        """Guard: an answer that the module still owes after the due time is given here."""
-        if not request.answered and not request.gone and not request.over:
-            self.counters.add("trouble.overdue")
-            self._answer(request, Answer(Verdict.FAILED, b"out of time"), self.clock())
+        overdue_at = max(now, request.born + settings.give_up_s + OVERDUE_S)
+        self.wheel.at(overdue_at, lambda: self.overdue.append(request))
+
+    def _answer_overdue(self, now: float) -> None:
+        """Guard: an answer that the module still owes after the due time is given here.
+
+        Seen in an exchange: after a pause of the machine the module's own timer falls due in the same tick,
+        so its word is heard first.
+        """
+        overdue, self.overdue = self.overdue, []
+        for request in overdue:
+            if not request.answered and not request.gone and not request.over:
+                self.counters.add("trouble.overdue")
+                self._answer(request, Answer(Verdict.FAILED, b"out of time"), now)
 
     def _run_ended(self, request: Request, end: RunEnded, events: list[api.Event], now: float) -> None:
         """With OK and ERROR the outcome is the answer itself, unless one went out earlier."""
--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -25,7 +25,7 @@
     line: str
     body: bytes | None = None
     request: Request | None = None
-    stage: int = 0      # the call of the run that it belongs to
+    moves: bool = False     # makes the run go on, so that its next notice proves that this was read
     tag: str = ""       # of a sample: its answer proves that all before it was read
 
     def encode(self) -> bytes:
@@ -120,19 +120,19 @@
     # --- commands
 
     def launch(self, request: Request) -> None:
-        self._send(Command(f"launch {request.trace} {request.route}", request.body, request))
+        self._send(Command(f"launch {request.trace} {request.route}", request.body, request, True))
 
     def stop(self, request: Request) -> None:
-        self._send(Command(f"freeze {request.trace}", None, request, request.call_mark))
+        self._send(Command(f"freeze {request.trace}", None, request))
 
     def resume(self, request: Request) -> None:
-        self._send(Command(f"thaw {request.trace}", None, request, request.call_mark))
+        self._send(Command(f"thaw {request.trace}", None, request))
 
     def deliver(self, request: Request, reply: bytes) -> None:
-        self._send(Command(f"deliver {request.trace}", reply, request, request.call_mark))
+        self._send(Command(f"deliver {request.trace}", reply, request, True))
 
     def forgo(self, request: Request, mark: int) -> None:
-        self._send(Command(f"forgo {request.trace} {mark}", None, request, request.call_mark))
+        self._send(Command(f"forgo {request.trace} {mark}", None, request, True))
 
     def sample(self) -> None:
         if self.link is not None and self.synced:
@@ -167,9 +167,11 @@
         match words[0]:
             case "outcome":
                 if self._fresh(words[1]):
+                    self._proved(words[2], over=True)
                     self.module.post(RunEnded(words[2], ENDS[words[3]], float(words[4]) / 1000, body))
             case "request":
                 if self._fresh(words[1]):
+                    self._proved(words[2], over=False)
                     self.module.post(CallWanted(words[2], int(words[1]), body))
             case "sampled":
                 self._sampled(words[1], [float(word) for word in words[2:]])
@@ -200,6 +202,15 @@
         self.last_notice = number
         return True
 
+    def _proved(self, trace: str, over: bool) -> None:
+        """A run's notice settles the commands before it.
+
+        Seen in an exchange: a run that ended while no link stood was launched again, as the actor had not
+        yet worked off the notice when what may be lost was sent again. So it is settled here, on reading.
+        """
+        self.unproved = [c for c in self.unproved
+                         if c.request is None or c.request.trace != trace or not (over or c.moves)]
+
     def _sampled(self, tag: str, values: list[float]) -> None:
         self.module.post(Sampled(gauges_from(self.gauges, values)))
         if tag == self.sync_tag and not self.synced:
@@ -212,8 +223,7 @@
 
     def _send_again(self) -> None:
         """After a break: what may have been lost, less what the notices since then have overtaken."""
-        again = [c for c in self.unproved if c.request is not None and c.request.running
-                 and c.stage == (c.request.call_mark if c.stage else 0)]
+        again = [c for c in self.unproved if c.request is not None and c.request.running]
         self.unproved = again
         self.counters.add("agent.commands_sent_again", len(again))
         for command in again:
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -253,7 +253,10 @@
         for peer in self.peers:
             peer.post(Reply(NO_MORE))
 
-    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.module.counters.spawn(self._serve(reader, writer), "frames")
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         peer = self.peer()
         counters = self.module.counters
         counters.add("intake.frames_connections")
--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -217,7 +217,10 @@
     async def start(self, host: str, port: int) -> None:
         self.server = await asyncio.start_server(self._accepted, host, port, backlog=1024, limit=65_536)
 
-    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.module.counters.spawn(self._serve(reader, writer), "scgi")
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         peer = ScgiPeer(self)
         self.module.counters.add("intake.scgi_connections")
         if len(self.peers) >= self.most:
--- /dev/null
+++ b/tests/play.py
@@ -0,0 +1,228 @@
+"""Plays byte exchanges from text files against a whole node on loopback, under a driven clock.
+
+A line is one step; ``#`` starts a comment. Bytes are written as hex and "text", and ``{...}`` puts the length
+of what it holds, in four bytes, before it.
+
+    NAME = connect frames|scgi          a caller's connection
+    NAME = accept agent|ledger|server   the node's next connection to a stand-in
+    NAME > BYTES    send        NAME < BYTES    wait for exactly these
+    NAME ... BYTES  wait for anything that ends in these
+    NAME end        send no more (half a close)     NAME break      close at once
+    NAME closed     wait until the node has closed
+    clock SECONDS   move the clock      counter NAME VALUE      wait until a counter has this value
+    beat TEXT       wait for this report     leave      the notice to leave     down STAND-IN   refuse links
+"""
+
+import ast
+import asyncio
+import re
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from beechrock.__main__ import Program
+from beechrock.config import Config, Scgi
+from beechrock.inventory import Inventory, over
+from beechrock.settings import settings_from
+
+START = 1_700_000_000.0
+HANG_S = 20.0       # only a node that does nothing at all takes this long
+GAUGES = ("cpu_busy", "runnable", "mem_used", "sockets")
+SETTINGS: dict[str, Any] = {
+    "extra": {"cpus": 2, "memLimitKb": 60_000.0, "runFactor": 16.0, "keyKb": 190.0, "ownStats": list(GAUGES),
+              "classCalls": [True, False], "classSkipWorth": [0.3, 0], "downstream": "one_for_all",
+              "depShare": 6.0, "callsOverS": 5.0, "lingerS": 0.2, "stopMode": "freeze", "say": "floor",
+              "cancelSeen": True, "callers": 3, "idleS": 30.0},
+    "grades": [{"name": "resolve", "promiseS": 1.8, "giveUpS": 7.0, "effect": "safe"},
+               {"name": "submit", "promiseS": 1.4, "giveUpS": 3.6, "effect": "keyed", "windowS": 10.0}],
+    "guarantees": {"fallMultiple": 5.0, "overloadForS": 3.0, "answerSlackS": 0.06, "drainGraceS": 2.0},
+    "limits": {"maxRetryAfterS": 1.0}, "tickS": 0.004,
+}
+
+
+def bytes_of(text: str) -> bytes:
+    """The notation of the exchange files."""
+    stack = [b""]
+    for part in re.findall(r'"(?:[^"\\]|\\.)*"|[{}]|[0-9a-f]+|\S', text):
+        if part == "{":
+            stack.append(b"")
+        elif part == "}":
+            inner = stack.pop()
+            stack[-1] += len(inner).to_bytes(4, "big") + inner
+        else:
+            stack[-1] += ast.literal_eval("b" + part) if part[0] == '"' else bytes.fromhex(part)
+    assert len(stack) == 1, f"braces in {text}"
+    return stack[0]
+
+
+class Wire:
+    """One connection of a stand-in; keeps what came in."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, samples: bool) -> None:
+        self.writer, self.samples = writer, samples
+        self.got, self.ended = b"", False
+        self.task = asyncio.get_running_loop().create_task(self._read(reader))
+
+    async def _read(self, reader: asyncio.StreamReader) -> None:
+        try:
+            while data := await reader.read(65_536):
+                self.got += data
+                if self.samples:    # questions for gauges follow the clock; they are answered here, unseen
+                    self.got = re.sub(rb"sample (\w+)\r\n", self._sampled, self.got)
+        except OSError:
+            pass
+        self.ended = True
+
+    def _sampled(self, found: "re.Match[bytes]") -> bytes:
+        self.writer.write(b"sampled " + found[1] + b" 0.5 1 0.1 3\r\n")
+        return b""
+
+
+async def until(true: Callable[[], bool], what: Callable[[], str]) -> None:
+    try:
+        async with asyncio.timeout(HANG_S):
+            while not true():
+                await asyncio.sleep(0.001)
+    except TimeoutError:
+        raise AssertionError(what()) from None
+
+
+class Stand:
+    """A node and all that it talks to."""
+
+    def __init__(self) -> None:
+        self.now = START
+        self.wires: dict[str, Wire] = {}
+        self.links: dict[str, asyncio.Queue[Wire]] = {}
+        self.servers: dict[str, asyncio.Server] = {}
+        self.beats: list[str] = []
+
+    async def open(self, inventory: Inventory | None = None, settings: dict[str, Any] = SETTINGS) -> None:
+        for name in ("agent", "ledger"):
+            await self.listen(name)
+        loop = asyncio.get_running_loop()
+        self.registry, _ = await loop.create_datagram_endpoint(
+            lambda: Beats(self.beats), local_addr=("127.0.0.1", 0))
+        told, _ = settings_from(over(settings, inventory) if inventory else settings)
+        scgi = Scgi(("127.0.0.1", 0), inventory) if inventory else None
+        self.program = Program(Config(
+            name="n1", listen=("127.0.0.1", 0), agent=self.address("agent"), ledger=self.address("ledger"),
+            registry=self.registry.get_extra_info("sockname"), seed=1, stop_s=4.0, memory_mb=192.0,
+            sockets=1024, settings=told, gauges=GAUGES, scgi=scgi), clock=lambda: self.now)
+        await self.program.start()
+
+    async def listen(self, name: str) -> tuple[str, int]:
+        self.links[name] = asyncio.Queue()
+
+        async def accepted(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await self.links[name].put(Wire(reader, writer, name == "agent"))
+
+        self.servers[name] = await asyncio.start_server(accepted, "127.0.0.1", 0)
+        return self.address(name)
+
+    def address(self, name: str) -> tuple[str, int]:
+        host, port = self.servers[name].sockets[0].getsockname()[:2]
+        return host, port
+
+    async def close(self) -> None:
+        self.program.close()
+        for task in self.program.tasks:
+            task.cancel()
+        for wire in self.wires.values():
+            wire.writer.close()
+        for server in self.servers.values():
+            server.close()
+        self.registry.close()
+
+    async def play(self, text: str) -> None:
+        for number, line in enumerate(text.splitlines(), 1):
+            words = line.split("#")[0].split() if '"' not in line else line.split()
+            if not words or words[0].startswith("#"):
+                continue
+            try:
+                await self.step(words, line.strip())
+            except AssertionError as error:
+                raise AssertionError(f"line {number}: {line.strip()}\n{error}") from None
+        left = {name: wire.got for name, wire in self.wires.items() if wire.got}
+        assert not left, f"bytes that no line waits for: {left}"
+        # A task that failed is in the counters under this name.
+        assert not [c for c in self.program.counters.lines() if c.startswith("trouble.")]
+
+    async def step(self, words: list[str], line: str) -> None:
+        match words:
+            case ["clock", seconds]:
+                self.now += float(seconds)
+                self.program.module.mailbox.wake()
+                # Two rounds of the actor: what the first said is carried out in the second.
+                await asyncio.sleep(0.02)
+            case ["counter", name, value]:
+                counters = self.program.counters
+                await until(lambda: counters[name] == float(value), lambda: "; ".join(counters.lines()))
+            case ["leave"]:
+                self.program.leave()
+                module = self.program.module
+                await until(lambda: module.leaving_until is not None, lambda: "the notice was not read")
+            case ["down", name]:
+                self.servers[name].close()
+            case ["beat", *_]:
+                text = line.partition(" ")[2]
+                await until(lambda: text in self.beats, lambda: f"{self.beats[-3:]}")
+            case [name, "=", "connect", kind]:
+                front = self.program.frames if kind == "frames" else self.program.scgi
+                assert front is not None and front.server is not None
+                address = front.server.sockets[0].getsockname()[:2]
+                self.wires[name] = Wire(*await asyncio.open_connection(*address), False)
+            case [name, "=", "accept", kind]:
+                async with asyncio.timeout(HANG_S):
+                    self.wires[name] = await self.links[kind].get()
+            case [name, verb, *_]:
+                await self.wire_step(self.wires[name], verb, line.split(maxsplit=2)[-1])
+
+    async def wire_step(self, wire: Wire, verb: str, rest: str) -> None:
+        if verb == ">":
+            wire.writer.write(bytes_of(rest))
+        elif verb == "<":
+            want = bytes_of(rest)
+            await until(lambda: len(wire.got) >= len(want) or wire.ended, lambda: f"only {wire.got!r}")
+            assert wire.got[:len(want)] == want, f"got {wire.got!r}"
+            wire.got = wire.got[len(want):]
+        elif verb == "...":
+            want = bytes_of(rest)
+            await until(lambda: wire.got.endswith(want) or wire.ended, lambda: f"only {wire.got!r}; {self.program.counters.lines()}")
+            assert wire.got.endswith(want), f"got {wire.got!r}"
+            wire.got = b""
+        elif verb == "end":
+            wire.writer.write_eof()
+        elif verb == "break":
+            wire.writer.transport.abort()
+        elif verb == "closed":
+            await until(lambda: wire.ended, lambda: f"still open, got {wire.got!r}")
+        else:
+            raise AssertionError(f"unknown step {verb}")
+
+
+class Beats(asyncio.DatagramProtocol):
+    def __init__(self, beats: list[str]) -> None:
+        self.beats = beats
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        self.beats.append(data.decode())
+
+
+def run(work: Callable[[Stand], Awaitable[None]]) -> None:
+    async def whole() -> None:
+        stand = Stand()
+        try:
+            await work(stand)
+        finally:
+            await stand.close()
+
+    asyncio.run(whole())
+
+
+def play(path: Path) -> None:
+    async def work(stand: Stand) -> None:
+        await stand.open()
+        await stand.play(path.read_text())
+
+    run(work)
