--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -60,13 +60,17 @@
         if self.registry is not None:
             self.registry.mailbox.put("draining")
 
-    async def start(self) -> None:
+    async def listen(self) -> None:
         if self.frames is not None and self.told.listen is not None:
             await self.frames.start(*self.told.listen)
             log.info("%s: frames on %s:%d", self.told.name, *self.told.listen)
         if self.scgi is not None and self.told.scgi is not None:
             await self.scgi.start(*self.told.scgi.listen)
             log.info("%s: SCGI on %s:%d", self.told.name, *self.told.scgi.listen)
+
+    async def start(self) -> None:
+        """Listen, and let the actors run."""
+        await self.listen()
         actors = {"module": self.module, "agent": self.agent, "registry": self.registry}
         self.tasks = [self.counters.spawn(a.run(), name) for name, a in actors.items() if a is not None]
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -188,7 +188,7 @@
             wire.got = wire.got[len(want):]
         elif verb == "...":
             want = bytes_of(rest)
-            await until(lambda: wire.got.endswith(want) or wire.ended, lambda: f"only {wire.got!r}; {self.program.counters.lines()}")
+            await until(lambda: wire.got.endswith(want) or wire.ended, lambda: f"only {wire.got!r}")
             assert wire.got.endswith(want), f"got {wire.got!r}"
             wire.got = b""
         elif verb == "end":
