--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -79,7 +79,10 @@
     if answer.verdict is Verdict.FAILED:
         return Reply(500, answer.body or b"failed\n", headers)
     if answer.retry_after_s:
-        headers += (("Retry-After", str(math.ceil(answer.retry_after_s))),)
+        # Retry-After has whole seconds only. Seen in the overload scenario: rounded up, pauses of a third of
+        # a second cost SCGI callers 3% of the service that frames got; the exact pause stands beside it.
+        headers += (("Retry-After", str(math.ceil(answer.retry_after_s))),
+                    ("X-Retry-After-Ms", str(max(1, round(1000 * answer.retry_after_s)))))
     if answer.no_retry:
         headers += (("X-Retry-Elsewhere", "no"),)
     return Reply(503, answer.body or b"turned away; it never ran\n", headers)
