--- a/beechrock/core/wheel.py
+++ b/beechrock/core/wheel.py
@@ -42,7 +42,9 @@
         """Fire what is due by ``now``, in order of ticks; gives the number of timers fired."""
         target, fired = int(now / self.tick_s), 0
         # After a long pause a whole turn sees every slot; more turns would see nothing new.
-        for tick in range(max(self._done + 1, target - SLOTS + 1), target + 1):
+        first = max(self._done + 1, target - SLOTS + 1)
+        self._done = max(self._done, target)    # so that what is set meanwhile waits for the next tick
+        for tick in range(first, target + 1):
             slot = self._slots[tick % SLOTS]
             if not slot:
                 continue
@@ -51,10 +53,8 @@
                 self._slots[tick % SLOTS] = [timer for timer in slot if timer.due > target]
                 self._armed -= len(due)
                 fired += len(due)
-                self._done = max(self._done, tick)
                 for timer in due:
                     timer.action()
-        self._done = max(self._done, target)
         return fired
 
     def next_due(self) -> float:
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,172 @@
+"""Configuration and inventory: what is wrong is refused with the file, the entry and the key."""
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+import ujson
+from play import SETTINGS
+
+from beechrock import __main__, config, inventory
+from beechrock.settings import settings_from
+
+TOLD: dict[str, Any] = {
+    "name": "n3", "listen": "127.0.0.1:6565", "agent": "127.1.0.1:4400", "registry": "127.2.0.1:7946",
+    "ledger": "127.1.0.2:5432", "seed": "8c1f30d27a5be964", "stop_ms": 3200,
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
+}
+SHIPPED = Path(__file__).parent.parent / "deploy" / "inventory.yaml"
+CSV = """group,host,team,service,share,rate,aim_ms,due_ms,effect,window_ms,upstreams,amount,period_s,cores,\
+memory_mb
+all,*,,,,,,,,,,,,6,64
+teams,releases,,,,,,,,,,,,,
+services,submit,,,,,,,,,127.0.0.1:9201 127.0.0.1:9202,,,,
+contracts,*,releases,,,,1400,3600,,,,,,,
+contracts,rs,,submit,0.4,65,,,keyed,10677,,,,,
+budgets,day,releases,,,,,,,,,1000,86400,,
+"""
+
+
+def load(tmp_path: Path, told: object, **environ: str) -> config.Config:
+    path = tmp_path / "config.json"
+    path.write_text(told if isinstance(told, str) else ujson.dumps(told))
+    return config.load({"LB_CONFIG": str(path), **environ}, tmp_path)
+
+
+def test_a_whole_configuration_is_read_and_the_variables_come_first(tmp_path: Path) -> None:
+    told = load(tmp_path, TOLD, LB_NAME="n9", LB_LISTEN="127.0.0.9:1")
+    assert (told.name, told.listen, told.agent) == ("n9", ("127.0.0.9", 1), ("127.1.0.1", 4400))
+    assert (told.stop_s, told.sockets, told.seed) == (3.2, 1024, 0x8C1F30D27A5BE964)
+    assert [c.name for c in told.settings.classes] == ["resolve", "submit"]
+    assert told.scgi is None
+
+
+@pytest.mark.parametrize(("change", "words"), [
+    ({"agent": "nowhere"}, "agent: 'nowhere' is not HOST:PORT"),
+    ({"listen": None}, "listen: None is not HOST:PORT"),
+    ({"stop_ms": -1}, "stop_ms: -1 is not a number above 0"),
+    ({"limits": {"sockets": "x"}}, "limits: sockets: 'x' is not a number above 0"),
+    ({"limits": 3}, "limits: not an object"),
+    ({"seed": "xyz"}, "seed: 'xyz' is not a number in hex"),
+    ({"name": "two words"}, "name: one word is needed"),
+    ({"settings": {"extra": {"cpus": 0}, "grades": [{}]}}, "cpus is missing or not above 0"),
+])
+def test_a_faulty_key_is_named(tmp_path: Path, change: dict[str, Any], words: str) -> None:
+    with pytest.raises(config.ConfigError, match=r"config\.json") as caught:
+        load(tmp_path, {**TOLD, **change})
+    assert words in str(caught.value)
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{"])
+def test_what_is_no_configuration_ends_the_program_with_code_2(
+    tmp_path: Path, text: str, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(text)
+    monkeypatch.setenv("LB_CONFIG", str(path))
+    assert __main__.main() == 2
+    assert capsys.readouterr().err.count("\n") == 1
+
+
+def scgi(tmp_path: Path, text: str) -> config.Config:
+    (tmp_path / "scgi.toml").write_text(text)
+    return config.load({"LB_SCGI": str(tmp_path / "scgi.toml")}, tmp_path)
+
+
+def test_the_scgi_front_alone_takes_its_settings_from_the_inventory(tmp_path: Path) -> None:
+    told = scgi(tmp_path, f'enabled = true\nlisten = "127.0.0.1:4000"\ninventory = "{SHIPPED}"')
+    assert told.listen is told.agent is None
+    assert told.scgi is not None and told.scgi.listen == ("127.0.0.1", 4000)
+    assert [t.name for t in told.settings.tenants] == ["packagers", "releases"]
+
+
+@pytest.mark.parametrize(("text", "words"), [
+    ("enabled = true\nport = 3", "port: unknown key"),
+    ("enabled = 1", "enabled: 1 is neither true nor false"),
+    ("enabled = true", "inventory: the path of a file is needed"),
+    ('enabled = true\ninventory = "none.yaml"', "none.yaml"),
+    (f'enabled = true\ninventory = "{SHIPPED}"', "listen: None is not HOST:PORT"),
+    ("enabled = false", "LB_CONFIG: not set"),
+    ("enabled", "scgi.toml"),
+])
+def test_a_fault_in_the_scgi_file_is_named(tmp_path: Path, text: str, words: str) -> None:
+    with pytest.raises(config.ConfigError) as caught:
+        scgi(tmp_path, text)
+    assert words in str(caught.value)
+
+
+def test_the_shipped_inventory_becomes_settings() -> None:
+    found = inventory.load(SHIPPED)
+    settings, _ = settings_from(found.settings)
+    submit = settings.classes[found.classes["releases", "submit"]]
+    assert (submit.name, submit.aim_s, submit.window_s, submit.price) == ("submit", 1.4, 10.677, 5.0)
+    releases = settings.tenants[found.teams["releases"]]
+    assert (releases.share, releases.quota_per_s) == (pytest.approx(0.6), 90.0)
+    assert (releases.budget, releases.budget_period_s) == (2_000_000.0, 86_400.0)
+    assert found.upstreams["resolve"] == (("127.0.0.1", 9101), ("127.0.0.1", 9102))
+    assert ("packagers", "submit") not in found.classes
+
+
+def test_csv_says_the_same_as_yaml(tmp_path: Path) -> None:
+    (tmp_path / "i.csv").write_text(CSV)
+    (tmp_path / "i.yaml").write_text("""
+all:
+  vars: {cores: 6, memory_mb: 64}
+  children:
+    teams: {hosts: {releases: {}}}
+    services: {hosts: {submit: {upstreams: ["127.0.0.1:9201", "127.0.0.1:9202"]}}}
+    contracts:
+      vars: {team: releases, aim_ms: 1400, due_ms: 3600}
+      hosts: {rs: {service: submit, share: 0.4, rate: 65, effect: keyed, window_ms: 10677}}
+    budgets: {hosts: {day: {team: releases, amount: 1000, period_s: 86400}}}
+""")
+    assert inventory.load(tmp_path / "i.csv") == inventory.load(tmp_path / "i.yaml")
+
+
+@pytest.mark.parametrize(("old", "new", "words"), [
+    ("share: 0.2,", "share: 0.2, shade: 1,", "contracts.releases-resolve: shade: unknown key"),
+    ("share: 0.2,", "", "contracts.releases-resolve: share: missing"),
+    ("share: 0.2,", "share: 0.9,", "contracts: share: all shares add up to 1.7, above 1"),
+    ("rate: 25", "rate: fast", "contracts.releases-resolve: rate: 'fast' is not a number"),
+    ("rate: 25", "rate: .nan", "contracts.releases-resolve: rate: nan is not a number"),
+    ("effect: keyed, ", "", "contracts.releases-submit: effect: missing"),
+    ("window_ms: 10677, ", "", "contracts.releases-submit: window_ms: needed"),
+    ("aim_ms: 1400", "aim_ms: 9400", "contracts.releases-submit: aim_ms: above due_ms"),
+    ("service: submit,", "service: sing,", "service: sing is not in the inventory"),
+    ("{team: packagers,", "{team: strangers,", "team: strangers is not in the inventory"),
+    ("{team: packagers,", "{team: releases,", "contracts.releases-resolve: team, service: another contract"),
+    ("rate: 25, effect: safe", "rate: 25, effect: unsafe", "effect: differs from another contract"),
+    ("releases-daily: {team: releases,", "releases-daily: {team: none,", "daily: team: none is not in"),
+    ("    budgets:", "    budges:", "all.children: budges: unknown key"),
+    ("all:", "any:", "all: any: unknown key"),
+    ("releases: {contact", "packagers: {contact", "packagers: stands twice"),
+    ("127.0.0.1:9201", "127.0.0.1", "services.submit: upstreams: '127.0.0.1' is not HOST:PORT"),
+    ("cores: 6", "cores: true", "all.vars: cores: True is not a number"),
+    ("cores: 6", "cores: [", "not YAML"),
+    ("        submit: {upstreams", "        submit: 3 #", "services.submit: is not a mapping"),
+])
+def test_a_fault_in_an_inventory_is_named(tmp_path: Path, old: str, new: str, words: str) -> None:
+    text = SHIPPED.read_text()
+    assert old in text
+    path = tmp_path / "i.yaml"
+    path.write_text(text.replace(old, new, 1))
+    with pytest.raises(inventory.InventoryError) as caught:
+        inventory.load(path)
+    assert str(caught.value).startswith(f"{path}: ")
+    assert words in str(caught.value)
+
+
+@pytest.mark.parametrize(("old", "new", "words"), [
+    ("group,host", "host,group", "line 1: the first columns are not group,host"),
+    ("rate,aim_ms", "rate,rate", "line 1: a column stands twice"),
+    ("teams,releases", "teems,releases", "line 3: teems: unknown group"),
+    ("teams,releases,", "teams,releases,,", "line 3: not 15 columns"),
+    ("teams,releases", "teams,releases,,,,,,,,,,,,,\nteams,releases", "stands twice"),
+    ("budgets,day,releases", "budgets,day,nobody", "budgets.day: team: nobody is not in the inventory"),
+])
+def test_a_fault_in_a_csv_inventory_is_named(tmp_path: Path, old: str, new: str, words: str) -> None:
+    path = tmp_path / "i.csv"
+    path.write_text(CSV.replace(old, new, 1))
+    with pytest.raises(inventory.InventoryError) as caught:
+        inventory.load(path)
+    assert words in str(caught.value)
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,218 @@
+"""The core without any wire: wheel, mailbox, key table, and the module's actor."""
+
+import random
+
+import pytest
+from world import settings
+
+from beechrock import interface as api
+from beechrock.core.counters import Counters
+from beechrock.core.keys import KeyTable
+from beechrock.core.mailbox import Mailbox
+from beechrock.core.module import ModuleActor
+from beechrock.core.requests import Answer, CallDone, CallWanted, Gone, Request, RunEnded, Taken, Verdict
+from beechrock.core.routed import Routed
+from beechrock.core.wheel import SLOTS, Wheel
+
+
+def request(trace: str, nonce: str | None = None, born: float = 100.0, klass: int = 1) -> Request:
+    said: list[Answer] = []
+    made = Request(trace=trace, klass=klass, route=f"r{klass}", born=born, body=b"b", answer=said.append,
+                   kb=10.0, nonce=nonce)
+    SAID[trace] = said
+    return made
+
+
+SAID: dict[str, list[Answer]] = {}
+
+
+class Worker:
+    """Notes what it is told; fills Work and Calls."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[str, str]] = []
+
+    def __getattr__(self, name: str) -> object:
+        if name in ("sample", "exercise"):
+            return lambda *_: self.told.append((name, ""))
+        return lambda told, *_: self.told.append((name, told.trace))
+
+
+class Desk:
+    """An actor whose batches the test drives."""
+
+    def __init__(self, **changes: object) -> None:
+        self.now, self.work = 100.0, Worker()
+        self.counters = Counters()
+        told = settings(passes_deadline=False, **changes)
+        self.actor = ModuleActor(told, 1, lambda: self.now, self.counters)
+        self.actor.work = self.actor.calls = self.work      # type: ignore[assignment]
+
+    def tell(self, *messages: object, after: float = 0.0) -> None:
+        self.now += after
+        for message in messages:
+            self.actor.post(message)    # type: ignore[arg-type]
+        self.actor.tick(self.now)
+
+    def launched(self) -> list[str]:
+        return [trace for name, trace in self.work.told if name == "launch"]
+
+
+def verdicts(trace: str) -> list[Verdict]:
+    return [answer.verdict for answer in SAID[trace]]
+
+
+def test_timers_fire_once_in_the_tick_after_they_fall_due_and_over_many_turns() -> None:
+    draw, fired = random.Random(3), []
+    wheel = Wheel(0.004, 50.0)
+    dues = [50.0 + draw.uniform(0, 3 * SLOTS * 0.004) for _ in range(300)]
+    for due in dues:
+        wheel.at(due, lambda due=due: fired.append((due, now)))     # type: ignore[misc]
+    now = 50.0
+    while now < 50.0 + 4 * SLOTS * 0.004:
+        assert wheel.next_due() > now - 0.004
+        now += draw.uniform(0.0, 0.02)
+        wheel.advance(now)
+    assert sorted(due for due, _ in fired) == sorted(dues)
+    assert all(due <= at + 1e-6 for due, at in fired)
+    assert max(at - due for due, at in fired) <= 0.025
+
+
+def test_a_timer_set_while_others_fire_waits_for_the_next_tick_and_a_cancelled_one_never_fires() -> None:
+    wheel, fired = Wheel(0.004, 0.0), []
+    wheel.at(0.01, lambda: wheel.at(0.0, lambda: fired.append("second")))
+    wheel.at(0.01, lambda: fired.append("cancelled")).cancel()
+    wheel.advance(0.02)
+    assert fired == []
+    wheel.advance(0.03)
+    assert fired == ["second"]
+
+
+def test_after_a_long_pause_every_due_timer_fires() -> None:
+    wheel, fired = Wheel(0.004, 0.0), []
+    for place in range(50):
+        wheel.at(0.3 * place, lambda place=place: fired.append(place))     # type: ignore[misc]
+    wheel.advance(3600.0)
+    assert sorted(fired) == list(range(50))
+    assert wheel.next_due() > 3600.0
+
+
+def test_a_full_mailbox_says_so() -> None:
+    mailbox: Mailbox[int] = Mailbox(2)
+    assert [mailbox.put(1), mailbox.put(2), mailbox.put(3)] == [True, True, False]
+    assert mailbox.drain() == [1, 2]
+
+
+def test_a_repeat_counts_by_its_arrival_and_50_ms_beyond_the_entry() -> None:
+    table = KeyTable(2, linger_s=4.0)
+    first = request("a", "n")
+    table.keep(first, 110.0)
+    assert table.find(request("b", "n", born=110.05)) is first
+    assert table.find(request("c", "n", born=110.06)) is None
+    # Read late, it still is a repeat: entries outlive their end.
+    table.sweep(113.9)
+    assert table.find(request("d", "n", born=109.0)) is first
+    table.sweep(114.1)
+    assert len(table) == 0
+
+
+def test_the_table_is_bounded_and_forgets_only_for_the_holder_of_the_entry() -> None:
+    table = KeyTable(2, linger_s=4.0)
+    one, two = request("a", "n"), request("b", "n")
+    assert table.keep(one, 110.0) and table.keep(request("c", "m"), 110.0)
+    assert not table.keep(request("d", "o"), 110.0)
+    assert table.keep(two, 111.0)
+    table.forget(one)
+    assert table.find(request("e", "n")) is two
+
+
+def test_the_outcome_is_the_answer_and_only_one_answer_goes_out() -> None:
+    desk = Desk()
+    desk.tell(Taken(request("a", "n1")))
+    assert desk.launched() == ["a"]
+    desk.tell(RunEnded("a", api.Outcome.OK, 0.1, b"r"), RunEnded("a", api.Outcome.OK, 0.1, b"r"), after=0.1)
+    assert [(a.verdict, a.body) for a in SAID["a"]] == [(Verdict.SERVED, b"r")]
+    assert desk.actor.book == desk.actor.traces == {}
+
+
+def test_two_tries_in_one_batch_run_once_and_both_are_served() -> None:
+    desk = Desk()
+    desk.tell(Taken(request("a", "n2")), Taken(request("b", "n2")))
+    desk.tell()
+    desk.tell(RunEnded("a", api.Outcome.OK, 0.1, b"r"), after=0.1)
+    assert desk.launched() == ["a"]
+    assert [(a.verdict, a.body) for a in SAID["b"]] == [(Verdict.SERVED, b"r")]
+
+
+@pytest.mark.parametrize(("outcome", "verdict"), [
+    (api.Outcome.ERROR, Verdict.FAILED), (api.Outcome.STOPPED, Verdict.FAILED)])
+def test_a_repeat_of_a_run_that_went_wrong_fails_and_does_not_run(
+    outcome: api.Outcome, verdict: Verdict
+) -> None:
+    desk = Desk()
+    desk.tell(Taken(request("a", "n3")))
+    desk.tell(Taken(request("b", "n3")))
+    desk.tell(Gone(desk.actor.traces["a"]), RunEnded("a", outcome, 0.1))
+    desk.tell()
+    assert desk.launched() == ["a"]
+    assert verdicts("a") == []
+    assert verdicts("b") == [verdict]
+
+
+def test_a_run_that_outlives_its_answer_still_serves_its_repeats() -> None:
+    desk = Desk()
+    desk.tell(Taken(request("a", "n4")))
+    desk.tell(after=9.0)
+    assert verdicts("a") == [Verdict.FAILED]
+    desk.tell(Taken(request("b", "n4", born=108.9)))
+    desk.tell(RunEnded("a", api.Outcome.OK, 9.1, b"late"))
+    assert [(a.verdict, a.body) for a in SAID["b"]] == [(Verdict.SERVED, b"late")]
+    assert verdicts("a") == [Verdict.FAILED]
+
+
+def test_a_trace_in_use_is_refused_a_second_run() -> None:
+    desk = Desk()
+    desk.tell(Taken(request("a", "n5")), Taken(request("a", "n6")))
+    assert desk.launched() == ["a"]
+    assert verdicts("a") == [Verdict.FAILED]
+    assert desk.counters["intake.reused_traces"] == 1
+
+
+def test_the_end_of_a_run_voids_its_call_and_late_words_of_the_call_reach_nobody() -> None:
+    desk = Desk(downstream=api.Downstream.SHARED, calls_share=6.0, linger_s=0.2)
+    made = request("a", klass=0)
+    desk.tell(Taken(made))
+    desk.tell(CallWanted("a", 1, b"c"))
+    assert ("call", "a") in desk.work.told
+    desk.tell(RunEnded("a", api.Outcome.STOPPED, 0.1))
+    assert desk.work.told[-1] == ("abandon", "a")
+    desk.tell(CallDone(made, api.Outcome.OK, 0.1, b"x"))
+    assert ("deliver", "a") not in desk.work.told
+
+
+def test_what_the_module_leaves_past_the_due_time_gets_an_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    desk = Desk()
+    monkeypatch.setattr(desk.actor.node, "decide", lambda now, events: [])
+    desk.tell(Taken(request("a", "n7")))
+    desk.tell(after=8.9)
+    assert verdicts("a") == []
+    desk.tell(after=0.2)
+    assert verdicts("a") == [Verdict.FAILED]
+    assert desk.counters["trouble.overdue"] == 1
+
+
+def test_spending_shows_in_the_counters() -> None:
+    desk = Desk(tenants=(api.TenantSettings(1.0, 9.0, name="releases", budget=10.0, budget_period_s=60.0),))
+    made = request("a", "n8")
+    made.tenant = 0
+    desk.tell(Taken(made))
+    desk.actor.report()
+    assert desk.counters["spent.releases"] == 1.0
+
+
+def test_work_goes_where_its_route_runs() -> None:
+    here, others = Worker(), Worker()
+    routed = Routed(frozenset({"r0"}), here, others)    # type: ignore[arg-type]
+    routed.launch(request("a", klass=0))
+    routed.launch(request("b", klass=1))
+    assert (here.told, others.told) == ([("launch", "a")], [("launch", "b")])
