Test the started program: listening, counters on SIGUSR1, leaving with code 0

Seen: a notice to leave gives type 6 on old and new connections, bad health and code 0; a size of 0 was taken though the protocol wants more than 0 (frames.py, _request), now one clear error. Port 0 in a listen address takes a free port, which the log names.

--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -24,6 +24,10 @@
 EXIT_MARGIN_S = 0.25    # the process has ended this long before it would be killed
 
 
+def _address_of(server: asyncio.Server | None) -> str:
+    return "{}:{}".format(*server.sockets[0].getsockname()[:2]) if server is not None else "nothing"
+
+
 class Program:
     """The parts of one node, wired together."""
 
@@ -63,10 +67,10 @@
     async def listen(self) -> None:
         if self.frames is not None and self.told.listen is not None:
             await self.frames.start(*self.told.listen)
-            log.info("%s: frames on %s:%d", self.told.name, *self.told.listen)
+            log.info("%s: frames on %s", self.told.name, _address_of(self.frames.server))
         if self.scgi is not None and self.told.scgi is not None:
             await self.scgi.start(*self.told.scgi.listen)
-            log.info("%s: SCGI on %s:%d", self.told.name, *self.told.scgi.listen)
+            log.info("%s: SCGI on %s", self.told.name, _address_of(self.scgi.server))
 
     async def start(self) -> None:
         """Listen, and let the actors run."""
--- a/beechrock/config.py
+++ b/beechrock/config.py
@@ -77,7 +77,7 @@
     listen_at = "LB_LISTEN" if environ.get("LB_LISTEN") else f"{where}: listen"
     return Config(
         name=name,
-        listen=_address(listen, listen_at) if path else None,
+        listen=_address(listen, listen_at, 0) if path else None,
         agent=_address(told.get("agent"), f"{where}: agent") if path else None,
         ledger=_address(told["ledger"], f"{where}: ledger") if told.get("ledger") else None,
         registry=_address(told["registry"], f"{where}: registry") if told.get("registry") else None,
@@ -123,12 +123,13 @@
         inventory = inv.load(root / told["inventory"])
     except inv.InventoryError as error:
         raise ConfigError(f"{path}: inventory: {error}") from None
-    return Scgi(_address(told.get("listen"), f"{path}: listen"), inventory)
+    return Scgi(_address(told.get("listen"), f"{path}: listen", 0), inventory)
 
 
-def _address(value: object, where: str) -> Address:
+def _address(value: object, where: str, least: int = 1) -> Address:
+    """HOST:PORT; where we listen, port 0 stands for any free one."""
     host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not (port.isascii() and port.isdigit()) or not least <= int(port) < 65536:
         raise ConfigError(f"{where}: {value!r} is not HOST:PORT")
     return host.strip("[]"), int(port)
 
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -165,9 +165,12 @@
         if len(trace) != 16 or set(trace) - set("0123456789abcdef"):
             raise BadRequestError("trace: not 16 hex digits")
         caller = _number(told, "client", 0, 2**32)
+        size = _number(told, "size", 0, 2000)
+        if not size:
+            raise BadRequestError("size: not above 0")
         return Request(
             trace=trace, klass=klass, route=told["route"], born=_number(told, "born", 0, 2**53) / 1000.0,
-            body=body, answer=functools.partial(self._answer, stream), kb=_number(told, "size", 0, 2000),
+            body=body, answer=functools.partial(self._answer, stream), kb=size,
             rank=_number(told, "order", 0, 1), caller=int(caller), retry=told.get("redo") == "1",
             nonce=nonce, entity=told.get("entity") or None,
         )
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,71 @@
+"""The program as it is started: listening, signals, the way out, and the deploy file."""
+
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import ujson
+from play import SETTINGS
+
+ROOT = Path(__file__).parent.parent
+CHECK = bytes.fromhex("00000006 04 00000001 00".replace(" ", ""))
+NO_MORE = bytes.fromhex("00000005 06 00000000".replace(" ", ""))
+
+
+def exactly(link: socket.socket, size: int) -> bytes:
+    data = b""
+    while len(data) < size and (more := link.recv(size - len(data))):
+        data += more
+    return data
+
+
+def message(link: socket.socket) -> bytes:
+    head = exactly(link, 4)
+    return head + exactly(link, int.from_bytes(head, "big"))
+
+
+def test_the_notice_to_leave_is_worked_off_with_open_ears_and_ends_with_code_0(tmp_path: Path) -> None:
+    told = {"name": "n1", "listen": "127.0.0.1:0", "agent": "127.0.0.1:1", "seed": "1", "stop_ms": 5000,
+            "settings": SETTINGS}
+    (tmp_path / "config.json").write_text(ujson.dumps(told))
+    node = subprocess.Popen(
+        [sys.executable, "-m", "beechrock"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+        env={**os.environ, "LB_CONFIG": str(tmp_path / "config.json")})
+    assert node.stderr is not None
+    try:
+        found = re.search(r"frames on 127\.0\.0\.1:(\d+)", node.stderr.readline())
+        assert found is not None
+        address = ("127.0.0.1", int(found[1]))
+        with socket.create_connection(address, 30) as old:
+            old.sendall(CHECK)
+            assert message(old)[4:10] == b"\x05\0\0\0\x01\0"
+            node.send_signal(signal.SIGUSR1)
+            assert "answered.checks_good 1" in node.stderr.readline()
+            node.send_signal(signal.SIGTERM)
+            assert message(old) == NO_MORE
+            with socket.create_connection(address, 30) as new:
+                assert message(new) == NO_MORE
+                new.sendall(CHECK)
+                assert message(new)[4:10] == b"\x05\0\0\0\x01\x01"
+        assert node.wait(30) == 0
+        assert "answered.checks_bad 1" in node.stderr.read()
+    finally:
+        node.kill()
+        node.stderr.close()
+
+
+def test_the_deploy_file_names_what_is_there() -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    assert {"build", "run", "sim", "policy", "node", "packages"} == set(deploy)
+    assert all((ROOT / path).exists() for path in deploy["policy"] + deploy["node"])
+    assert tomllib.loads((ROOT / "deploy" / "scgi.toml").read_text())["enabled"] is False
+
+
+def test_requirements_are_those_of_the_package() -> None:
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    assert project["dependencies"] == (ROOT / "requirements.txt").read_text().split()
