Share one parser between the agent's and the ledger's lines

Seen: the two parsers of lines with bodies were the same text twice; LinesPeer in net/peer.py is now the one, and also refuses a body that does not end where its line says.

--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -8,11 +8,10 @@
 from beechrock.core.module import ModuleActor
 from beechrock.core.requests import CallWanted, Request, RunEnded, Sampled, WorkUp
 from beechrock.interface import Outcome
-from beechrock.net.peer import BadInputError, Peer
+from beechrock.net.peer import BadInputError, LinesPeer
 from beechrock.settings import gauges_from
 
 ENDS = {"PASS": Outcome.OK, "FAIL": Outcome.ERROR, "KILLED": Outcome.STOPPED, "NOOP": Outcome.MOOT}
-MOST_LINE = 4096
 MOST_BLOB = 200_000      # an answer with it still is one frame
 MOST_COMMANDS = 40_000
 AGAIN_S = (0.02, 0.5)       # pause before a new link: the first, and the longest
@@ -34,49 +33,29 @@
         return f"{self.line} {len(self.body)}\r\n".encode() + self.body + b"\r\n"
 
 
-class AgentLink(Peer[Command]):
+class AgentLink(LinesPeer[Command]):
     """One link; ``Agent`` makes the next when it breaks."""
 
     where = "agent"
+    most_body = MOST_BLOB
 
     def __init__(self, agent: "Agent") -> None:
-        super().__init__(agent.counters, MOST_LINE + MOST_BLOB + 4, 4 * MOST_BLOB, MOST_COMMANDS)
+        super().__init__(agent.counters, 1 << 20, MOST_COMMANDS)
         self.agent = agent
-        self.waiting: tuple[list[str], int] | None = None   # a line whose body is still to come
 
     def encode(self, message: Command) -> bytes:
         return message.encode()
 
-    def parse(self) -> None:
-        while True:
-            if self.waiting is None:
-                line = self.inbox.line(MOST_LINE)
-                if line is None:
-                    return
-                words = line.decode("utf-8", "replace").split(" ")
-                sized = words[0] == "request" or (words[0] == "outcome" and len(words) > 5)
-                if not sized:
-                    self.agent.heard(words, b"")
-                    continue
-                self.waiting = words, _count(words[-1])
-            words, size = self.waiting
-            if len(self.inbox) < size + 2:
-                return
-            body = self.inbox.read(size)
-            self.inbox.skip(2)
-            self.waiting = None
-            self.agent.heard(words, body)
+    def has_body(self, words: list[str]) -> bool:
+        return words[0] == "request" or (words[0] == "outcome" and len(words) > 5)
+
+    def heard(self, words: list[str], body: bytes) -> None:
+        self.agent.heard(words, body)
 
     def input_ended(self) -> None:
         self.finish()
 
 
-def _count(word: str) -> int:
-    if not word.isdigit() or int(word) > MOST_BLOB:
-        raise BadInputError(f"a length of {word!r}")
-    return int(word)
-
-
 class Agent:
     """Runs requests on the agent; keeps one link to it open and loses no command with a link."""
 
--- a/beechrock/net/ledger.py
+++ b/beechrock/net/ledger.py
@@ -7,12 +7,10 @@
 from beechrock.core.requests import CallDone, Request
 from beechrock.core.wheel import Timer
 from beechrock.interface import Outcome
-from beechrock.net.peer import BadInputError, Peer
+from beechrock.net.peer import BadInputError, LinesPeer
 
 ENDS = {"queue_full": Outcome.REJECTED, "error": Outcome.ERROR, "expired": Outcome.TIMED_OUT,
         "moot": Outcome.MOOT}
-MOST_LINE = 256
-MOST_REPLY = 1 << 20
 MOST_LINKS = 8
 MOST_ON_ONE = 64
 IDLE_S = 7.0        # the ledger closes a connection that is idle for 10 s; a call must not meet that
@@ -27,45 +25,31 @@
     timer: Timer | None = None
 
 
-class LedgerLink(Peer[bytes]):
+class LedgerLink(LinesPeer[bytes]):
     """One connection with the calls that are open on it."""
 
     where = "ledger"
 
     def __init__(self, ledger: "Ledger") -> None:
-        super().__init__(ledger.counters, MOST_LINE + MOST_REPLY + 4, MOST_REPLY, 4 * MOST_ON_ONE)
+        super().__init__(ledger.counters, 1 << 20, 4 * MOST_ON_ONE)
         self.ledger = ledger
         self.open: dict[str, OpenCall] = {}
         self.given_up: set[str] = set()     # replies to these may still come; they belong to nobody
-        self.connected = False
         self.used_at = ledger.module.clock()
-        self.waiting: tuple[str, int] | None = None
 
     def encode(self, message: bytes) -> bytes:
         return message
 
-    def parse(self) -> None:
-        while True:
-            if self.waiting is None:
-                line = self.inbox.line(MOST_LINE)
-                if line is None:
-                    return
-                words = line.decode("utf-8", "replace").split(" ")
-                if len(words) == 2 and words[1] in ENDS:
-                    self._done(words[0], ENDS[words[1]], b"")
-                    continue
-                if len(words) != 3 or words[1] != "posted" or not words[2].isdigit():
-                    raise BadInputError(f"reply {line[:80]!r}")
-                self.waiting = words[0], int(words[2])
-            name, size = self.waiting
-            if size > MOST_REPLY:
-                raise BadInputError(f"a reply of {size} bytes")
-            if len(self.inbox) < size + 2:
-                return
-            body = self.inbox.read(size)
-            self.inbox.skip(2)
-            self.waiting = None
-            self._done(name, Outcome.OK, body)
+    def has_body(self, words: list[str]) -> bool:
+        return words[1:2] == ["posted"]
+
+    def heard(self, words: list[str], body: bytes) -> None:
+        if len(words) == 3 and words[1] == "posted":
+            self._done(words[0], Outcome.OK, body)
+        elif len(words) == 2 and words[1] in ENDS:
+            self._done(words[0], ENDS[words[1]], b"")
+        else:
+            raise BadInputError(f"reply {' '.join(words)[:80]!r}")
 
     def _done(self, name: str, outcome: Outcome, reply: bytes) -> None:
         self.used_at = self.ledger.module.clock()
--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -137,3 +137,41 @@
         while len(self.outbox):
             writer.write(self.outbox.read(CHUNK))
             await writer.drain()
+
+
+class LinesPeer(Peer[T]):
+    """A peer that speaks in lines of words; some are followed by as many bytes as their last word says."""
+
+    most_line, most_body = 4096, 1 << 20
+
+    def __init__(self, counters: Counters, most_out: int, mailbox: int) -> None:
+        super().__init__(counters, self.most_line + self.most_body + 4, most_out, mailbox)
+        self._waiting: tuple[list[str], int] | None = None      # a line whose body is still to come
+
+    def has_body(self, words: list[str]) -> bool:
+        raise NotImplementedError
+
+    def heard(self, words: list[str], body: bytes) -> None:
+        raise NotImplementedError
+
+    def parse(self) -> None:
+        while not self.closing:
+            if self._waiting is None:
+                line = self.inbox.line(self.most_line)
+                if line is None:
+                    return
+                words = line.decode("utf-8", "replace").split(" ")
+                if not self.has_body(words):
+                    self.heard(words, b"")
+                    continue
+                if not (words[-1].isascii() and words[-1].isdigit()) or int(words[-1]) > self.most_body:
+                    raise BadInputError(f"a length of {words[-1][:20]!r}")
+                self._waiting = words, int(words[-1])
+            words, size = self._waiting
+            if len(self.inbox) < size + 2:
+                return
+            body = self.inbox.read(size)
+            if self.inbox.read(2) != b"\r\n":
+                raise BadInputError("a body of another length than its line says")
+            self._waiting = None
+            self.heard(words, body)
