--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -14,6 +14,7 @@
 ENDS = {"PASS": Outcome.OK, "FAIL": Outcome.ERROR, "KILLED": Outcome.STOPPED, "NOOP": Outcome.MOOT}
 MOST_BLOB = 200_000      # an answer with it still is one frame
 MOST_COMMANDS = 40_000
+EXERCISE_S = 3.0    # a check's work that takes longer is a bad check: agents that hang are what it looks for
 AGAIN_S = (0.02, 0.5)       # pause before a new link: the first, and the longest
 
 
@@ -53,7 +54,7 @@
         self.agent.heard(words, body)
 
     def input_ended(self) -> None:
-        self.finish()
+        self.broken = True      # half a link is none
 
 
 class Agent:
@@ -125,6 +126,12 @@
         tag = f"x{next(self.tags)}"
         self.exercises[tag] = report
         self.link.post(Command(f"exercise {tag}"))
+        self.module.wheel.at(self.module.clock() + EXERCISE_S, lambda: self._exercised(tag, False))
+
+    def _exercised(self, tag: str, good: bool) -> None:
+        report = self.exercises.pop(tag, None)
+        if report is not None:
+            report(good)
 
     def _send(self, command: Command) -> None:
         if len(self.unproved) >= MOST_COMMANDS:
@@ -162,9 +169,7 @@
                 if self.link is not None:
                     self.link.post(Command(f"sample {self.sync_tag}"))
             case "exercised":
-                report = self.exercises.pop(words[1], None)
-                if report is not None:
-                    report(words[2] == "PASS")
+                self._exercised(words[1], words[2] == "PASS")
             case "refusal":
                 self.counters.add("agent.refusals")
                 if words[1] == "launch":    # it will never run: an error, so that it is answered
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -18,6 +18,7 @@
 CODES = {Verdict.SERVED: SERVED, Verdict.REFUSED: REFUSED, Verdict.FAILED: FAILED}
 MOST_OPEN = 32
 MOST_BODY = 2048
+MOST_RESULT = 4096
 MOST_OUT = 524_288
 MAILBOX = 4096          # one chunk of the smallest bad frames gives about 1,800 errors at once
 PARTIAL_S = 10.0        # a frame that has not come whole after this long never will
@@ -178,6 +179,9 @@
     def _answer(self, stream: int, answer: Answer) -> None:
         self.open.pop(stream, None)
         values = _advice(answer.advice)
+        if len(answer.body) > MOST_RESULT:      # an SCGI server's result can be longer than a frame's may be
+            self.counters.add("answered.too_long")
+            answer = Answer(Verdict.FAILED, f"a result of {len(answer.body)} bytes".encode())
         if answer.retry_after_s:
             values += (("pause", str(max(1, round(1000 * answer.retry_after_s)))),)
         if answer.no_retry:
--- a/beechrock/net/ledger.py
+++ b/beechrock/net/ledger.py
@@ -59,8 +59,11 @@
             return
         self.ledger.ended(call, outcome, reply)
 
+    def settled(self) -> bool:
+        return not self.open
+
     def input_ended(self) -> None:
-        self.finish()
+        self.broken = True      # no reply can come any more
 
 
 class Ledger:
--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -110,7 +110,7 @@
                 return
             self._body()
         except ScgiError as error:
-            self._reject(error)
+            self.reject(error)
 
     def _head(self) -> bool:
         start = self.inbox.peek(8)
@@ -177,21 +177,22 @@
 
     def _stalled(self) -> None:
         if self.request is None and not self.lost:
-            self._reject(ScgiError(408, "the request did not come whole in time"))
+            self.reject(ScgiError(408, "the request did not come whole in time"))
 
     def input_ended(self) -> None:
         # After a whole request this is half a close: the answer is still waited for.
         if self.request is None:
             if len(self.inbox) or self.headers is not None:
-                self._reject(ScgiError(400, "the request is cut off"))
+                self.reject(ScgiError(400, "the request is cut off"))
             else:
                 self.stall.cancel()
                 self.finish()
 
-    def _reject(self, error: ScgiError) -> None:
+    def reject(self, error: ScgiError) -> None:
         self.counters.add("intake.scgi_bad")
         self.counters.add("answered.scgi_bad")
-        self._say(Reply(error.status, f"{error}\n".encode()))
+        again = (("Retry-After", "1"),) if error.status == 503 else ()
+        self._say(Reply(error.status, f"{error}\n".encode(), again))
 
     def _say(self, reply: Reply) -> None:
         if self.said:
@@ -227,8 +228,7 @@
         peer = ScgiPeer(self)
         self.module.counters.add("intake.scgi_connections")
         if len(self.peers) >= self.most:
-            peer.stall.cancel()
-            peer._say(Reply(503, b"too many connections\n", (("Retry-After", "1"),)))
+            peer.reject(ScgiError(503, "too many connections"))
         self.peers.add(peer)
         try:
             await peer.serve(reader, writer)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -34,3 +34,25 @@
         await stand.play(path.read_text())
 
     run(work)
+
+
+def test_a_thorough_check_that_is_not_stored_has_the_agent_work() -> None:
+    ask = 'a > {04 0000000%d 01 08"thorough" 0001"1"}'
+    thorough = 'a < {05 0000000%d %s 01 06"advice" 0006"0.0000"}'
+
+    async def work(stand: Stand) -> None:
+        await stand.open()
+        await stand.play('g = accept agent\ng < "subscribe 0\\r\\n"\ng > "greeting LOADED 5\\r\\n"\n'
+                         "counter agent.links 1\na = connect frames\n"
+                         + ask % 1 + "\n" + thorough % (1, "00"))
+        agent = stand.program.agent
+        assert agent is not None
+        for stream, end, code in ((2, "PASS", "00"), (3, "FAIL", "01"), (4, "clock 3.1", "01"), (5, "g break", "01")):
+            stand.program.module.stored = False
+            await stand.play(ask % stream + '\ng ... "\\r\\n"')
+            [tag] = agent.exercises
+            # Without a word from the agent, time ends the check, and so does a break of the link.
+            word = f'g > "exercised {tag} {end}\\r\\n"' if end.isupper() else end
+            await stand.play(word + "\n" + thorough % (stream, code))
+
+    run(work)
