Move agent, ledger and registry to new addresses on SIGHUP

Checked: no handler for SIGHUP in __main__.run; agent, ledger and registry read their address once, at construction. Ruled out: config.load, which reads the new file without complaint. Changed: Program.reload re-reads through config.py; Agent.move, Ledger.move and Registry.move take up the new addresses; a bad file is logged with its key, counted and changes nothing. Peer.drop ends a connection at once; a close that would wait for unread bytes is cut.

--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -23,6 +23,9 @@
 log = logging.getLogger("beechrock")
 EXIT_MARGIN_S = 0.25    # the process has ended this long before it would be killed
 
+# What a reload does not change; ``seed`` is new with each start, and means nothing later.
+FIXED = ("name", "listen", "stop_s", "memory_mb", "sockets", "settings", "gauges", "scgi")
+
 
 def _address_of(server: asyncio.Server | None) -> str:
     return "{}:{}".format(*server.sockets[0].getsockname()[:2]) if server is not None else "nothing"
@@ -31,8 +34,11 @@
 class Program:
     """The parts of one node, wired together."""
 
-    def __init__(self, told: config.Config, clock: Callable[[], float] = time.time) -> None:
-        self.told = told
+    def __init__(
+        self, told: config.Config, clock: Callable[[], float] = time.time,
+        again: Callable[[], config.Config] | None = None,
+    ) -> None:
+        self.told, self.again = told, again     # ``again`` reads the configuration once more
         self.counters = Counters()
         self.module = ModuleActor(told.settings, told.seed, clock, self.counters)
         self.tasks: list[asyncio.Task[None]] = []
@@ -50,8 +56,8 @@
             routes = frozenset(name for name, addresses in upstreams.items() if addresses)
             work = servers if self.agent is None else Routed(routes, servers, self.agent) if routes else work
         self.module.work = work
-        if told.ledger:
-            self.module.calls = Ledger(self.module, told.ledger)
+        self.ledger = Ledger(self.module, told.ledger) if told.ledger else None
+        self.module.calls = self.ledger
 
     def leave(self) -> None:
         """The notice to leave: all is told of it, and all goes on listening and reading."""
@@ -64,6 +70,28 @@
         if self.registry is not None:
             self.registry.mailbox.put("draining")
 
+    def reload(self) -> None:
+        """Go on under a new configuration: those we talk to may have moved; all that is open goes on.
+
+        Seen on a day with new configurations: SIGHUP ended the node, with all that it held.
+        """
+        try:
+            told = self.again() if self.again is not None else self.told
+        except config.ConfigError as error:     # nobody is helped by a node that ends over a bad file
+            self.counters.add("reload.refused")
+            log.error("%s; the old configuration stays", error)
+            return
+        self.counters.add("reload.taken")
+        if self.agent is not None and told.agent is not None:
+            self.agent.move(told.agent)
+        if self.ledger is not None and told.ledger is not None:
+            self.ledger.move(told.ledger)
+        if self.registry is not None and told.registry is not None:
+            self.registry.move(told.registry)
+        fixed = [key for key in FIXED if getattr(told, key) != getattr(self.told, key)]
+        if fixed:
+            log.warning("%s: changed, but read at a start only", ", ".join(fixed))
+
     async def listen(self) -> None:
         if self.frames is not None and self.told.listen is not None:
             await self.frames.start(*self.told.listen)
@@ -89,6 +117,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.leave)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         loop.add_signal_handler(signal.SIGUSR1, self.module.report)
         await self.start()
         await self.leaving.wait()
@@ -103,7 +132,7 @@
 
 async def serve(told: config.Config) -> None:
     """Run until the notice to leave has been worked off."""
-    await Program(told).run()
+    await Program(told, again=lambda: config.load(os.environ)).run()
 
 
 def main() -> int:
--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -15,7 +15,8 @@
 MOST_BLOB = 200_000      # an answer with it still is one frame
 MOST_COMMANDS = 40_000
 EXERCISE_S = 3.0    # a check's work that takes longer is a bad check: agents that hang are what it looks for
-AGAIN_S = (0.02, 0.5)       # pause before a new link: the first, and the longest
+AGAIN_S = (0.02, 0.2)       # pause before a new link: the first, and the longest
+CONNECT_S = 1.0     # an address that has been left may neither take nor refuse a link
 
 
 @dataclass(slots=True, eq=False)
@@ -77,9 +78,10 @@
         """Hold a link open for as long as the process lives."""
         pause = AGAIN_S[0]
         while True:
+            address = self.address
             try:
-                reader, writer = await asyncio.open_connection(*self.address)
-            except OSError:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(*address), CONNECT_S)
+            except (OSError, TimeoutError):
                 self.counters.add("agent.refused_links")
                 await asyncio.sleep(pause)
                 pause = min(2 * pause, AGAIN_S[1])
@@ -95,7 +97,16 @@
             broken, self.exercises = self.exercises, {}
             for report in broken.values():
                 report(False)
-            await asyncio.sleep(pause)
+            if self.address == address:
+                await asyncio.sleep(pause)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Go on at another address: a new link takes up the notices and commands where this one ends."""
+        if address != self.address:
+            self.address = address
+            self.counters.add("agent.moves")
+            if self.link is not None:
+                self.link.drop()
 
     # --- commands
 
--- a/beechrock/net/ledger.py
+++ b/beechrock/net/ledger.py
@@ -32,7 +32,7 @@
 
     def __init__(self, ledger: "Ledger") -> None:
         super().__init__(ledger.counters, 1 << 20, 4 * MOST_ON_ONE)
-        self.ledger = ledger
+        self.ledger, self.address = ledger, ledger.address
         self.open: dict[str, OpenCall] = {}
         self.given_up: set[str] = set()     # replies to these may still come; they belong to nobody
         self.used_at = ledger.module.clock()
@@ -75,6 +75,12 @@
         self.links: list[LedgerLink] = []
         module.wheel.at(module.clock() + 1.0, self._drop_idle)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """New calls go to another address; links to the old one end with the calls open on them."""
+        if address != self.address:
+            self.address = address
+            self.counters.add("ledger.moves")
+
     def call(self, request: Request, body: bytes, wait_s: float) -> None:
         self.abandon(request)
         now = self.module.clock()
@@ -98,7 +104,7 @@
     def _link(self, trace: str) -> LedgerLink | None:
         """A link on which no late reply to an earlier call of this request can be taken for the new one's."""
         fit = [k for k in self.links if not k.closing and not k.lost and trace not in k.given_up
-               and len(k.open) < MOST_ON_ONE]
+               and len(k.open) < MOST_ON_ONE and k.address == self.address]
         if fit:
             return min(fit, key=lambda k: len(k.open))
         if len(self.links) >= MOST_LINKS:
@@ -111,7 +117,7 @@
     async def _run(self, link: LedgerLink) -> None:
         outcome = Outcome.BROKEN_OFF
         try:
-            reader, writer = await asyncio.open_connection(*self.address)
+            reader, writer = await asyncio.open_connection(*link.address)
             self.counters.add("ledger.links")
             await link.serve(reader, writer)
         except OSError:
@@ -149,6 +155,6 @@
     def _drop_idle(self) -> None:
         now = self.module.clock()
         for link in self.links:
-            if not link.open and now - link.used_at > IDLE_S:
+            if not link.open and (now - link.used_at > IDLE_S or link.address != self.address):
                 link.finish()
         self.module.wheel.at(now + 1.0, self._drop_idle)
--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -32,6 +32,7 @@
         self.mailbox: Mailbox[T] = Mailbox(mailbox)
         self.closing = False    # read no more messages; close once ``settled``
         self.lost = self.broken = False
+        self._receiving: asyncio.Task[None] | None = None
 
     # What a kind of peer adds.
 
@@ -64,11 +65,21 @@
         self.closing = True
         self.mailbox.wake()
 
+    def drop(self) -> None:
+        """End the connection at once, whatever is open on it."""
+        self.closing = self.broken = True
+        if self._receiving is not None:
+            self._receiving.cancel()
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Run until the connection ends."""
+        if self.broken:     # dropped while the connection was being made
+            self.lost = True
+            writer.close()
+            return
         writer.transport.set_write_buffer_limits(high=0)    # what waits to be sent waits in the ring
         sending = self.counters.spawn(self._send(writer), self.where + ".send")
-        receiving = self.counters.spawn(self._receive(reader), self.where + ".receive")
+        receiving = self._receiving = self.counters.spawn(self._receive(reader), self.where + ".receive")
         try:
             await asyncio.wait((sending, receiving), return_when=asyncio.FIRST_COMPLETED)
             if sending.done() and not receiving.done():
@@ -80,9 +91,11 @@
                     break
         finally:
             self.lost = True
+            whole = sending.done()
             sending.cancel()
             receiving.cancel()
-            writer.close()
+            # A close waits for what is still unsent; the other side may never read it, so the rest is cut.
+            writer.close() if whole else writer.transport.abort()
 
     async def _receive(self, reader: asyncio.StreamReader) -> None:
         try:
--- a/tests/play.py
+++ b/tests/play.py
@@ -11,17 +11,19 @@
     NAME closed     wait until the node has closed
     clock SECONDS   move the clock      counter NAME VALUE      wait until a counter has this value
     beat TEXT       wait for this report     leave      the notice to leave     down STAND-IN   refuse links
+    move STAND-IN   from now on at a new address, which ``reload`` tells; ``reload KEY``: that key is bad
 """
 
 import ast
 import asyncio
 import re
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 from beechrock.__main__ import Program
-from beechrock.config import Config, Scgi
+from beechrock.config import Config, ConfigError, Scgi
 from beechrock.inventory import Inventory, over
 from beechrock.settings import settings_from
 
@@ -96,21 +98,33 @@
         self.links: dict[str, asyncio.Queue[Wire]] = {}
         self.servers: dict[str, asyncio.Server] = {}
         self.beats: list[str] = []
+        self.bad_key = ""
 
     async def open(self, inventory: Inventory | None = None, settings: dict[str, Any] = SETTINGS) -> None:
         for name in ("agent", "ledger"):
             await self.listen(name)
-        loop = asyncio.get_running_loop()
-        self.registry, _ = await loop.create_datagram_endpoint(
-            lambda: Beats(self.beats), local_addr=("127.0.0.1", 0))
+        await self.listen_for_beats()
         told, _ = settings_from(over(settings, inventory) if inventory else settings)
         scgi = Scgi(("127.0.0.1", 0), inventory) if inventory else None
-        self.program = Program(Config(
+        self.told = Config(
             name="n1", listen=("127.0.0.1", 0), agent=self.address("agent"), ledger=self.address("ledger"),
             registry=self.registry.get_extra_info("sockname"), seed=1, stop_s=4.0, memory_mb=192.0,
-            sockets=1024, settings=told, gauges=GAUGES, scgi=scgi), clock=lambda: self.now)
+            sockets=1024, settings=told, gauges=GAUGES, scgi=scgi)
+        self.program = Program(self.told, clock=lambda: self.now, again=self.again)
         await self.program.start()
 
+    def again(self) -> Config:
+        """The file as a reload reads it."""
+        if self.bad_key:
+            raise ConfigError(f"config.json: {self.bad_key}: bad")
+        return replace(self.told, agent=self.address("agent"), ledger=self.address("ledger"),
+                       registry=self.registry.get_extra_info("sockname"))
+
+    async def listen_for_beats(self) -> None:
+        self.beats = []
+        self.registry, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: Beats(self.beats), local_addr=("127.0.0.1", 0))
+
     async def listen(self, name: str) -> tuple[str, int]:
         self.links[name] = asyncio.Queue()
 
@@ -164,6 +178,15 @@
                 await until(lambda: module.leaving_until is not None, lambda: "the notice was not read")
             case ["down", name]:
                 self.servers[name].close()
+            case ["move", "registry"]:
+                self.registry.close()
+                await self.listen_for_beats()
+            case ["move", name]:
+                self.servers[name].close()
+                await self.listen(name)
+            case ["reload", *key]:
+                self.bad_key = " ".join(key)
+                self.program.reload()
             case ["beat", *_]:
                 text = line.partition(" ")[2]
                 await until(lambda: text in self.beats, lambda: f"{self.beats[-3:]}")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -59,6 +59,30 @@
         node.stderr.close()
 
 
+def test_a_reload_takes_a_good_file_and_outlives_a_bad_one(tmp_path: Path) -> None:
+    told = {"name": "n1", "listen": "127.0.0.1:0", "agent": "127.0.0.1:1", "seed": "1", "stop_ms": 500,
+            "settings": SETTINGS}
+    path = tmp_path / "config.json"
+    path.write_text(ujson.dumps(told))
+    with subprocess.Popen(
+            [sys.executable, "-m", "beechrock"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+            env={**os.environ, "LB_CONFIG": str(path)}) as node:
+        assert node.stderr is not None
+        try:
+            assert "frames on" in node.stderr.readline()
+            path.write_text(ujson.dumps({**told, "agent": "nowhere"}))
+            node.send_signal(signal.SIGHUP)
+            assert "agent: 'nowhere' is not HOST:PORT; the old configuration stays" in node.stderr.readline()
+            path.write_text(ujson.dumps({**told, "agent": "127.0.0.1:2", "stop_ms": 900}))
+            node.send_signal(signal.SIGHUP)
+            assert "stop_s: changed, but read at a start only" in node.stderr.readline()
+            node.send_signal(signal.SIGTERM)
+            assert node.wait(30) == 0
+            assert "agent.moves 1" in node.stderr.read()
+        finally:
+            node.kill()
+
+
 def test_the_deploy_file_names_what_is_there() -> None:
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     assert {"build", "run", "sim", "policy", "node", "packages"} == set(deploy)
