Answer bad clients in time, and keep the connection table open for front ends

Ruled out: descriptors (252 of 384) and CPU (0.16 of a core at most). Changed: silent and half-said connections end after 2 to 2.5 s, idle ones after the settings' idle_s; a full table ends the one missed least. Requests too long to be real are answered and passed over unstored. The core compares a digest of the body, refuses a born far off, and forgets the key of a launch the agent refused, which no longer counts as work done. The module drops what is over from its heap of runs, which grew while nobody was held.

--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -1,6 +1,7 @@
 """The module's actor: what happened goes in as one batch a tick, what the module says is carried out."""
 
 import asyncio
+import hashlib
 import logging
 import math
 from collections.abc import Callable
@@ -36,6 +37,8 @@
 SAMPLE_LEAD_S = 0.02    # gauges are asked for this long before the timer that carries them
 SWEEP_S = 1.0
 MOST_KEYS = 20_000      # with results of 4 KB these are 80 MB
+# How far a request's ``born`` may lie ahead of now (clocks are one machine's), and behind its due time.
+BORN_AHEAD_S, BORN_BEHIND_S = 1.0, 10.0
 OVERDUE_S = 0.02        # the module answers before the due time; what it leaves until then gets an error
 
 
@@ -180,15 +183,21 @@
 
     def _taken(self, request: Request, events: list[api.Event], now: float) -> None:
         self.counters.add("intake.requests")
+        settings = self.settings.classes[request.klass]
         if request.trace in self.traces:    # two runs under one name could not be told apart
-            self.counters.add("intake.reused_traces")
-            request.answered = True
-            request.answer(Answer(Verdict.FAILED, b"this trace is in use", advice=self.advice))
-            return
+            return self._reject(request, "reused_traces", b"this trace is in use")
+        # One ``born`` of 0 would make the module believe that requests wait unread for decades; one of the
+        # next year lies outside each window in which its key is known.
+        if not -BORN_AHEAD_S <= now - request.born <= settings.give_up_s + BORN_BEHIND_S:
+            return self._reject(request, "born_far_off", b"born: too far from now")
+        first = self.keys.find(request)
+        if settings.effect is api.Effect.KEYED:
+            # Seen on a rough day: a key with another body got the first one's result, and so was 'served'.
+            request.digest = hashlib.blake2b(request.body, digest_size=16).digest()
+            if first is not None and first.digest != request.digest:
+                return self._reject(request, "key_with_other_body", b"this key came with another body")
         self.last_id += 1
         request.id = self.last_id
-        first = self.keys.find(request)
-        settings = self.settings.classes[request.klass]
         if first is not None and settings.effect is api.Effect.SAFE and first.over and (
             now > first.ended_at + (self.settings.fresh_s or 0.0)
         ):
@@ -206,6 +215,12 @@
         overdue_at = max(now, request.born + settings.give_up_s + OVERDUE_S)
         self.wheel.at(overdue_at, lambda: self.overdue.append(request))
 
+    def _reject(self, request: Request, count: str, problem: bytes) -> None:
+        """Form, not load: such a request is answered here, and the module never hears of it."""
+        self.counters.add("intake." + count)
+        request.answered = True
+        request.answer(Answer(Verdict.FAILED, problem, advice=self.advice))
+
     def _answer_overdue(self, now: float) -> None:
         """Guard: an answer that the module still owes after the due time is given here.
 
@@ -228,6 +243,8 @@
             request.call_body = None
         if outcome is api.Outcome.OK:
             request.result, request.media = end.result, end.media
+        if outcome is api.Outcome.REJECTED:     # it never ran, so a further try of its key is no repeat
+            self.keys.forget(request)
         if not request.answered and not request.gone:
             served = outcome is api.Outcome.OK
             answer = Answer(Verdict.SERVED, end.result, media=end.media) if served else Answer(Verdict.FAILED)
--- a/beechrock/core/requests.py
+++ b/beechrock/core/requests.py
@@ -46,6 +46,7 @@
     nonce: str | None = None    # keyed classes: the same for all tries
     entity: str | None = None   # reads: what it is about
     id: int = 0
+    digest: bytes = b""         # keyed classes: of the body, which itself is dropped at the end
     first: "Request | None" = None                          # the try that this one repeats
     waiters: "list[Request]" = field(default_factory=list)  # repeats that share this one's result
     answered: bool = False
--- a/beechrock/decide.py
+++ b/beechrock/decide.py
@@ -135,6 +135,8 @@
                 if job.phase >= RUNNING and outcome in (Outcome.OK, Outcome.ERROR):
                     self.cores.add(job.work)
                     self.calls_per[job.req.klass] += 0.05 * (job.calls - self.calls_per[job.req.klass])
+                elif outcome is Outcome.REJECTED:   # it never ran: its entry would only take room
+                    self.keys.pop(job.req.id, None)
                 self._move(job, OVER)
             case api.CallNeeded() if job.phase == RUNNING:
                 self._ask(job, max(1.0, job.calls_left))
@@ -214,7 +216,7 @@
         if not req.retry and not req.repeats:
             self.arrivals += 1
             self.tenants = [n * TENANT_KEPT + (i == req.tenant) for i, n in enumerate(self.tenants)]
-        self.unread_s += 0.2 * (req.waited_s - self.unread_s)
+        self.unread_s += 0.2 * (min(req.waited_s, c.give_up_s) - self.unread_s)
         may_call = self.s.downstream is not Downstream.NONE and c.calls is not False
         job = Job(req, c, self.now, self._work(req), self.calls_per[req.klass] if may_call else 0.0)
         self.jobs[req.id] = job
@@ -441,6 +443,8 @@
         """Rule: everything read has its answer when it is due, running work and the kill included."""
         while self.dues and (self.dues[0][0] <= self.now or self.dues[0][1] not in self.jobs):
             self._give_up(self.jobs.get(heappop(self.dues)[1]))
+        while self.uses and self.uses[0][1] not in self.jobs:   # or they pile up while nobody is held
+            heappop(self.uses)
         while self.uses and self.count[HELD] and self.uses[0][0] < self.now:
             job = self.jobs.get(heappop(self.uses)[1])
             if job is not None and job.phase == RUNNING:    # it holds a core that someone waits for
--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -183,8 +183,10 @@
                 self._exercised(words[1], words[2] == "PASS")
             case "refusal":
                 self.counters.add("agent.refusals")
-                if words[1] == "launch":    # it will never run: an error, so that it is answered
-                    self.module.post(RunEnded(words[2], Outcome.ERROR, 0.0))
+                if words[1] == "launch":
+                    # It never ran. Told as an error of a run, it counted as work done, at no time at all.
+                    self._proved(words[2], over=True)
+                    self.module.post(RunEnded(words[2], Outcome.REJECTED, 0.0))
             case "aside":
                 self._fresh(words[1])
             case _:
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -9,7 +9,7 @@
 from beechrock.core.module import ModuleActor
 from beechrock.core.requests import Answer, Gone, Request, Taken, Verdict
 from beechrock.interface import Effect
-from beechrock.net.peer import BadInputError, Peer
+from beechrock.net.peer import BadInputError, Peer, listen
 
 HEAD = struct.Struct(">IBI")
 LEAST, MOST = 5, 262_144
@@ -20,8 +20,12 @@
 MOST_BODY = 2048
 MOST_RESULT = 4096
 MOST_OUT = 524_288
-MAILBOX = 4096          # one chunk of the smallest bad frames gives about 1,800 errors at once
-PARTIAL_S = 10.0        # a frame that has not come whole after this long never will
+MOST_ASK = 16_384       # a request with every field and the longest body is far below; more is never stored
+MOST_BAD = 16           # requests that cannot be served, after which a connection ends
+MAILBOX = 4096
+SWEEP_S = 0.5
+# Sweeps (not seconds, as a machine may pause) in which a connection said nothing, or nothing whole.
+MOST_STALE = 4
 MOST_GAPS = 4096        # stream numbers remembered one by one above the highest that are known as a whole
 MOST_WAITING = 32       # health checks that wait for real work, over all connections
 
@@ -104,23 +108,38 @@
     where = "frames"
 
     def __init__(self, front: "FramesFront") -> None:
-        super().__init__(front.module.counters, HEAD.size + MOST, MOST_OUT, MAILBOX)
+        super().__init__(front.module.counters, HEAD.size + MOST_ASK, MOST_OUT, MAILBOX)
         self.front, self.module = front, front.module
+        self.skipping = self.bad = 0    # bytes still to come of a frame that is too long; bad requests so far
+        self.heard, self.stale = False, 0
         self.open: dict[int, Request | None] = {}      # None: a health check that waits for work
         self.streams = Streams()
         self.heard_at = self.module.clock()
 
     def parse(self) -> None:
-        while len(self.inbox) >= 4 and not self.closing:
-            length = int.from_bytes(self.inbox.peek(4), "big")
-            # Nothing after a length out of bounds can be told apart, nor may it be waited for.
+        while not self.closing:
+            if self.skipping:
+                passed = min(self.skipping, len(self.inbox))
+                self.inbox.skip(passed)
+                self.skipping -= passed
+            if len(self.inbox) < HEAD.size:
+                # Nothing after a length out of bounds can be told apart, nor may it be waited for.
+                if len(self.inbox) >= 4 and not LEAST <= int.from_bytes(self.inbox.peek(4), "big") <= MOST:
+                    raise BadInputError(f"a frame of length {int.from_bytes(self.inbox.peek(4), 'big')}")
+                return
+            length, kind, stream = HEAD.unpack(self.inbox.peek(HEAD.size))
             if not LEAST <= length <= MOST:
                 raise BadInputError(f"a frame of length {length}")
+            if length > MOST_ASK:   # answered at once, and passed over: hundreds such would fill the memory
+                self.inbox.skip(HEAD.size)
+                self.skipping = length - LEAST
+                self._too_long(kind, stream, length)
+                continue
             if len(self.inbox) < 4 + length:
                 return
-            _, kind, stream = HEAD.unpack(self.inbox.read(HEAD.size))
+            self.inbox.skip(HEAD.size)
             payload = self.inbox.read(length - LEAST)
-            self.heard_at = self.module.clock()
+            self.heard, self.stale, self.heard_at = True, 0, self.module.clock()
             self._frame(kind, stream, payload)
 
     def _frame(self, kind: int, stream: int, payload: bytes) -> None:
@@ -130,21 +149,34 @@
             request = self.open.pop(stream, None)
             if request is not None:
                 self.module.post(Gone(request))
+                # None is owed, but who takes back all that it asked must not be left without any word.
+                self.post(Reply(ANSWER, stream, FAILED, body=b"taken back"))
         elif kind == CHECK:
             self._check(stream, payload)
         else:
             raise BadInputError(f"a frame of type {kind} on stream {stream}")
 
+    def _bad(self, stream: int, problem: str) -> None:
+        """An error for a request that cannot be served; a connection that brings many of them ends."""
+        self.counters.add("intake.frames_bad")
+        self.post(Reply(ANSWER, stream, FAILED, body=problem.encode()))
+        self.bad += 1
+        if self.bad >= MOST_BAD:
+            raise BadInputError(f"{self.bad} bad requests")
+
+    def _too_long(self, kind: int, stream: int, length: int) -> None:
+        if kind != ASK or not stream or not self.streams.use(stream):
+            raise BadInputError(f"a frame of type {kind} on stream {stream} of {length} bytes")
+        self._bad(stream, f"a request of {length} bytes, over {MOST_ASK}")
+
     def _ask(self, stream: int, payload: bytes) -> None:
         if not self.streams.use(stream):    # an answer on that stream would be a second one
-            self.counters.add("intake.frames_bad")
-            self.post(Reply(ANSWER, 0, FAILED, body=f"stream {stream} was used before".encode()))
+            self._bad(0, f"stream {stream} was used before")
             return
         try:
             request = self._request(stream, *fields_of(payload))
         except BadRequestError as error:
-            self.counters.add("intake.frames_bad")
-            self.post(Reply(ANSWER, stream, FAILED, body=str(error).encode()))
+            self._bad(stream, str(error))
             return
         if len(self.open) >= MOST_OPEN or not self.module.post(Taken(request)):
             self.counters.add("intake.frames_beyond_limit")
@@ -177,7 +209,9 @@
         )
 
     def _answer(self, stream: int, answer: Answer) -> None:
-        self.open.pop(stream, None)
+        if stream not in self.open:
+            return      # taken back before the core knew of it; that was answered
+        del self.open[stream]
         values = _advice(answer.advice)
         if len(answer.body) > MOST_RESULT:      # an SCGI server's result can be longer than a frame's may be
             self.counters.add("answered.too_long")
@@ -222,6 +256,11 @@
     def settled(self) -> bool:
         return not self.open
 
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing is open here, and all answers are written."""
+        return not self.open and self.flushed
+
     def input_ended(self) -> None:
         # A front end that has sent its last request may still wait for answers.
         self.finish()
@@ -242,17 +281,42 @@
         self.peer: Callable[[], FramesPeer] = lambda: FramesPeer(self)
 
     async def start(self, host: str, port: int) -> None:
-        self.server = await asyncio.start_server(self._accepted, host, port, backlog=1024, limit=65_536)
+        self.server = await listen(self._accepted, host, port)
         self._sweep()
 
     def _sweep(self) -> None:
-        """Close connections that carried nothing for the time that the module named."""
+        """Close what says nothing, or nothing whole, and what carried nothing for as long as callers keep it.
+
+        Seen on a rough day: half a request was waited for for 10 s, and who said nothing for ever.
+        """
         now = self.module.clock()
+        idle_s = self.module.idle_s or self.module.settings.idle_s
         for peer in self.peers:
-            limit = PARTIAL_S if len(peer.inbox) else self.module.idle_s
-            if limit and not peer.open and now - peer.heard_at > limit:
+            if peer.closing:
+                continue
+            peer.stale += not peer.heard or len(peer.inbox) > 0 or peer.skipping > 0
+            if peer.stale > MOST_STALE:
+                self.module.counters.add("intake.frames_stale")
+                peer.bad_input("nothing whole came in time")
                 peer.finish()
-        self.module.wheel.at(now + 0.5, self._sweep)
+            elif idle_s and peer.quiet and now - peer.heard_at > idle_s:
+                self.module.counters.add("intake.frames_idle")
+                peer.finish()
+        self.module.wheel.at(now + SWEEP_S, self._sweep)
+
+    def _make_room(self) -> bool:
+        """End the connection that is missed least, if any has nothing open: silent ones first, then by age.
+
+        Seen on a long day: clients that ask once and stay filled the table, and front ends found it shut.
+        """
+        quiet = [peer for peer in self.peers if peer.quiet]
+        if not quiet:
+            return False
+        self.module.counters.add("intake.frames_evicted")
+        least = min(quiet, key=lambda peer: (not peer.closing, peer.heard, peer.heard_at))
+        self.peers.discard(least)
+        least.drop()
+        return True
 
     def leave(self) -> None:
         """Ask for no new requests on any connection, those to come included; go on reading all the same."""
@@ -269,7 +333,8 @@
         counters.add("intake.frames_connections")
         if self.leaving:
             peer.post(Reply(NO_MORE))
-        if len(self.peers) >= self.most:    # descriptors are kept for the agent and the ledger
+        # Descriptors are kept for the agent and the ledger.
+        if len(self.peers) >= self.most and not self._make_room():
             counters.add("intake.frames_connections_beyond_limit")
             peer.post(Reply(ANSWER, 0, REFUSED, body=b"too many connections"))
             peer.finish()
--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -1,6 +1,8 @@
 """The actor at one end of a connection: a mailbox, and a ring buffer a direction."""
 
 import asyncio
+import socket
+from collections.abc import Callable
 from typing import Generic, TypeVar
 
 from beechrock.core.counters import Counters
@@ -12,6 +14,25 @@
 CROWDED = 64        # messages that may wait before their receiver is no longer read from
 UNREAD_S = 20.0     # how long the last answers may stay unread after the other side's end
 LINGER_S = 1.0      # how long a closing connection still reads, so that its last answers are not cut off
+SLOW_S = 0.02       # pause after each chunk that is read in vain: what comes at full speed costs no core
+BACKLOG = 1024      # connections the kernel may hold for us
+MOST_AT_ONCE = 16   # taken from them in one turn of the loop, before the full table can end others
+RECEIVE = 65_536    # bytes the kernel holds of what a connection sends, so that many do not fill the memory
+
+
+async def listen(
+    accepted: Callable[[asyncio.StreamReader, asyncio.StreamWriter], None], host: str, port: int
+) -> asyncio.Server:
+    """Listen with a long backlog, of which each turn of the loop takes a few.
+
+    asyncio takes as many at once as its backlog says: a rush of them could use up all descriptors.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.create_server((host, port), family=family, backlog=BACKLOG)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
+    server = await asyncio.start_server(accepted, sock=sock, backlog=MOST_AT_ONCE, limit=CHUNK)
+    sock.listen(BACKLOG)
+    return server
 
 
 class BadInputError(Exception):
@@ -32,7 +53,8 @@
         self.mailbox: Mailbox[T] = Mailbox(mailbox)
         self.closing = False    # read no more messages; close once ``settled``
         self.lost = self.broken = False
-        self._receiving: asyncio.Task[None] | None = None
+        self.flushed = True     # all messages so far are written
+        self._writer: asyncio.StreamWriter | None = None
 
     # What a kind of peer adds.
 
@@ -56,6 +78,7 @@
         if self.lost:
             return False
         if self.mailbox.put(message):
+            self.flushed = False
             return True
         self.counters.add(f"trouble.{self.where}_mailbox_full")
         return False
@@ -68,8 +91,8 @@
     def drop(self) -> None:
         """End the connection at once, whatever is open on it."""
         self.closing = self.broken = True
-        if self._receiving is not None:
-            self._receiving.cancel()
+        if self._writer is not None:
+            self._writer.transport.abort()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Run until the connection ends."""
@@ -77,9 +100,10 @@
             self.lost = True
             writer.close()
             return
+        self._writer = writer
         writer.transport.set_write_buffer_limits(high=0)    # what waits to be sent waits in the ring
         sending = self.counters.spawn(self._send(writer), self.where + ".send")
-        receiving = self._receiving = self.counters.spawn(self._receive(reader), self.where + ".receive")
+        receiving = self.counters.spawn(self._receive(reader), self.where + ".receive")
         try:
             await asyncio.wait((sending, receiving), return_when=asyncio.FIRST_COMPLETED)
             if sending.done() and not receiving.done():
@@ -100,7 +124,10 @@
     async def _receive(self, reader: asyncio.StreamReader) -> None:
         try:
             while data := await reader.read(CHUNK):
+                if self.broken:
+                    return
                 if self.closing:
+                    await asyncio.sleep(SLOW_S)
                     continue
                 try:
                     view = memoryview(data)
@@ -139,6 +166,7 @@
                         await self._flush(writer)
                     self.outbox.write(data)
                 await self._flush(writer)
+                self.flushed = not len(self.mailbox)
                 if self.closing and self.settled() and not len(self.mailbox):
                     if writer.can_write_eof():
                         writer.write_eof()
--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -9,7 +9,7 @@
 from beechrock.core.requests import Answer, Gone, Request, Taken, Verdict
 from beechrock.interface import Effect
 from beechrock.inventory import Inventory
-from beechrock.net.peer import Peer
+from beechrock.net.peer import Peer, listen
 
 MOST_HEADER = 16_384
 MOST_BODY = 65_536
@@ -219,7 +219,7 @@
         self.server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
-        self.server = await asyncio.start_server(self._accepted, host, port, backlog=1024, limit=65_536)
+        self.server = await listen(self._accepted, host, port)
 
     def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.module.counters.spawn(self._serve(reader, writer), "scgi")
