Leave no closed connection in memory, and give each ledger call a link of its own

A probe that counts objects showed 708 to 1,138 ring buffers for 150 peers, with 839 to 1,703 tracebacks and their frames: a reset left its error in the stream, the error its traceback, that all the frames and buffers, a cycle only rare full collections found. Kept requests held their answer, hence the peer, as well. Checked and ruled out: key table, book, wheel, heaps and tasks, all steady in the probe. At fault: peer._receive and _send (tracebacks), module._send and _release (answer), ledger._link (up to 64 calls on one link, so that one spoilt reply took the others with it), ledger._out_of_time (a silent link got new calls). Changed: these; gc.freeze after the start; small rings start at 1 KB; each call has a link of its own while descriptors allow (1/8); noise ends a link at once; second, late and unknown replies are passed over.

--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -1,6 +1,7 @@
 """One real api node: wiring, signals and the way out."""
 
 import asyncio
+import gc
 import logging
 import os
 import signal
@@ -56,7 +57,7 @@
             routes = frozenset(name for name, addresses in upstreams.items() if addresses)
             work = servers if self.agent is None else Routed(routes, servers, self.agent) if routes else work
         self.module.work = work
-        self.ledger = Ledger(self.module, told.ledger) if told.ledger else None
+        self.ledger = Ledger(self.module, told.ledger, told.sockets // 8) if told.ledger else None
         self.module.calls = self.ledger
 
     def leave(self) -> None:
@@ -120,6 +121,7 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         loop.add_signal_handler(signal.SIGUSR1, self.module.report)
         await self.start()
+        gc.freeze()     # what is here now stays; full collections look at the rest only, and so come in time
         await self.leaving.wait()
         # Requests in the backlog of a listening socket are ours too: it stays open, and read, to the end.
         await asyncio.sleep(max(0.0, self.told.stop_s - EXIT_MARGIN_S))
--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -257,7 +257,8 @@
         if request.running or not (request.answered or request.gone) or request.over:
             return
         request.over, request.ended_at = True, now
-        request.body, request.first = b"", None
+        # A kept request must hold neither its body nor, by ``answer``, a connection that is long closed.
+        request.body, request.first, request.answer = b"", None, _nobody
         self.book.pop(request.id, None)
         self.traces.pop(request.trace, None)
         waiters, request.waiters = request.waiters, []
@@ -350,7 +351,8 @@
         """The one place that hands an answer to a front: each request gets precisely one."""
         request.answered = True
         self.counters.add("answered." + answer.verdict.value)
-        request.answer(replace(answer, advice=self.advice))
+        tell, request.answer = request.answer, _nobody
+        tell(replace(answer, advice=self.advice))
 
     # --- timers
 
@@ -371,6 +373,10 @@
         self.wheel.at(now + SWEEP_S, self._sweep)
 
 
+def _nobody(answer: Answer) -> None:
+    """Where the answer of a request goes that has had it."""
+
+
 def _number(text: str | None) -> int | None:
     """A key as the module's number: hexadecimal ones as they are."""
     if not text:
--- a/beechrock/net/ledger.py
+++ b/beechrock/net/ledger.py
@@ -11,9 +11,11 @@
 
 ENDS = {"queue_full": Outcome.REJECTED, "error": Outcome.ERROR, "expired": Outcome.TIMED_OUT,
         "moot": Outcome.MOOT}
-MOST_LINKS = 8
-MOST_ON_ONE = 64
+MOST_ON_ONE = 64    # calls that share a connection once there may be no more connections
+MOST_PAST = 1000    # requests remembered for a connection, after which it is replaced
+MOST_REPLY = 200_000        # what the agent's commands carry as well
 IDLE_S = 7.0        # the ledger closes a connection that is idle for 10 s; a call must not meet that
+CONNECT_S = 1.0     # an address that has been left may neither take nor refuse a connection
 
 
 @dataclass(slots=True, eq=False)
@@ -26,15 +28,15 @@
 
 
 class LedgerLink(LinesPeer[bytes]):
-    """One connection with the calls that are open on it."""
+    """One connection with the calls that are open on it; mostly one, as a spoilt reply ends them all."""
 
-    where = "ledger"
+    where, most_body = "ledger", MOST_REPLY
 
     def __init__(self, ledger: "Ledger") -> None:
         super().__init__(ledger.counters, 1 << 20, 4 * MOST_ON_ONE)
         self.ledger, self.address = ledger, ledger.address
         self.open: dict[str, OpenCall] = {}
-        self.given_up: set[str] = set()     # replies to these may still come; they belong to nobody
+        self.past: set[str] = set()     # requests that called here: a late or second reply may still come
         self.used_at = ledger.module.clock()
 
     def encode(self, message: bytes) -> bytes:
@@ -54,10 +56,20 @@
     def _done(self, name: str, outcome: Outcome, reply: bytes) -> None:
         self.used_at = self.ledger.module.clock()
         call = self.open.pop(name, None)
-        if call is None:
-            self.given_up.discard(name)
-            return
-        self.ledger.ended(call, outcome, reply)
+        if call is None:        # of a call that was given up, a second copy, or of one we never made
+            self.counters.add("calls.stray_replies")
+        else:
+            self.ledger.ended(call, outcome, reply)
+
+    def bad_input(self, problem: str) -> None:
+        """After noise no further reply can be understood: the calls that are open here end at once."""
+        self.drop()
+
+    def takes(self, trace: str) -> bool:
+        """Whether a call for this request may go out here: no old reply can be taken for the new one's."""
+        return (not self.closing and not self.lost and self.address == self.ledger.address
+                and trace not in self.past and len(self.past) < MOST_PAST
+                and not len(self.inbox) and self._waiting is None)
 
     def settled(self) -> bool:
         return not self.open
@@ -67,10 +79,10 @@
 
 
 class Ledger:
-    """Calls for requests; few connections, shared by all of them."""
+    """Calls for requests, each on a connection of its own as long as ``most`` allows."""
 
-    def __init__(self, module: ModuleActor, address: tuple[str, int]) -> None:
-        self.module, self.address = module, address
+    def __init__(self, module: ModuleActor, address: tuple[str, int], most: int) -> None:
+        self.module, self.address, self.most = module, address, most
         self.counters = module.counters
         self.links: list[LedgerLink] = []
         module.wheel.at(module.clock() + 1.0, self._drop_idle)
@@ -91,6 +103,7 @@
             self.ended(call, Outcome.REJECTED, b"")
             return
         link.open[request.trace] = call
+        link.past.add(request.trace)
         link.used_at = now
         call.timer = self.module.wheel.at(now + wait_s, lambda: self._out_of_time(link, call))
         wait_ms = max(1, round(1000 * wait_s))
@@ -102,25 +115,29 @@
                 self._give_up(link, link.open[request.trace])
 
     def _link(self, trace: str) -> LedgerLink | None:
-        """A link on which no late reply to an earlier call of this request can be taken for the new one's."""
-        fit = [k for k in self.links if not k.closing and not k.lost and trace not in k.given_up
-               and len(k.open) < MOST_ON_ONE and k.address == self.address]
-        if fit:
-            return min(fit, key=lambda k: len(k.open))
-        if len(self.links) >= MOST_LINKS:
-            return None
-        link = LedgerLink(self)
-        self.links.append(link)
-        self.counters.spawn(self._run(link), "ledger")
-        return link
+        """The free link that was used last, as idle ones may be gone; a new one; or a place beside others.
+
+        Seen on days with bad peers: one spoilt or missing reply took with it all calls on its connection.
+        """
+        fit = [k for k in self.links if k.takes(trace)]
+        free = [k for k in fit if not k.open]
+        if free:
+            return max(free, key=lambda k: k.used_at)
+        if len(self.links) < self.most:
+            link = LedgerLink(self)
+            self.links.append(link)
+            self.counters.spawn(self._run(link), "ledger")
+            return link
+        fit = [k for k in fit if len(k.open) < MOST_ON_ONE]
+        return min(fit, key=lambda k: len(k.open)) if fit else None
 
     async def _run(self, link: LedgerLink) -> None:
         outcome = Outcome.BROKEN_OFF
         try:
-            reader, writer = await asyncio.open_connection(*link.address)
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(*link.address), CONNECT_S)
             self.counters.add("ledger.links")
             await link.serve(reader, writer)
-        except OSError:
+        except (OSError, TimeoutError):
             outcome = Outcome.UNREACHABLE   # nothing was sent: these calls never ran
             self.counters.add("ledger.refused_links")
         finally:
@@ -133,15 +150,13 @@
     def _out_of_time(self, link: LedgerLink, call: OpenCall) -> None:
         if link.open.get(call.request.trace) is call:
             self._give_up(link, call)
+            link.finish()       # a connection that let a call run out is trusted with no other
             self.ended(call, Outcome.TIMED_OUT, b"")
 
     def _give_up(self, link: LedgerLink, call: OpenCall) -> None:
         del link.open[call.request.trace]
         if call.timer is not None:
             call.timer.cancel()
-        link.given_up.add(call.request.trace)
-        if len(link.given_up) > 10_000:
-            link.finish()
         link.used_at = self.module.clock()
         self.counters.add("sent.abandons")
         link.post(f"abandon {call.request.trace}\r\n".encode())
--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -116,6 +116,7 @@
         finally:
             self.lost = True
             whole = sending.done()
+            self._writer = None
             sending.cancel()
             receiving.cancel()
             # A close waits for what is still unsent; the other side may never read it, so the rest is cut.
@@ -146,7 +147,9 @@
                     await asyncio.sleep(0.01)
             if not self.closing:
                 self.input_ended()
-        except (ConnectionError, OSError, TimeoutError):
+        except (ConnectionError, OSError, TimeoutError) as error:
+            # Seen on the churn day: the stream keeps its error, and so the traceback's frames and buffers.
+            error.__traceback__ = None
             self.broken = True
             self.counters.add(f"intake.{self.where}_resets")
 
@@ -171,7 +174,8 @@
                     if writer.can_write_eof():
                         writer.write_eof()
                     return
-        except (ConnectionError, OSError, TimeoutError):
+        except (ConnectionError, OSError, TimeoutError) as error:
+            error.__traceback__ = None
             self.counters.add(f"sent.{self.where}_resets")
 
     async def _flush(self, writer: asyncio.StreamWriter) -> None:
--- a/beechrock/net/ring.py
+++ b/beechrock/net/ring.py
@@ -1,6 +1,6 @@
 """The ring buffer that stands in each direction of each connection."""
 
-START = 4096
+START = 1024
 
 
 class FullError(Exception):
--- a/tests/play.py
+++ b/tests/play.py
@@ -8,7 +8,7 @@
     NAME > BYTES    send        NAME < BYTES    wait for exactly these
     NAME ... BYTES  wait for anything that ends in these
     NAME end        send no more (half a close)     NAME break      close at once
-    NAME closed     wait until the node has closed
+    NAME closed     wait until the node has closed          NAME reset      the same with a reset
     clock SECONDS   move the clock      counter NAME VALUE      wait until a counter has this value
     beat TEXT       wait for this report     leave      the notice to leave     down STAND-IN   refuse links
     move STAND-IN   from now on at a new address, which ``reload`` tells; ``reload KEY``: that key is bad
@@ -17,6 +17,8 @@
 import ast
 import asyncio
 import re
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from pathlib import Path
@@ -216,6 +218,10 @@
             wire.got = b""
         elif verb == "end":
             wire.writer.write_eof()
+        elif verb == "reset":
+            wire.writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            wire.writer.transport.abort()
         elif verb == "break":
             wire.writer.transport.abort()
         elif verb == "closed":
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -1,9 +1,11 @@
 """The network code against recorded byte exchanges."""
 
+import gc
+import weakref
 from pathlib import Path
 
 import pytest
-from play import Stand, play, run
+from play import Stand, play, run, until
 
 from beechrock.inventory import build
 
@@ -57,3 +59,46 @@
             await stand.play(word + "\n" + thorough % (stream, code))
 
     run(work)
+
+
+UP = 'g = accept agent\ng < "subscribe 0\\r\\n"\ng > "greeting LOADED 5\\r\\n"\ncounter agent.links 1\n'
+ASK = ('%s > {01 00000001 07 05"route" 0006"submit" 05"trace" 0010"%016d" 04"born" 000d"1700000000000" '
+       '06"client" 0001"4" 04"size" 0004"24.5" 05"order" 0006"0.6250" 05"nonce" 0004"%04d" "x"}\n'
+       'g < "launch %016d submit 1\\r\\nx\\r\\n"\n')
+
+
+def test_a_connection_that_broke_is_kept_neither_by_a_kept_request_nor_by_its_error() -> None:
+    async def work(stand: Stand) -> None:
+        await stand.open()
+        await stand.play(UP + "a = connect frames\n" + ASK % ("a", 1, 1, 1)
+                         + 'g > "outcome 1 0000000000000001 PASS 5 2\\r\\nok\\r\\n"\n'
+                         + 'a < {02 00000001 00 01 06"advice" 0006"0.0000" "ok"}\n')
+        assert stand.program.frames is not None
+        [peer] = stand.program.frames.peers
+        ref = weakref.ref(peer)
+        del peer
+        gc.disable()
+        try:
+            await stand.play("a reset\ncounter intake.frames_resets 1")
+            await until(lambda: ref() is None, lambda: f"held by {gc.get_referrers(ref())}")
+        finally:
+            gc.enable()
+        assert len(stand.program.module.keys) == 1
+
+    run(work)
+
+
+def test_a_full_table_ends_silent_connections_and_then_idle_ones_but_none_with_an_open_request() -> None:
+    async def work(stand: Stand) -> None:
+        await stand.open()
+        assert stand.program.frames is not None
+        stand.program.frames.most = 3
+        await stand.play(
+            UP + "a = connect frames\n" + ASK % ("a", 1, 1, 1)
+            + "b = connect frames\nb > {04 00000001 00}\n"
+            + 'b < {05 00000001 00 01 06"advice" 0006"0.0000"}\nc = connect frames\n'
+            + "counter intake.frames_connections 3\nd = connect frames\nc closed\n" + ASK % ("d", 2, 2, 2)
+            + "e = connect frames\nb closed\n" + ASK % ("e", 3, 3, 3)
+            + 'f = connect frames\nf < {02 00000000 08 00 "too many connections"}\nf closed\n')
+
+    run(work)
