Derive bounds from the limits, and tell the module no old gauges

At fault for what is bounded here: agent._proved and _sampled scanned all unproved commands at every notice; module._set_timer passed on gauges of any age; module.post bounded new requests only by 40,000 messages; keys kept results without a bound, for as long as any class gives up; registry reported 'ready' with no agent.

--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -41,13 +41,14 @@
     ) -> None:
         self.told, self.again = told, again     # ``again`` reads the configuration once more
         self.counters = Counters()
-        self.module = ModuleActor(told.settings, told.seed, clock, self.counters)
+        self.module = ModuleActor(told.settings, told.seed, clock, self.counters, told.memory_mb)
         self.tasks: list[asyncio.Task[None]] = []
         self.leaving = asyncio.Event()
         # Front ends use up to half of the descriptors; the agent, the ledger and SCGI share the rest.
         self.frames = FramesFront(self.module, told.sockets * 5 // 8) if told.listen else None
         self.agent = Agent(self.module, told.gauges, told.agent) if told.agent else None
-        self.registry = Registry(told.name, told.registry, self.counters) if told.registry else None
+        able = self.agent.able if self.agent is not None else None
+        self.registry = Registry(told.name, told.registry, self.counters, able) if told.registry else None
         self.scgi: ScgiFront | None = None
         work: Work | None = self.agent
         if told.scgi is not None:
--- a/beechrock/core/keys.py
+++ b/beechrock/core/keys.py
@@ -58,3 +58,13 @@
         dead = [key for key, e in self._entries.items() if e.until + SLACK_S + self.linger_s < now]
         for key in dead:
             del self._entries[key]
+
+    def trim(self, most: int) -> int:
+        """Drop the oldest results beyond ``most`` bytes; their repeats fail, as they ran. Gives how many."""
+        held = [e.request for e in self._entries.values() if e.request.result]
+        over, dropped = sum(len(request.result or b"") for request in held) - most, 0
+        while over > 0:
+            request = held[dropped]
+            over -= len(request.result or b"")
+            request.result, dropped = None, dropped + 1
+        return dropped
--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -33,10 +33,14 @@
 log = logging.getLogger("beechrock")
 
 TICK_S = 0.004
-MAILBOX = 40_000        # more than every stream of every connection at once
+MAILBOX = 40_000        # what runs and calls report must find room; new requests have a bound of their own
+OPEN_KB, OPEN_SHARE = 4.0, 0.125    # memory of an open request here, and the part of the limit they may take
 SAMPLE_LEAD_S = 0.02    # gauges are asked for this long before the timer that carries them
+SAMPLE_OLD_S = 0.1      # older ones tell nothing of the moment at which a timer fires
 SWEEP_S = 1.0
-MOST_KEYS = 20_000      # with results of 4 KB these are 80 MB
+MEMORY_MB = 192.0
+MOST_KEYS = 20_000      # without results these are 20 MB; results may take RESULTS_SHARE of the limit
+RESULTS_SHARE = 0.125
 # How far a request's ``born`` may lie ahead of now (clocks are one machine's), and behind its due time.
 BORN_AHEAD_S, BORN_BEHIND_S = 1.0, 10.0
 OVERDUE_S = 0.02        # the module answers before the due time; what it leaves until then gets an error
@@ -46,7 +50,8 @@
     """Owns the decision module, the request book, the key table and the wheel of one node."""
 
     def __init__(
-        self, settings: api.Settings, seed: int, clock: Callable[[], float], counters: Counters
+        self, settings: api.Settings, seed: int, clock: Callable[[], float], counters: Counters,
+        memory_mb: float = MEMORY_MB,
     ) -> None:
         self.settings, self.seed, self.clock, self.counters = settings, seed, clock, counters
         now = clock()
@@ -60,7 +65,9 @@
         self.generation = self.last_id = 0
         self.next_events: list[api.Event] = []      # of what was carried out after a batch
         self.overdue: list[Request] = []            # may still be owed an answer after their due time
-        self.gauges = api.Gauges()
+        self.most_results = int(RESULTS_SHARE * memory_mb * 2**20)
+        self.most_open = int(OPEN_SHARE * memory_mb * 1024 / OPEN_KB)
+        self.gauges, self.sampled_at = api.Gauges(), -math.inf
         self.advice: float | None = None
         self.healthy, self.stored = True, False
         self.idle_s = 0.0
@@ -77,8 +84,9 @@
         """
         s = self.settings
         room = int(s.memory_kb / s.key_kb) if s.key_kb else MOST_KEYS
-        alive = max(c.window_s or c.give_up_s for c in s.classes)
-        linger = max(c.give_up_s for c in s.classes)
+        keyed = [c for c in s.classes if c.effect is api.Effect.KEYED or s.fresh_s] or s.classes
+        alive = max(c.window_s or c.give_up_s for c in keyed)
+        linger = max(c.give_up_s for c in keyed)
         return KeyTable(min(int(room * (2 + linger / alive)) + 64, MOST_KEYS), linger)
 
     @property
@@ -88,6 +96,9 @@
 
     def post(self, message: Message) -> bool:
         """Put a message into the mailbox; a full one is counted, and said to the sender."""
+        if isinstance(message, Taken) and len(self.mailbox) + len(self.book) >= self.most_open:
+            self.counters.add("intake.beyond_memory")
+            return False
         if self.mailbox.put(message):
             return True
         self.counters.add("trouble.mailbox_full")
@@ -173,7 +184,7 @@
                         self.work.deliver(request, reply)
                     events.append(api.CallEnded(request.id, outcome, elapsed))
             case Sampled(gauges):
-                self.gauges = gauges
+                self.gauges, self.sampled_at = gauges, now
             case WorkUp(cold, age):
                 self._work_up(cold, age, now)
             case Leave(left):
@@ -213,7 +224,7 @@
             retry=request.retry, write=settings.effect is not api.Effect.SAFE,
         )))
         overdue_at = max(now, request.born + settings.give_up_s + OVERDUE_S)
-        self.wheel.at(overdue_at, lambda: self.overdue.append(request))
+        request.overdue = self.wheel.at(overdue_at, lambda: self.overdue.append(request))
 
     def _reject(self, request: Request, count: str, problem: bytes) -> None:
         """Form, not load: such a request is answered here, and the module never hears of it."""
@@ -259,6 +270,9 @@
         request.over, request.ended_at = True, now
         # A kept request must hold neither its body nor, by ``answer``, a connection that is long closed.
         request.body, request.first, request.answer = b"", None, _nobody
+        if request.overdue is not None:
+            request.overdue.cancel()
+            request.overdue = None
         self.book.pop(request.id, None)
         self.traces.pop(request.trace, None)
         waiters, request.waiters = request.waiters, []
@@ -361,7 +375,9 @@
 
         def fire() -> None:
             if generation == self.generation:
-                self.next_events.append(api.TimerFired(token, self.gauges))
+                # No sample, no gauges: old ones would move the module's limit a second time.
+                fresh = self.clock() - self.sampled_at <= SAMPLE_OLD_S
+                self.next_events.append(api.TimerFired(token, self.gauges if fresh else api.Gauges()))
 
         if self.work is not None:
             self.wheel.at(at - SAMPLE_LEAD_S, self.work.sample)
@@ -370,6 +386,7 @@
     def _sweep(self) -> None:
         now = self.clock()
         self.keys.sweep(now)
+        self.counters.add("keys.results_dropped", self.keys.trim(self.most_results))
         self.wheel.at(now + SWEEP_S, self._sweep)
 
 
--- a/beechrock/core/requests.py
+++ b/beechrock/core/requests.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import Protocol
 
+from beechrock.core.wheel import Timer
 from beechrock.interface import Gauges, Outcome
 
 
@@ -45,6 +46,7 @@
     retry: bool = False
     nonce: str | None = None    # keyed classes: the same for all tries
     entity: str | None = None   # reads: what it is about
+    overdue: Timer | None = None
     id: int = 0
     digest: bytes = b""         # keyed classes: of the body, which itself is dropped at the end
     first: "Request | None" = None                          # the try that this one repeats
--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -16,6 +17,7 @@
 MOST_COMMANDS = 40_000
 EXERCISE_S = 3.0    # a check's work that takes longer is a bad check: agents that hang are what it looks for
 AGAIN_S = (0.02, 0.2)       # pause before a new link: the first, and the longest
+BREAK_S = 1.0       # a link that breaks is back long before this
 CONNECT_S = 1.0     # an address that has been left may neither take nor refuse a link
 
 
@@ -25,9 +27,7 @@
 
     line: str
     body: bytes | None = None
-    request: Request | None = None
     moves: bool = False     # makes the run go on, so that its next notice proves that this was read
-    tag: str = ""       # of a sample: its answer proves that all before it was read
 
     def encode(self) -> bytes:
         if self.body is None:
@@ -67,10 +67,13 @@
         self.module, self.gauges, self.address = module, gauges, address
         self.counters = module.counters
         self.link: AgentLink | None = None
+        self.synced_at = -math.inf              # when a synced link last ended
         self.synced = False                     # all missed notices are in; commands may go out
-        self.unproved: list[Command] = []       # sent or to be sent, and not yet known to be read
+        # Sent or to be sent, and not yet known to be read: by number in order, and the numbers by request.
+        self.unproved: dict[int, tuple[Request, Command]] = {}
+        self.unproved_of: dict[str, list[int]] = {}
         self.last_notice = 0
-        self.tags = itertools.count(1)
+        self.numbers = itertools.count(1)       # of commands, and the tags of samples and checks among them
         self.sync_tag = ""
         self.exercises: dict[str, Callable[[bool], None]] = {}
 
@@ -92,6 +95,8 @@
             self.synced = False
             link.post(Command(f"subscribe {self.last_notice}"))
             await link.serve(reader, writer)
+            if self.synced:
+                self.synced_at = self.module.clock()
             self.link, self.synced = None, False
             # A check whose work was asked for on the broken link would wait for ever.
             broken, self.exercises = self.exercises, {}
@@ -108,33 +113,36 @@
             if self.link is not None:
                 self.link.drop()
 
+    def able(self) -> bool:
+        """Whether runs can be started: a link stands, or broke so lately that the next one is under way."""
+        return self.synced or self.module.clock() - self.synced_at < BREAK_S
+
     # --- commands
 
     def launch(self, request: Request) -> None:
-        self._send(Command(f"launch {request.trace} {request.route}", request.body, request, True))
+        self._send(request, Command(f"launch {request.trace} {request.route}", request.body, True))
 
     def stop(self, request: Request) -> None:
-        self._send(Command(f"freeze {request.trace}", None, request))
+        self._send(request, Command(f"freeze {request.trace}"))
 
     def resume(self, request: Request) -> None:
-        self._send(Command(f"thaw {request.trace}", None, request))
+        self._send(request, Command(f"thaw {request.trace}"))
 
     def deliver(self, request: Request, reply: bytes) -> None:
-        self._send(Command(f"deliver {request.trace}", reply, request, True))
+        self._send(request, Command(f"deliver {request.trace}", reply, True))
 
     def forgo(self, request: Request, mark: int) -> None:
-        self._send(Command(f"forgo {request.trace} {mark}", None, request, True))
+        self._send(request, Command(f"forgo {request.trace} {mark}", None, True))
 
     def sample(self) -> None:
         if self.link is not None and self.synced:
-            tag = f"g{next(self.tags)}"
-            self._send(Command(f"sample {tag}", tag=tag))
+            self.link.post(Command(f"sample g{next(self.numbers)}"))
 
     def exercise(self, report: Callable[[bool], None]) -> None:
         if self.link is None or not self.synced or len(self.exercises) >= 64:
             report(False)
             return
-        tag = f"x{next(self.tags)}"
+        tag = f"x{next(self.numbers)}"
         self.exercises[tag] = report
         self.link.post(Command(f"exercise {tag}"))
         self.module.wheel.at(self.module.clock() + EXERCISE_S, lambda: self._exercised(tag, False))
@@ -144,11 +152,13 @@
         if report is not None:
             report(good)
 
-    def _send(self, command: Command) -> None:
+    def _send(self, request: Request, command: Command) -> None:
         if len(self.unproved) >= MOST_COMMANDS:
             self.counters.add("trouble.agent_commands_full")
             return
-        self.unproved.append(command)
+        number = next(self.numbers)
+        self.unproved[number] = request, command
+        self.unproved_of.setdefault(request.trace, []).append(number)
         if self.link is not None and self.synced:
             self.link.post(command)
 
@@ -176,7 +186,7 @@
                 self.module.post(WorkUp(words[1] == "EMPTY", float(words[2]) / 1000))
                 # Notices that were missed come before the answer to this; until then nothing is sent again,
                 # as a run that ended meanwhile must not be started a second time.
-                self.sync_tag = f"s{next(self.tags)}"
+                self.sync_tag = f"s{next(self.numbers)}"
                 if self.link is not None:
                     self.link.post(Command(f"sample {self.sync_tag}"))
             case "exercised":
@@ -205,24 +215,32 @@
         Seen in an exchange: a run that ended while no link stood was launched again, as the actor had not
         yet worked off the notice when what may be lost was sent again. So it is settled here, on reading.
         """
-        self.unproved = [c for c in self.unproved
-                         if c.request is None or c.request.trace != trace or not (over or c.moves)]
+        for number in list(self.unproved_of.get(trace, ())):
+            if over or self.unproved[number][1].moves:
+                self._settle(number)
+
+    def _settle(self, number: int) -> None:
+        trace = self.unproved.pop(number)[0].trace
+        numbers = self.unproved_of[trace]
+        numbers.remove(number)
+        if not numbers:
+            del self.unproved_of[trace]
 
     def _sampled(self, tag: str, values: list[float]) -> None:
         self.module.post(Sampled(gauges_from(self.gauges, values)))
         if tag == self.sync_tag and not self.synced:
             self.synced = True
             self._send_again()
-        for place, command in enumerate(self.unproved):
-            if command.tag == tag:
-                del self.unproved[:place + 1]
-                break
+        elif tag[:1] == "g":    # all that went out before this sample was asked for has been read
+            asked = int(tag[1:])
+            for number in list(itertools.takewhile(lambda n: n < asked, self.unproved)):
+                self._settle(number)
 
     def _send_again(self) -> None:
         """After a break: what may have been lost, less what the notices since then have overtaken."""
-        again = [c for c in self.unproved if c.request is not None and c.request.running]
-        self.unproved = again
-        self.counters.add("agent.commands_sent_again", len(again))
-        for command in again:
-            if self.link is not None:
+        for number, (request, command) in list(self.unproved.items()):
+            if not request.running:
+                self._settle(number)
+            elif self.link is not None:
+                self.counters.add("agent.commands_sent_again")
                 self.link.post(command)
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -180,7 +180,7 @@
             return
         if len(self.open) >= MOST_OPEN or not self.module.post(Taken(request)):
             self.counters.add("intake.frames_beyond_limit")
-            self.post(Reply(ANSWER, stream, REFUSED))
+            self.post(Reply(ANSWER, stream, REFUSED, _advice(self.module.advice)))
             return
         self.open[stream] = request
 
--- a/beechrock/net/registry.py
+++ b/beechrock/net/registry.py
@@ -1,6 +1,7 @@
 """The registry's actor: reports this node, ready or draining, well within the 3 s after which it lapses."""
 
 import asyncio
+from collections.abc import Callable
 
 from beechrock.core.counters import Counters
 from beechrock.core.mailbox import Mailbox
@@ -12,8 +13,10 @@
 class Registry:
     """Its mailbox takes the state to report; it sends at once on a change, and then at every beat."""
 
-    def __init__(self, name: str, address: Address, counters: Counters) -> None:
-        self.name, self.address, self.counters = name, address, counters
+    def __init__(
+        self, name: str, address: Address, counters: Counters, able: Callable[[], bool] | None = None
+    ) -> None:
+        self.name, self.address, self.counters, self.able = name, address, counters, able
         self.mailbox: Mailbox[str] = Mailbox(16)
         self.state = "ready"
 
@@ -37,8 +40,10 @@
                 while self.address == address:
                     for state in self.mailbox.drain():
                         self.state = state
-                    transport.sendto(f"BEAT {self.name} {self.state}".encode())
-                    self.counters.add("sent.beats")
+                    # Who cannot have anything run is not ready: without a report it lapses, and is not asked.
+                    if self.state != "ready" or self.able is None or self.able():
+                        transport.sendto(f"BEAT {self.name} {self.state}".encode())
+                        self.counters.add("sent.beats")
                     alarm = loop.call_later(BEAT_S, self.mailbox.wake)
                     await self.mailbox.wait()
                     alarm.cancel()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -10,7 +10,17 @@
 from beechrock.core.keys import KeyTable
 from beechrock.core.mailbox import Mailbox
 from beechrock.core.module import ModuleActor
-from beechrock.core.requests import Answer, CallDone, CallWanted, Gone, Request, RunEnded, Taken, Verdict
+from beechrock.core.requests import (
+    Answer,
+    CallDone,
+    CallWanted,
+    Gone,
+    Request,
+    RunEnded,
+    Sampled,
+    Taken,
+    Verdict,
+)
 from beechrock.core.routed import Routed
 from beechrock.core.wheel import SLOTS, Wheel
 
@@ -232,3 +242,41 @@
     routed.launch(request("a", klass=0))
     routed.launch(request("b", klass=1))
     assert (here.told, others.told) == ([("launch", "a")], [("launch", "b")])
+
+
+def test_a_timer_without_a_fresh_sample_carries_no_gauges(monkeypatch: pytest.MonkeyPatch) -> None:
+    desk, heard = Desk(), []
+    decide = desk.actor.node.decide
+    monkeypatch.setattr(desk.actor.node, "decide", lambda now, some: heard.extend(some) or decide(now, some))
+    desk.actor._set_timer(7, 100.5)
+    desk.tell(Sampled(api.Gauges(cpu_busy=0.5)), after=0.45)
+    desk.tell(after=0.06)
+    desk.actor._set_timer(8, 101.0)
+    desk.tell(after=0.5)
+    desk.tell(after=0.01)
+    fired = [(e.token, e.gauges.cpu_busy) for e in heard if isinstance(e, api.TimerFired)]
+    assert [pair for pair in fired if pair[0]] == [(7, 0.5), (8, None)]
+
+
+def test_open_requests_and_kept_results_keep_to_their_parts_of_the_memory() -> None:
+    desk = Desk()
+    small = ModuleActor(desk.actor.settings, 1, lambda: 100.0, Counters(), memory_mb=1.0)
+    taken = [small.post(Taken(request(f"t{n}"))) for n in range(40)]
+    assert taken == [n < 32 for n in range(40)]
+    assert small.counters["intake.beyond_memory"] == 8
+    table, kept = KeyTable(8, 1.0), [request(f"k{n}", f"n{n}") for n in range(3)]
+    for made in kept:
+        made.result = b"x" * 100
+        table.keep(made, 200.0, 100.0)
+    assert table.trim(200) == 1
+    assert [made.result is None for made in kept] == [True, False, False]
+
+
+def test_a_launch_that_never_ran_leaves_its_key_free_and_is_no_work_done() -> None:
+    desk = Desk()
+    desk.tell(Taken(request("a", "n")))
+    desk.tell(RunEnded("a", api.Outcome.REJECTED, 0.0), after=0.1)
+    assert (verdicts("a"), len(desk.actor.keys)) == ([Verdict.FAILED], 0)
+    assert (desk.actor.node.cores.count, desk.actor.node.keys) == (0.0, {})
+    desk.tell(Taken(request("b", "n", born=100.1)))
+    assert desk.launched() == ["a", "b"]
