Let the first offset follow the aims, so that refused callers do not return in a rush

The probe of the module each half second: requests in swing between 10 and 150 a second with a period of 1 s, p.ex. n0 at 28.21 s 114, 28.71 s 10, 29.21 s 146. At fault: Node.__init__, d0 = min(3, longest retry-after) whatever the aims. It is now at most 0.6 of the mean aim (open in the design); a refusal that is no matter of load, as in a drain, keeps the longest pause.

--- a/beechrock/decide.py
+++ b/beechrock/decide.py
@@ -10,11 +10,12 @@
 from beechrock import interface as api
 from beechrock.interface import Downstream, Effect, Outcome, Request, Say, StopMode
 
-FIRST_OFFSET_S = 3.0     # d0 of the design; the told longest retry-after replaces it where that is shorter
+FIRST_OFFSET_S = 3.0     # d0 of the design; the told longest retry-after replaces it where that is shorter,
+OFFSET_AIMS = 0.6        # and this part of the mean aim: who stays away for longer comes back in a rush
 OFFSET_SLOTS = 3         # d0 in slots, so that T0 = d0 / 3 and the doubling steps stay the paper's
 MAX_BORROWS = 3          # N: later steps lie beyond what a caller can wait for
 LAMBDA_SLOTS = 6.0       # lambda is averaged over this many slots
-PEAK_KEPT = 0.995        # r_t kept from slot to slot, so that the peak of better days is unlearned in minutes
+PEAK_KEPT = 0.995        # r_t kept from slot to slot, so that the peak of better days is unlearned
 FEW = 16.0               # means forget over one mean aim, but on thin traffic not under so many samples
 TENANT_KEPT = 0.995      # of a tenant's part of the traffic at each arrival: averages over 200 of them
 GATE = 0.95              # share of the time to its aim that a request's predicted wait may fill
@@ -88,7 +89,8 @@
         self.timer_at = self.leave_at = self.kill_at = math.inf
         self.mean_aim = sum(c.aim_s for c in s.classes) / len(s.classes)
         self.cores, self.limit, self.mean_work = Meter(self.mean_aim), 1.5 * s.cores, 0.0
-        self.d0 = min(FIRST_OFFSET_S, s.max_retry_after_s or FIRST_OFFSET_S)
+        self.away_s = min(FIRST_OFFSET_S, s.max_retry_after_s or FIRST_OFFSET_S)
+        self.d0 = min(self.away_s, OFFSET_AIMS * self.mean_aim)
         self.slot_s = self.d0 / OFFSET_SLOTS
         slots = int(max(c.give_up_s for c in s.classes) / self.slot_s) + 1
         self.tokens, self.borrowed = [0] * slots, [0] * slots
@@ -207,7 +209,7 @@
 
     def _turn_away(self, job: Job, elsewhere: bool = False) -> None:
         """Refuse in the words the abacus finds; ``elsewhere``: this node is the trouble, not the load."""
-        early = self.d0 if elsewhere else self.slot_s if self.peak_rate == 0 else None
+        early = self.away_s if elsewhere else self.slot_s if self.peak_rate == 0 else None
         after = early or self._borrow(job.c.give_up_s)
         self._answer(job, api.Refuse(job.req.id, after if self.s.retry_after else None, after is None))
 
