Give both fronts one table of connections, and call a node ready only if it can run

Seen while reading: the SCGI front had neither the room-making of a full table nor a limit for who never reads; a health check on the stream of an open request took its place in FramesPeer.open, and with it its answer; checks were good, and the registry heard 'ready', while no link to the agent stood. At fault: scgi.ScgiFront._serve, frames._check and _checked. Now net/front.py serves both wires.

--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -47,8 +47,10 @@
         # Front ends use up to half of the descriptors; the agent, the ledger and SCGI share the rest.
         self.frames = FramesFront(self.module, told.sockets * 5 // 8) if told.listen else None
         self.agent = Agent(self.module, told.gauges, told.agent) if told.agent else None
-        able = self.agent.able if self.agent is not None else None
-        self.registry = Registry(told.name, told.registry, self.counters, able) if told.registry else None
+        if self.agent is not None:
+            self.module.able = self.agent.able
+        self.registry = (Registry(told.name, told.registry, self.counters, self.module.able)
+                         if told.registry else None)
         self.scgi: ScgiFront | None = None
         work: Work | None = self.agent
         if told.scgi is not None:
--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -72,6 +72,7 @@
         self.healthy, self.stored = True, False
         self.idle_s = 0.0
         self.leaving_until: float | None = None
+        self.able: Callable[[], bool] = lambda: True    # whether runs can be started
         self.work: Work | None = None
         self.calls: Calls | None = None
         self.wheel.at(now + SWEEP_S, self._sweep)
@@ -109,6 +110,10 @@
         for tenant, spent in zip(self.settings.tenants, self.node.spent, strict=True):
             self.counters.set("spent." + tenant.name, spent)
         self.counters.set("open.requests", self.open)
+        self.counters.set("open.runs", sum(r.running for r in self.book.values()))
+        self.counters.set("open.oldest_run_s", max(
+            [round(self.clock() - r.launched_at, 1) for r in self.book.values() if r.running], default=0))
+        self.counters.set("open.sample_age_s", round(min(self.clock() - self.sampled_at, 1e6), 2))
         self.counters.set("open.keys", len(self.keys))
         self.counters.report()
 
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -1,15 +1,14 @@
 """The platform's front: binary frames in, answers out. It decides nothing."""
 
-import asyncio
 import functools
 import struct
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from beechrock.core.module import ModuleActor
 from beechrock.core.requests import Answer, Gone, Request, Taken, Verdict
 from beechrock.interface import Effect
-from beechrock.net.peer import BadInputError, Peer, listen
+from beechrock.net.front import Front
+from beechrock.net.peer import BadInputError, Peer
 
 HEAD = struct.Struct(">IBI")
 LEAST, MOST = 5, 262_144
@@ -23,7 +22,6 @@
 MOST_ASK = 16_384       # a request with every field and the longest body is far below; more is never stored
 MOST_BAD = 16           # requests that cannot be served, after which a connection ends
 MAILBOX = 4096
-SWEEP_S = 0.5
 # Sweeps (not seconds, as a machine may pause) in which a connection said nothing, or nothing whole.
 MOST_STALE = 4
 MOST_GAPS = 4096        # stream numbers remembered one by one above the highest that are known as a whole
@@ -111,10 +109,10 @@
         super().__init__(front.module.counters, HEAD.size + MOST_ASK, MOST_OUT, MAILBOX)
         self.front, self.module = front, front.module
         self.skipping = self.bad = 0    # bytes still to come of a frame that is too long; bad requests so far
-        self.heard, self.stale = False, 0
+        self.stale = 0
         self.open: dict[int, Request | None] = {}      # None: a health check that waits for work
         self.streams = Streams()
-        self.heard_at = self.module.clock()
+        self.spoke_at = self.module.clock()
 
     def parse(self) -> None:
         while not self.closing:
@@ -139,7 +137,7 @@
                 return
             self.inbox.skip(HEAD.size)
             payload = self.inbox.read(length - LEAST)
-            self.heard, self.stale, self.heard_at = True, 0, self.module.clock()
+            self.spoke, self.stale, self.spoke_at = True, 0, self.module.clock()
             self._frame(kind, stream, payload)
 
     def _frame(self, kind: int, stream: int, payload: bytes) -> None:
@@ -228,6 +226,8 @@
             told, _ = fields_of(payload) if payload else ({}, b"")
         except BadRequestError as error:
             raise BadInputError(f"a health check: {error}") from None
+        if stream in self.open:     # its answer would be taken for the request's
+            raise BadInputError(f"a health check on the open stream {stream}")
         self.counters.add("intake.checks")
         work = self.module.work
         if told.get("thorough") == "1" and not self.module.stored and work and self.module.healthy and (
@@ -240,7 +240,7 @@
 
     def _checked(self, stream: int, worked: bool) -> None:
         self.open.pop(stream, None)
-        good = worked and self.module.healthy
+        good = worked and self.module.healthy and self.module.able()
         self.counters.add("answered.checks_good" if good else "answered.checks_bad")
         self.post(Reply(CHECKED, stream, 0 if good else 1, _advice(self.module.advice)))
 
@@ -256,67 +256,53 @@
     def settled(self) -> bool:
         return not self.open
 
-    @property
-    def quiet(self) -> bool:
-        """Whether nothing is open here, and all answers are written."""
-        return not self.open and self.flushed
-
     def input_ended(self) -> None:
         # A front end that has sent its last request may still wait for answers.
         self.finish()
 
 
-class FramesFront:
+class FramesFront(Front[FramesPeer]):
     """Listens for front ends and keeps their connections."""
 
+    where = "frames"
+
     def __init__(self, module: ModuleActor, most: int) -> None:
-        self.module, self.most = module, most
+        super().__init__(module, most)
         # A service has a class for each contract; here, where no team is told, the first one counts.
         self.routes: dict[str, int] = {}
         for place, c in enumerate(module.settings.classes):
             self.routes.setdefault(c.name, place)
-        self.peers: set[FramesPeer] = set()
         self.leaving = False
-        self.server: asyncio.Server | None = None
-        self.peer: Callable[[], FramesPeer] = lambda: FramesPeer(self)
 
-    async def start(self, host: str, port: int) -> None:
-        self.server = await listen(self._accepted, host, port)
-        self._sweep()
+    def peer(self) -> FramesPeer:
+        peer = FramesPeer(self)
+        if self.leaving:
+            peer.post(Reply(NO_MORE))
+        return peer
 
-    def _sweep(self) -> None:
-        """Close what says nothing, or nothing whole, and what carried nothing for as long as callers keep it.
+    def no_room(self, peer: FramesPeer) -> None:
+        peer.post(Reply(ANSWER, 0, REFUSED, body=b"too many connections"))
+        peer.finish()
+
+    def ended(self, peer: FramesPeer) -> None:
+        for request in peer.open.values():
+            if request is not None:
+                self.module.post(Gone(request))
+
+    def look_at(self, peer: FramesPeer, now: float) -> None:
+        """End what says nothing, or nothing whole, and what carried nothing for as long as callers keep it.
 
         Seen on a rough day: half a request was waited for for 10 s, and who said nothing for ever.
         """
-        now = self.module.clock()
         idle_s = self.module.idle_s or self.module.settings.idle_s
-        for peer in self.peers:
-            if peer.closing:
-                continue
-            peer.stale += not peer.heard or len(peer.inbox) > 0 or peer.skipping > 0
-            if peer.stale > MOST_STALE:
-                self.module.counters.add("intake.frames_stale")
-                peer.bad_input("nothing whole came in time")
-                peer.finish()
-            elif idle_s and peer.quiet and now - peer.heard_at > idle_s:
-                self.module.counters.add("intake.frames_idle")
-                peer.finish()
-        self.module.wheel.at(now + SWEEP_S, self._sweep)
-
-    def _make_room(self) -> bool:
-        """End the connection that is missed least, if any has nothing open: silent ones first, then by age.
-
-        Seen on a long day: clients that ask once and stay filled the table, and front ends found it shut.
-        """
-        quiet = [peer for peer in self.peers if peer.quiet]
-        if not quiet:
-            return False
-        self.module.counters.add("intake.frames_evicted")
-        least = min(quiet, key=lambda peer: (not peer.closing, peer.heard, peer.heard_at))
-        self.peers.discard(least)
-        least.drop()
-        return True
+        peer.stale += not peer.spoke or len(peer.inbox) > 0 or peer.skipping > 0
+        if peer.stale > MOST_STALE:
+            self.module.counters.add("intake.frames_stale")
+            peer.bad_input("nothing whole came in time")
+            peer.finish()
+        elif idle_s and peer.settled() and peer.flushed and now - peer.spoke_at > idle_s:
+            self.module.counters.add("intake.frames_idle")
+            peer.finish()
 
     def leave(self) -> None:
         """Ask for no new requests on any connection, those to come included; go on reading all the same."""
@@ -324,34 +310,6 @@
         for peer in self.peers:
             peer.post(Reply(NO_MORE))
 
-    def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.module.counters.spawn(self._serve(reader, writer), "frames")
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        peer = self.peer()
-        counters = self.module.counters
-        counters.add("intake.frames_connections")
-        if self.leaving:
-            peer.post(Reply(NO_MORE))
-        # Descriptors are kept for the agent and the ledger.
-        if len(self.peers) >= self.most and not self._make_room():
-            counters.add("intake.frames_connections_beyond_limit")
-            peer.post(Reply(ANSWER, 0, REFUSED, body=b"too many connections"))
-            peer.finish()
-        self.peers.add(peer)
-        counters.top("intake.frames_most_connections", len(self.peers))
-        try:
-            await peer.serve(reader, writer)
-        finally:
-            self.peers.discard(peer)
-            for request in peer.open.values():
-                if request is not None:
-                    self.module.post(Gone(request))
-
-    def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
-
 
 def _number(told: dict[str, str], name: str, least: float, below: float) -> float:
     try:
--- /dev/null
+++ b/beechrock/net/front.py
@@ -0,0 +1,94 @@
+"""What both fronts share: listening, and a bounded table of connections that bad ones cannot fill."""
+
+import asyncio
+from typing import Any, Generic, TypeVar
+
+from beechrock.core.module import ModuleActor
+from beechrock.net.peer import Peer, listen
+
+P = TypeVar("P", bound=Peer[Any])
+SWEEP_S = 0.5
+# Sweeps, and not seconds, as a machine may pause: in which nothing of what waits to be sent was read.
+MOST_UNREAD = 40
+
+
+class Front(Generic[P]):
+    """Listens, and keeps its connections."""
+
+    where = "front"
+
+    def __init__(self, module: ModuleActor, most: int) -> None:
+        self.module, self.most = module, most
+        self.peers: set[P] = set()
+        self.server: asyncio.Server | None = None
+
+    # What a kind of front adds.
+
+    def peer(self) -> P:
+        """One end of a new connection."""
+        raise NotImplementedError
+
+    def no_room(self, peer: P) -> None:
+        """Say so on a connection that is one too many, and finish it."""
+        raise NotImplementedError
+
+    def ended(self, peer: P) -> None:
+        """A connection is over: nobody waits any more for what is open on it."""
+        raise NotImplementedError
+
+    def look_at(self, peer: P, now: float) -> None:
+        """At each sweep: end a connection that does not do what it is for."""
+
+    # The front.
+
+    async def start(self, host: str, port: int) -> None:
+        self.server = await listen(self._accepted, host, port)
+        self._sweep()
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+
+    def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.module.counters.spawn(self._serve(reader, writer), self.where)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        peer, counters = self.peer(), self.module.counters
+        counters.add(f"intake.{self.where}_connections")
+        # Descriptors are kept for the agent and the ledger.
+        if len(self.peers) >= self.most and not self._make_room():
+            counters.add(f"intake.{self.where}_connections_beyond_limit")
+            self.no_room(peer)
+        self.peers.add(peer)
+        counters.top(f"intake.{self.where}_most_connections", len(self.peers))
+        try:
+            await peer.serve(reader, writer)
+        finally:
+            self.peers.discard(peer)
+            self.ended(peer)
+
+    def _make_room(self) -> bool:
+        """End the connection that is missed least, if any has nothing open: silent ones first, then by age.
+
+        Seen on a long day: clients that ask once and stay filled the table, and front ends found it shut.
+        """
+        quiet = [peer for peer in self.peers if peer.settled() and peer.flushed]
+        if not quiet:
+            return False
+        self.module.counters.add(f"intake.{self.where}_evicted")
+        least = min(quiet, key=lambda peer: (not peer.closing, peer.spoke, peer.spoke_at))
+        self.peers.discard(least)
+        least.drop()
+        return True
+
+    def _sweep(self) -> None:
+        now = self.module.clock()
+        for peer in self.peers:
+            peer.unread = 0 if peer.flushed or peer.written != peer.written_then else peer.unread + 1
+            peer.written_then = peer.written
+            if peer.unread > MOST_UNREAD:   # its descriptor and its answers would be held for ever
+                self.module.counters.add(f"intake.{self.where}_unread")
+                peer.drop()
+            elif not peer.closing:
+                self.look_at(peer, now)
+        self.module.wheel.at(now + SWEEP_S, self._sweep)
--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -54,6 +54,8 @@
         self.closing = False    # read no more messages; close once ``settled``
         self.lost = self.broken = False
         self.flushed = True     # all messages so far are written
+        self.written = self.written_then = self.unread = 0  # bytes; at the last sweep; sweeps without any
+        self.spoke, self.spoke_at = False, 0.0      # said something whole, and when
         self._writer: asyncio.StreamWriter | None = None
 
     # What a kind of peer adds.
@@ -180,8 +182,10 @@
 
     async def _flush(self, writer: asyncio.StreamWriter) -> None:
         while len(self.outbox):
-            writer.write(self.outbox.read(CHUNK))
+            data = self.outbox.read(CHUNK)
+            writer.write(data)
             await writer.drain()
+            self.written += len(data)
 
 
 class LinesPeer(Peer[T]):
--- a/beechrock/net/registry.py
+++ b/beechrock/net/registry.py
@@ -14,7 +14,7 @@
     """Its mailbox takes the state to report; it sends at once on a change, and then at every beat."""
 
     def __init__(
-        self, name: str, address: Address, counters: Counters, able: Callable[[], bool] | None = None
+        self, name: str, address: Address, counters: Counters, able: Callable[[], bool]
     ) -> None:
         self.name, self.address, self.counters, self.able = name, address, counters, able
         self.mailbox: Mailbox[str] = Mailbox(16)
@@ -41,7 +41,7 @@
                     for state in self.mailbox.drain():
                         self.state = state
                     # Who cannot have anything run is not ready: without a report it lapses, and is not asked.
-                    if self.state != "ready" or self.able is None or self.able():
+                    if self.state != "ready" or self.able():
                         transport.sendto(f"BEAT {self.name} {self.state}".encode())
                         self.counters.add("sent.beats")
                     alarm = loop.call_later(BEAT_S, self.mailbox.wake)
--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -1,6 +1,5 @@
 """The SCGI front: one request a connection, by the public SCGI specification; answers with ``Status:``."""
 
-import asyncio
 import math
 import secrets
 from dataclasses import dataclass
@@ -9,13 +8,14 @@
 from beechrock.core.requests import Answer, Gone, Request, Taken, Verdict
 from beechrock.interface import Effect
 from beechrock.inventory import Inventory
-from beechrock.net.peer import Peer, listen
+from beechrock.net.front import Front
+from beechrock.net.peer import Peer
 
 MOST_HEADER = 16_384
 MOST_BODY = 65_536
 MOST_OUT = 1 << 21
 # A request that is not whole after this part of the shortest due time, or after this long, gets its answer.
-STALL_PART, STALL_S = 0.5, 30.0
+STALL_PART, STALL_S = 0.5, 2.5
 HELD_KB = 4.0           # memory of a request beside its body
 REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 408: "Request Timeout",
            413: "Content Too Large", 431: "Request Header Fields Too Large",
@@ -96,7 +96,7 @@
     def __init__(self, front: "ScgiFront") -> None:
         super().__init__(front.module.counters, MOST_HEADER + MOST_BODY, MOST_OUT, 4)
         self.front, self.module = front, front.module
-        self.born = self.module.clock()
+        self.born = self.spoke_at = self.module.clock()
         self.headers: dict[str, str] | None = None
         self.request: Request | None = None
         self.said = False       # the one answer of this connection is on its way
@@ -147,7 +147,7 @@
         self.stall.cancel()
         if not self.module.post(Taken(request)):
             raise ScgiError(503, "too many requests")
-        self.request = request
+        self.request, self.spoke = request, True
         self.inbox.skip(len(self.inbox))    # nothing may follow the body
 
     def _request(self, told: dict[str, str], body: bytes) -> Request:
@@ -210,34 +210,22 @@
         return self.said or self.request is None
 
 
-class ScgiFront:
+class ScgiFront(Front[ScgiPeer]):
     """Listens for SCGI callers."""
 
+    where = "scgi"
+
     def __init__(self, module: ModuleActor, inventory: Inventory, most: int) -> None:
-        self.module, self.inventory, self.most = module, inventory, most
-        self.peers: set[ScgiPeer] = set()
-        self.server: asyncio.Server | None = None
-
-    async def start(self, host: str, port: int) -> None:
-        self.server = await listen(self._accepted, host, port)
-
-    def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.module.counters.spawn(self._serve(reader, writer), "scgi")
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        peer = ScgiPeer(self)
-        self.module.counters.add("intake.scgi_connections")
-        if len(self.peers) >= self.most:
-            peer.reject(ScgiError(503, "too many connections"))
-        self.peers.add(peer)
-        try:
-            await peer.serve(reader, writer)
-        finally:
-            self.peers.discard(peer)
-            peer.stall.cancel()
-            if peer.request is not None and not peer.request.answered:
-                self.module.post(Gone(peer.request))
-
-    def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
+        super().__init__(module, most)
+        self.inventory = inventory
+
+    def peer(self) -> ScgiPeer:
+        return ScgiPeer(self)
+
+    def no_room(self, peer: ScgiPeer) -> None:
+        peer.reject(ScgiError(503, "too many connections"))
+
+    def ended(self, peer: ScgiPeer) -> None:
+        peer.stall.cancel()
+        if peer.request is not None and not peer.request.answered:
+            self.module.post(Gone(peer.request))
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -8,6 +8,8 @@
 from play import Stand, play, run, until
 
 from beechrock.inventory import build
+from beechrock.net.frames import CHECKED, FramesPeer, Reply
+from beechrock.net.front import MOST_UNREAD
 
 FILES = sorted((Path(__file__).parent / "exchanges").glob("*.txt"))
 
@@ -45,7 +47,7 @@
     async def work(stand: Stand) -> None:
         await stand.open()
         await stand.play('g = accept agent\ng < "subscribe 0\\r\\n"\ng > "greeting LOADED 5\\r\\n"\n'
-                         "counter agent.links 1\na = connect frames\n"
+                         "counter agent.links 1\nbeat BEAT n1 ready\na = connect frames\n"
                          + ask % 1 + "\n" + thorough % (1, "00"))
         agent = stand.program.agent
         assert agent is not None
@@ -102,3 +104,21 @@
             + 'f = connect frames\nf < {02 00000000 08 00 "too many connections"}\nf closed\n')
 
     run(work)
+
+
+def test_who_never_reads_its_answers_does_not_keep_its_connection() -> None:
+    async def work(stand: Stand) -> None:
+        await stand.open()
+        frames = stand.program.frames
+        assert frames is not None
+        slow, stuck = (FramesPeer(frames) for _ in range(2))
+        for peer in (slow, stuck):
+            peer.spoke = True
+            peer.post(Reply(CHECKED))
+            frames.peers.add(peer)
+        for _ in range(MOST_UNREAD + 2):
+            slow.written += 1
+            frames._sweep()
+        assert (slow.broken, stuck.broken) == (False, True)
+
+    run(work)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -43,9 +43,9 @@
         address = ("127.0.0.1", int(found[1]))
         with socket.create_connection(address, 30) as old:
             old.sendall(CHECK)
-            assert message(old)[4:10] == b"\x05\0\0\0\x01\0"
+            assert message(old)[4:10] == b"\x05\0\0\0\x01\x01"     # the agent is not up: bad
             node.send_signal(signal.SIGUSR1)
-            assert "answered.checks_good 1" in node.stderr.readline()
+            assert "answered.checks_bad 1" in node.stderr.readline()
             node.send_signal(signal.SIGTERM)
             assert message(old) == NO_MORE
             with socket.create_connection(address, 30) as new:
@@ -53,7 +53,7 @@
                 new.sendall(CHECK)
                 assert message(new)[4:10] == b"\x05\0\0\0\x01\x01"
         assert node.wait(30) == 0
-        assert "answered.checks_bad 1" in node.stderr.read()
+        assert "answered.checks_bad 2" in node.stderr.read()
     finally:
         node.kill()
         node.stderr.close()
