Keep a leaving node open for most of its grace, instead of full at once

The probe shows the leaving n0 say 1.00 from its notice on and idle (busy 0.25 to 0.5, 16 to 46 requests a second of 126) for the 1.8 s in which it may still run all, beside n1 and n2 at 0.99; so again n1 at 11.3 s. Checked and ruled out: successors are up within a second, reports included; front ends learn of them 4 to 5 s later, which no node can change. At fault: Node._advertise, full from the notice on. Now from 0.8 of the grace, or one mean aim before the end if that is sooner; health checks still fail at once. Also: an SCGI length with leading zeros is refused by its length (a long one was an exception, and no answer); 512 stream numbers are remembered above gaps, not 4,096.

--- a/beechrock/decide.py
+++ b/beechrock/decide.py
@@ -33,6 +33,7 @@
 SLOW_CALL = 2.0          # calls this many times slower than they were lately mean crowding below
 DUE_MARGIN_TICKS = 3.0   # answers go out this many batches before they are due
 DRAIN_MARGIN = 0.1       # share of the notice, and of the grace, kept free
+DRAIN_OPEN = 0.8         # share of the grace in which callers are wanted: what is full at once only idles
 
 OVER, HELD, SHARING, RUNNING, AT_CALL, IN_CALL = range(6)
 AHEAD = (0, 1, 0, 0.5, 0.5, 0.5)     # a phase's part in the predicted waits: runs are half done in the mean
@@ -86,7 +87,7 @@
         self.kb_factor = (0.0, 1.0, 1.0, *[s.run_factor or 1.0] * 3)
         # Heaps: answers due, runs of use, table entries, calls; the hold, apart for those that must call.
         self.dues, self.uses, self.ends, self.asks, *self.holds = (Queue() for _ in range(6))
-        self.timer_at = self.leave_at = self.kill_at = math.inf
+        self.timer_at = self.leave_at = self.full_at = self.kill_at = math.inf
         self.mean_aim = sum(c.aim_s for c in s.classes) / len(s.classes)
         self.cores, self.limit, self.mean_work = Meter(self.mean_aim), 1.5 * s.cores, 0.0
         self.away_s = min(FIRST_OFFSET_S, s.max_retry_after_s or FIRST_OFFSET_S)
@@ -125,8 +126,10 @@
                 self._arrived(req)
             case api.TimerFired(_, gauges):
                 self._learn_limit(gauges)
-            case api.Leaving(left):     # callers are warned at once; what came before the grace may still run
+            case api.Leaving(left):     # checks fail at once; what comes before the grace ends may still run
                 self.leave_at, self.kill_at = self.now, self.now + left * (1 - DRAIN_MARGIN)
+                self.full_at = min(self.now + DRAIN_OPEN * (self.s.drain_grace_s or 0.0),
+                                   self.kill_at - self.mean_aim)
                 self.out.append(api.Health(False))
             case _ if event.id in self.jobs:
                 self._progress(self.jobs[event.id], event)
@@ -289,7 +292,7 @@
         """Callers hear of the predicted wait before they send, so that little is read in vain."""
         first, full = SHED if self.s.say is Say.FLOOR else MOVE
         strain = (self.cores.wait(self.work_ahead) + self.unread_s) / self.mean_aim
-        strain = 1.0 if self.leave_at < math.inf else min(max((strain - first) / (full - first), 0.0), 1.0)
+        strain = 1.0 if self.now >= self.full_at else min(max((strain - first) / (full - first), 0.0), 1.0)
         value = strain if self.s.say is Say.FLOOR else 1.0 - strain
         if self.s.say is Say.ALLOWANCE:
             value *= (self.limit + (self.peak_rate or self.s.cores) * self.mean_aim) / (self.s.callers or 1)
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -24,7 +24,7 @@
 MAILBOX = 4096
 # Sweeps (not seconds, as a machine may pause) in which a connection said nothing, or nothing whole.
 MOST_STALE = 4
-MOST_GAPS = 4096        # stream numbers remembered one by one above the highest that are known as a whole
+MOST_GAPS = 512         # stream numbers remembered one by one above the highest that are known as a whole
 MOST_WAITING = 32       # health checks that wait for real work, over all connections
 
 
--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -133,7 +133,8 @@
         if self.inbox.read(1) != b",":
             raise ScgiError(400, "the netstring does not end in a comma")
         self.headers = headers_of(block)
-        if int(self.headers["CONTENT_LENGTH"][:10]) > MOST_BODY:
+        length = self.headers["CONTENT_LENGTH"]
+        if len(length) > 10 or int(length) > MOST_BODY:     # leading zeros could hide any number of digits
             raise ScgiError(413, f"a body of over {MOST_BODY} bytes")
         return True
 
--- a/tests/test_abacus.py
+++ b/tests/test_abacus.py
@@ -208,6 +208,15 @@
     assert driver.node.cores.wait(10.0) == pytest.approx(before)
 
 
+def test_a_leaving_node_is_full_only_when_the_grace_nears_its_end() -> None:
+    driver = Driver(settings(say=api.Say.FLOOR))
+    driver.tell(api.Leaving(9.0))
+    driver.tell(after=1.9)
+    assert [a.value for a in of(api.Advertise, driver.said)] == [0.0]
+    driver.tell(after=0.2)
+    assert [a.value for a in of(api.Advertise, driver.said)] == [0.0, 1.0]
+
+
 @pytest.mark.parametrize("say", list(api.Say))
 def test_the_advertised_value_asks_for_less_under_strain_and_for_nothing_in_a_drain(say: api.Say) -> None:
     driver = Driver(settings(say=say, callers=2))
@@ -215,6 +224,7 @@
     for _ in range(100):
         driver.arrive()
     driver.tell(api.Leaving(5.0))
+    driver.tell(after=2.1)
     values = [a.value for a in of(api.Advertise, driver.said)]
     if say is api.Say.NONE:
         assert values == []
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -19,27 +19,46 @@
     play(path)
 
 
-@pytest.mark.parametrize("path", [p for p in FILES if p.name.startswith("scgi")], ids=lambda p: p.stem)
-def test_both_fronts_say_what_the_exchange_records(path: Path) -> None:
+async def open_both(stand: Stand) -> None:
+    """A node with both fronts, and an SCGI server behind one of its services."""
     contract = {"share": 0.3, "rate": 50, "aim_ms": 1800, "due_ms": 3600}
     keyed = {**contract, "effect": "keyed", "window_ms": 10_000}
+    host, port = await stand.listen("server")
+    await stand.open(build({"cores": 2, "memory_mb": 60}, {
+        "teams": {"releases": {}, "packagers": {}},
+        "services": {"resolve": {}, "submit": {}, "pack": {"upstreams": [f"{host}:{port}"]}},
+        "contracts": {
+            "a": {**contract, "team": "releases", "service": "resolve", "effect": "safe", "calls": True},
+            "b": {**keyed, "team": "releases", "service": "submit"},
+            "c": {**keyed, "team": "releases", "service": "pack"},
+        },
+    }))
+
 
+@pytest.mark.parametrize("path", [p for p in FILES if p.name.startswith("scgi")], ids=lambda p: p.stem)
+def test_both_fronts_say_what_the_exchange_records(path: Path) -> None:
     async def work(stand: Stand) -> None:
-        host, port = await stand.listen("server")
-        await stand.open(build({"cores": 2, "memory_mb": 60}, {
-            "teams": {"releases": {}, "packagers": {}},
-            "services": {"resolve": {}, "submit": {}, "pack": {"upstreams": [f"{host}:{port}"]}},
-            "contracts": {
-                "a": {**contract, "team": "releases", "service": "resolve", "effect": "safe", "calls": True},
-                "b": {**keyed, "team": "releases", "service": "submit"},
-                "c": {**keyed, "team": "releases", "service": "pack"},
-            },
-        }))
+        await open_both(stand)
         await stand.play(path.read_text())
 
     run(work)
 
 
+def test_a_full_scgi_table_ends_the_silent_and_turns_away_while_all_wait_for_an_answer() -> None:
+    async def work(stand: Stand) -> None:
+        await open_both(stand)
+        assert stand.program.scgi is not None
+        stand.program.scgi.most = 1
+        await stand.play(
+            UP + "a = connect scgi\ncounter intake.scgi_connections 1\nb = connect scgi\na closed\n"
+            r'b > "66:CONTENT_LENGTH\x001\x00SCGI\x001\x00HTTP_X_ROUTE\x00resolve\x00HTTP_X_TEAM\x00'
+            r'releases\x00,x"'
+            "\ncounter sent.launches 1\nc = connect scgi\n"
+            r'c ... "too many connections\n"' "\nc closed\n" r'g ... "\r\nx\r\n"')
+
+    run(work)
+
+
 def test_a_thorough_check_that_is_not_stored_has_the_agent_work() -> None:
     ask = 'a > {04 0000000%d 01 08"thorough" 0001"1"}'
     thorough = 'a < {05 0000000%d %s 01 06"advice" 0006"0.0000"}'
