Gate calls by their predicted wait, and learn from those that run out

Checked: a probe of the module each quarter second, call times and late answers included. While the ledger is slow a node made 16 calls a second, of 90 wanted; half ran out. Earliest aim first gives each call to the request with the least time left; call_s learned only from calls that went well (0.05 s while others ran out at 0.1 s); each time-out paused all calls of the node, up to 1 s (fails 9, pause 0.92), though its place below is already counted as lingering. Skips and time-outs at the last moment ended 0 to 20 ms late. At fault: Node._issue_calls, _call_ended and _ask. Now a run that can do without its call goes on at once where the predicted wait takes over half of its time; time-outs teach the call time and cause no pause; where none is in hand one goes though calls look too slow; a skip comes five ticks before its last moment.

--- a/beechrock/decide.py
+++ b/beechrock/decide.py
@@ -30,8 +30,10 @@
 CALLS_MARGIN = 0.8       # share of the told calls in hand
 CALLS_FLOOR = 0.5        # part of those always used
 CALLS_WINDOW = 0.9       # share of the told calls over the told time that may be used or promised
+CALL_GATE = 0.5          # share of the time left that the predicted wait for a call may fill
 SLOW_CALL = 2.0          # calls this many times slower than they were lately mean crowding below
 DUE_MARGIN_TICKS = 3.0   # answers go out this many batches before they are due
+SKIP_TICKS = 5.0         # a skip comes this many before its last moment, as its answer takes some to get out
 DRAIN_MARGIN = 0.1       # share of the notice, and of the grace, kept free
 DRAIN_OPEN = 0.8         # share of the grace in which callers are wanted: what is full at once only idles
 
@@ -366,22 +368,31 @@
             self.memory_kb = self.work_ahead = self.calls_ahead = 0.0
 
     def _ask(self, job: Job, calls_left: float) -> None:
+        """Stop at a call; what can do without it goes on at once where the predicted wait is too long."""
+        wait = self.calls.wait(self.count[AT_CALL])
         self._move(job, AT_CALL, calls_left)
-        heappush(self.asks, (job.aim_at, job.req.id))
+        if not job.must_call and wait > CALL_GATE * (self._skip_at(job) - self.now):
+            return self._go_without(job)
+        return heappush(self.asks, (job.aim_at, job.req.id))
+
+    def _skip_at(self, job: Job) -> float:
+        """Until when a call is worth its wait where the run can do without."""
+        return job.aim_at - self._rest_s(job) - SKIP_TICKS * (self.s.tick_s or 0.0)
 
     def _issue_calls(self) -> None:
         while (job := self._first(self.asks, AT_CALL)) is not None:
-            end = job.useful_until if job.must_call else job.aim_at - self._rest_s(job)
-            wait = min(end - self.now, self._call_room_s())
-            if self.now + self.call_s > end:
+            end = job.useful_until if job.must_call else self._skip_at(job)
+            room = self._call_room_s()
+            # Where none is in hand one goes all the same: only a call can show that they are fast again.
+            if self.now + self.call_s > end and (self.now >= end or self.count[IN_CALL]):
                 self._go_without(job)
-            elif (self.now < self.calls_from or wait < self.call_s
+            elif (self.now < self.calls_from or room < self.call_s
                   or self.count[IN_CALL] + len(self.lingering) + 1 > max(1.0, self.call_limit)):
                 break
             else:
                 self._move(job, IN_CALL)
                 job.calls += 1
-                self.out.append(api.Call(job.req.id, max(0.01, wait)))
+                self.out.append(api.Call(job.req.id, max(0.01, min(end - self.now, room))))
 
     def _go_without(self, job: Job) -> None:
         if job.must_call:
@@ -398,22 +409,24 @@
 
     def _call_ended(self, job: Job, outcome: Outcome, elapsed: float) -> None:
         """Fewer in hand when calls became slow; a pause after failures, longer each time, against a rush."""
-        self.call_fails = 0 if outcome is Outcome.OK else self.call_fails + 1
+        late = outcome is Outcome.TIMED_OUT     # its place below is taken until it has lingered: pause enough
+        self.call_fails = 0 if outcome is Outcome.OK else self.call_fails + (not late)
+        if outcome is Outcome.OK or (late and elapsed > self.call_s):
+            step, self.call_heard = min(1 / FEW, (self.now - self.call_heard) / self.mean_aim), self.now
+            self.call_s = self.call_s + step * (elapsed - self.call_s) if self.call_s else elapsed
         if outcome is Outcome.OK:
             self._move(job, RUNNING, job.calls_left - 1)
             self.calls.add(1.0)
-            step, self.call_heard = min(1 / FEW, (self.now - self.call_heard) / self.mean_aim), self.now
-            self.call_s = self.call_s + step * (elapsed - self.call_s) if self.call_s else elapsed
             self.call_best = min(self.call_s, (1 + 0.03 * step) * self.call_best or elapsed)
             self.call_limit *= 1 + step if self.call_s < SLOW_CALL * self.call_best else 1 - step / 2
         else:
             self._ask(job, job.calls_left)
-            if outcome is Outcome.TIMED_OUT:
+            if late:
                 heappush(self.lingering, self.now + (self.s.linger_s or 0.0))
             if outcome not in NEVER_RAN and job.c.effect is not Effect.SAFE and not job.answered:
                 self._go_without(job)
             self.call_limit *= 0.7
-            self.calls_from = self.now + min(1.0, 0.02 * 2 ** min(self.call_fails, 6))
+            self.calls_from = self.now + (not late) * min(1.0, 0.02 * 2 ** min(self.call_fails, 6))
         self.call_limit = min(max(self.call_limit, CALLS_FLOOR * self.most_calls), self.most_calls)
         if 0 < self.call_limit < 1:     # below one call: pause between calls, so that their mean fits it
             self.calls_from = max(self.calls_from, self.now + elapsed * (1 / self.call_limit - 1))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -435,3 +435,56 @@
     driver.complete([ident], after=0.5)
     large, said = driver.arrive(work_s=2.4)
     assert ids(api.Run, said) == [large]
+
+
+# Skipping a call earns in the second class here. Seen on days with a slow ledger: each call went to the
+# request with the least time left and ran out, nothing was learned of that, and all calls of the node paused.
+
+
+def slow_below(driver: Driver, times: int, outcome: api.Outcome, elapsed: float) -> None:
+    """Calls, one after the other, that end so after this long."""
+    for _ in range(times):
+        ident, said = at_call(driver, 1)
+        assert ids(api.Call, said) == [ident]
+        driver.tell(api.CallEnded(ident, outcome, elapsed), after=elapsed)
+        driver.tell(api.CallerGone(ident), api.Finished(ident, api.Outcome.STOPPED, elapsed), after=0.3)
+
+
+def test_what_can_do_without_its_call_goes_on_at_once_where_the_wait_for_calls_is_long() -> None:
+    driver = Driver(settings(**{**BELOW, "cores": 40}))
+    slow_below(driver, 20, api.Outcome.OK, 0.2)
+    waiting = [at_call(driver, 1) for _ in range(60)]
+    calling = len(of(api.Call, [a for _, said in waiting for a in said]))
+    skipped = [ident for ident, said in waiting if ids(api.Skip, said) == [ident]]
+    assert skipped
+    assert calling + driver.node.count[4] + len(skipped) == 60
+    # Those that do wait have at most half of their time to wait, by the rate seen.
+    assert driver.node.calls.wait(driver.node.count[4] - 1) <= 0.5 * 3.0
+    assert min(skipped) > waiting[calling][0]
+
+
+def test_calls_that_run_out_teach_how_long_calls_take_and_cause_no_pause() -> None:
+    driver = Driver(settings(**BELOW))
+    slow_below(driver, 4, api.Outcome.OK, 0.02)
+    slow_below(driver, 20, api.Outcome.TIMED_OUT, 1.0)
+    assert driver.node.call_s > 0.3
+    assert driver.node.calls_from <= driver.now
+
+
+def test_a_call_goes_out_though_calls_were_too_slow_when_none_is_in_hand() -> None:
+    driver = Driver(settings(**BELOW))
+    slow_below(driver, 1, api.Outcome.OK, 2.9)
+    first, _ = driver.arrive(1)
+    second, _ = driver.arrive(1)
+    driver.tell(after=1.0)
+    assert driver.now + driver.node.call_s > 103.0
+    said = driver.tell(api.CallNeeded(first), api.CallNeeded(second))
+    assert ids(api.Call, said) == [first]
+    assert ids(api.Skip, said) == [second]
+
+
+def test_a_skip_leaves_time_for_the_batches_until_its_answer_is_out() -> None:
+    driver = Driver(settings(**BELOW))
+    ident, _ = driver.arrive(1)
+    said = driver.tell(api.CallNeeded(ident), after=2.98)
+    assert ids(api.Skip, said) == [ident]
