Bound keys and results by what the program leaves free, and refuse what finds no room

Checked: a probe of the resident memory beside the counts: 2.4 KB for each kept key beside its result (3,971 keys), 7 MB of results, 17 KB for each of 240 connections, on a program of 15 to 16 MB. Ruled out: open requests (14), mailboxes (5), the wheel (2,200 timers), heaps of the module. At fault: RESULTS_SHARE and MOST_KEYS in core/module.py, shares of the whole limit and a constant; Node.keys, which held the whole job of every request that was over. A full key table let the request run though its repeats could not be known. Now the module keeps numbers; keys and results have parts of what the program leaves of the limit; a request that finds no room among the keys is refused unrun.

--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -39,8 +39,10 @@
 SAMPLE_OLD_S = 0.1      # older ones tell nothing of the moment at which a timer fires
 SWEEP_S = 1.0
 MEMORY_MB = 192.0
-MOST_KEYS = 20_000      # without results these are 20 MB; results may take RESULTS_SHARE of the limit
-RESULTS_SHARE = 0.125
+# Seen with bad clients at six times the rate under 32 MB: shares of the whole limit ended the node, as the
+# program itself takes half of it. These are shares of what is left.
+PROGRAM_MB = 18.0
+KEYS_SHARE, KEY_KB, RESULTS_SHARE = 0.5, 1.5, 0.125     # of keys without their results, and of results
 # How far a request's ``born`` may lie ahead of now (clocks are one machine's), and behind its due time.
 BORN_AHEAD_S, BORN_BEHIND_S = 1.0, 10.0
 OVERDUE_S = 0.02        # the module answers before the due time; what it leaves until then gets an error
@@ -60,12 +62,13 @@
         self.mailbox: Mailbox[Message] = Mailbox(MAILBOX)
         self.book: dict[int, Request] = {}          # by id, until answered and not running
         self.traces: dict[str, Request] = {}
+        self.left_kb = 1024 * max(memory_mb - PROGRAM_MB, 0.25 * memory_mb)
         self.keys = self._key_table()
         self.node = Node(settings, seed, now)
         self.generation = self.last_id = 0
         self.next_events: list[api.Event] = []      # of what was carried out after a batch
         self.overdue: list[Request] = []            # may still be owed an answer after their due time
-        self.most_results = int(RESULTS_SHARE * memory_mb * 2**20)
+        self.most_results = int(RESULTS_SHARE * self.left_kb * 1024)
         self.most_open = int(OPEN_SHARE * memory_mb * 1024 / OPEN_KB)
         self.gauges, self.sampled_at = api.Gauges(), -math.inf
         self.advice: float | None = None
@@ -84,11 +87,12 @@
         table would have kept no more, and a repeat could have run.
         """
         s = self.settings
-        room = int(s.memory_kb / s.key_kb) if s.key_kb else MOST_KEYS
+        most = int(KEYS_SHARE * self.left_kb / KEY_KB)
+        room = int(s.memory_kb / s.key_kb) if s.key_kb else most
         keyed = [c for c in s.classes if c.effect is api.Effect.KEYED or s.fresh_s] or s.classes
         alive = max(c.window_s or c.give_up_s for c in keyed)
         linger = max(c.give_up_s for c in keyed)
-        return KeyTable(min(int(room * (2 + linger / alive)) + 64, MOST_KEYS), linger)
+        return KeyTable(min(int(room * (2 + linger / alive)) + 64, most), linger)
 
     @property
     def open(self) -> int:
@@ -359,6 +363,9 @@
             case api.Keep(_, ttl):
                 if not self.keys.keep(request, now + ttl, now):
                     self.counters.add("trouble.keys_full")
+                    if not request.running:     # not remembered it must not run: a repeat would run again
+                        self._answer(request, Answer(Verdict.REFUSED), now)
+                        self.next_events.append(api.Finished(request.id, api.Outcome.REJECTED, 0.0))
             case api.Forget():
                 self.keys.forget(request)
             case api.Share():
--- a/beechrock/decide.py
+++ b/beechrock/decide.py
@@ -84,7 +84,7 @@
         self.now, self.started, self.rare_callers = now, now, False
         self.out: list[api.Action] = [api.Health(True)]
         self.jobs: dict[int, Job] = {}
-        self.keys: dict[int, Job] = {}      # entries of the node's table
+        self.keys: set[int] = set()     # entries of the node's table, which outlive their jobs
         self.count, self.memory_kb, self.work_ahead, self.calls_ahead = [0] * 6, 0.0, 0.0, 0.0
         self.kb_factor = (0.0, 1.0, 1.0, *[s.run_factor or 1.0] * 3)
         # Heaps: answers due, runs of use, table entries, calls; the hold, apart for those that must call.
@@ -143,7 +143,7 @@
                     self.cores.add(job.work)
                     self.calls_per[job.req.klass] += 0.05 * (job.calls - self.calls_per[job.req.klass])
                 elif outcome is Outcome.REJECTED:   # it never ran: its entry would only take room
-                    self.keys.pop(job.req.id, None)
+                    self.keys.discard(job.req.id)
                 self._move(job, OVER)
             case api.CallNeeded() if job.phase == RUNNING:
                 self._ask(job, max(1.0, job.calls_left))
@@ -164,7 +164,7 @@
         while self.lingering and self.lingering[0] <= now:
             heappop(self.lingering)
         while self.ends and self.ends[0][0] <= now:
-            self.keys.pop(heappop(self.ends)[1], None)
+            self.keys.discard(heappop(self.ends)[1])
 
     def _work(self, req: Request) -> float:
         if not req.work_s:
@@ -451,14 +451,13 @@
         if self._memory_full(self.s.key_kb or 0.0, MEMORY_HELD):
             return False
         self.out.append(api.Keep(job.req.id, max(0.01, ttl)))
-        self.keys[job.req.id] = job
+        self.keys.add(job.req.id)
         heappush(self.ends, (self.now + ttl, job.req.id))
         return True
 
     def _repeat(self, job: Job) -> bool:
-        """Rule: a repeat never runs beside its first; it is answered from it."""
-        ident = job.req.repeats or 0
-        first = self.keys.get(ident) or self.jobs.get(ident)
+        """Rule: a repeat never runs beside its first; it is answered from it. What is over and kept, ran."""
+        first = self.jobs.get(job.req.repeats or 0)
         never_ran = first is not None and first.answered and not first.ran     # then this one may
         if not self.s.fresh_s if job.c.effect is Effect.SAFE else never_ran:
             return False
@@ -495,7 +494,8 @@
             self._move(job, OVER)
             if job.spent_in is not None and job.spent_in == self.periods[job.req.tenant or 0]:
                 self._spend(job, -job.c.price)      # it never ran
-            if not job.ran and self.keys.pop(job.req.id, None) is not None:
+            if not job.ran and job.req.id in self.keys:
+                self.keys.remove(job.req.id)
                 self.out.append(api.Forget(job.req.id))
 
     def _past_grace(self, job: Job) -> bool:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -277,7 +277,7 @@
     desk.tell(Taken(request("a", "n")))
     desk.tell(RunEnded("a", api.Outcome.REJECTED, 0.0), after=0.1)
     assert (verdicts("a"), len(desk.actor.keys)) == ([Verdict.FAILED], 0)
-    assert (desk.actor.node.cores.count, desk.actor.node.keys) == (0.0, {})
+    assert (desk.actor.node.cores.count, desk.actor.node.keys) == (0.0, set())
     desk.tell(Taken(request("b", "n", born=100.1)))
     assert desk.launched() == ["a", "b"]
 
@@ -297,3 +297,26 @@
     desk.tell(Gone(good))
     assert good.gone
     assert desk.counters["intake.gone"] == 1
+
+
+@pytest.mark.parametrize("memory_mb", [32.0, 64.0, 192.0])
+def test_keys_results_and_open_requests_fit_what_the_program_leaves_of_the_memory(memory_mb: float) -> None:
+    actor = ModuleActor(settings(key_kb=None), 1, lambda: 100.0, Counters(), memory_mb)
+    parts_kb = 1.5 * actor.keys.capacity + actor.most_results / 1024 + 4.0 * actor.most_open
+    assert parts_kb <= 1024 * (memory_mb - 18.0)
+    assert actor.keys.capacity > 1000
+
+
+def test_a_request_that_finds_no_room_among_the_keys_is_refused_and_never_runs() -> None:
+    desk = Desk()
+    desk.actor.keys.capacity = 1
+    desk.tell(Taken(request("a", "n1")))
+    desk.tell(Taken(request("b", "n2")))
+    assert desk.launched() == ["a"]
+    assert verdicts("b") == [Verdict.REFUSED]
+    desk.tell(after=0.1)
+    assert (len(desk.actor.book), len(desk.actor.node.jobs), len(desk.actor.node.keys)) == (1, 1, 1)
+    # A further try of it may run once there is room.
+    desk.actor.keys.capacity = 2
+    desk.tell(Taken(request("b2", "n2")))
+    assert desk.launched() == ["a", "b2"]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,7 @@
 """The four rules, calls below and every setting that changes what a node may do."""
 
+import weakref
+
 import pytest
 from world import KEYED, SAFE, Driver, ids, of, settings
 
@@ -488,3 +490,13 @@
     ident, _ = driver.arrive(1)
     said = driver.tell(api.CallNeeded(ident), after=2.98)
     assert ids(api.Skip, said) == [ident]
+
+
+def test_a_kept_key_outlives_its_job_without_holding_it() -> None:
+    driver = Driver()
+    ident, _ = driver.arrive(1)
+    job = weakref.ref(driver.node.jobs[ident])
+    driver.complete([ident])
+    assert (ident in driver.node.keys, job()) == (True, None)
+    again, said = driver.arrive(1, repeats=ident)
+    assert (ids(api.Share, said), ids(api.Run, said)) == ([again], [])
