Give each link a whole life as one state machine, with a limit in every state

Cause: an agent's address that accepts by its backlog and says nothing held a node for good (no limit on the greeting, the sync or an answer), and a move during a connect never reached the new address, since nothing was there to drop.

Change: core/link.py, a pure machine that the agent and each ledger connection share; net/linked.py, the actor round it. A file that changed without a signal is read once three attempts came to no link; SIGHUP is ignored until it can be acted on; notices are read whatever waits to be sent.

All orders of events to a depth of 7 keep the invariants; the exploration found that the agent's closing state had no limit.

--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -38,8 +38,10 @@
     def __init__(
         self, told: config.Config, clock: Callable[[], float] = time.time,
         again: Callable[[], config.Config] | None = None,
+        stamp: Callable[[], tuple[int, ...]] = tuple, seen: tuple[int, ...] = (),
     ) -> None:
         self.told, self.again = told, again     # ``again`` reads the configuration once more
+        self.stamp, self.seen = stamp, seen     # of the configuration's file, now and when it was read
         self.counters = Counters()
         self.module = ModuleActor(told.settings, told.seed, clock, self.counters, told.memory_mb)
         self.tasks: list[asyncio.Task[None]] = []
@@ -48,7 +50,7 @@
         self.frames = FramesFront(self.module, told.sockets * 5 // 8) if told.listen else None
         self.agent = Agent(self.module, told.gauges, told.agent) if told.agent else None
         if self.agent is not None:
-            self.module.able = self.agent.able
+            self.module.able, self.agent.lost = self.agent.able, self.look_again
         self.registry = (Registry(told.name, told.registry, self.counters, self.module.able)
                          if told.registry else None)
         self.scgi: ScgiFront | None = None
@@ -79,6 +81,7 @@
 
         Seen on a day with new configurations: SIGHUP ended the node, with all that it held.
         """
+        self.seen = self.stamp()
         try:
             told = self.again() if self.again is not None else self.told
         except config.ConfigError as error:     # nobody is helped by a node that ends over a bad file
@@ -96,6 +99,16 @@
         if fixed:
             log.warning("%s: changed, but read at a start only", ", ".join(fixed))
 
+    def look_again(self) -> None:
+        """Read a file that was changed since it was read, though nobody told us.
+
+        A node that starts while the file is replaced, or that met it half written, would else look for its
+        agent for ever where that no longer is.
+        """
+        if self.stamp() != self.seen:
+            self.counters.add("reload.unasked")
+            self.reload()
+
     async def listen(self) -> None:
         if self.frames is not None and self.told.listen is not None:
             await self.frames.start(*self.told.listen)
@@ -107,8 +120,10 @@
     async def start(self) -> None:
         """Listen, and let the actors run."""
         await self.listen()
-        actors = {"module": self.module, "agent": self.agent, "registry": self.registry}
+        actors = {"module": self.module, "registry": self.registry}
         self.tasks = [self.counters.spawn(a.run(), name) for name, a in actors.items() if a is not None]
+        if self.agent is not None:
+            self.agent.begin()
 
     def close(self) -> None:
         """Stop listening."""
@@ -123,6 +138,7 @@
             loop.add_signal_handler(number, self.leave)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         loop.add_signal_handler(signal.SIGUSR1, self.module.report)
+        self.look_again()       # SIGHUP was ignored until here
         await self.start()
         gc.freeze()     # what is here now stays; full collections look at the rest only, and so come in time
         await self.leaving.wait()
@@ -135,20 +151,23 @@
         self.module.report()
 
 
-async def serve(told: config.Config) -> None:
+async def serve(told: config.Config, seen: tuple[int, ...]) -> None:
     """Run until the notice to leave has been worked off."""
-    await Program(told, again=lambda: config.load(os.environ)).run()
+    again, stamp = (lambda: config.load(os.environ)), (lambda: config.stamp(os.environ))
+    await Program(told, again=again, stamp=stamp, seen=seen).run()
 
 
 def main() -> int:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)    # until it can be acted on, it must not end the process
+    seen = config.stamp(os.environ)
     try:
         told = config.load(os.environ)
     except config.ConfigError as error:
         print(f"beechrock: {error}", file=sys.stderr)
         return config.EXIT_CODE
     try:
-        asyncio.run(serve(told))
+        asyncio.run(serve(told, seen))
     except OSError as error:
         print(f"beechrock: {error}", file=sys.stderr)
         return 1
--- a/beechrock/config.py
+++ b/beechrock/config.py
@@ -89,6 +89,15 @@
     )
 
 
+def stamp(environ: Mapping[str, str]) -> tuple[int, ...]:
+    """What changes when the file that LB_CONFIG names is written anew; empty where there is none."""
+    try:
+        found = Path(environ.get("LB_CONFIG", "")).stat()
+    except OSError:
+        return ()
+    return found.st_mtime_ns, found.st_size, found.st_ino
+
+
 def _read(path: str) -> tuple[dict[str, Any], str]:
     where = f"LB_CONFIG {path}"
     try:
--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import itertools
-import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from beechrock.core import link as life
 from beechrock.core.module import ModuleActor
 from beechrock.core.requests import CallWanted, Request, RunEnded, Sampled, WorkUp
 from beechrock.interface import Outcome
+from beechrock.net.linked import Linked
 from beechrock.net.peer import BadInputError, LinesPeer
 from beechrock.settings import gauges_from
 
@@ -16,9 +17,11 @@
 MOST_BLOB = 200_000      # an answer with it still is one frame
 MOST_COMMANDS = 40_000
 EXERCISE_S = 3.0    # a check's work that takes longer is a bad check: agents that hang are what it looks for
-AGAIN_S = (0.02, 0.2)       # pause before a new link: the first, and the longest
-BREAK_S = 1.0       # a link that breaks is back long before this
-CONNECT_S = 1.0     # an address that has been left may neither take nor refuse a link
+# A peer that is there answers in milliseconds. The first silence is noticed in under half a second; a
+# greeting may wait for an agent that comes up late, so later ones get longer. On suspicion alone a node stays
+# listed for no longer than the registry would keep it.
+LIMITS = life.Limits(connect_s=0.4, greet_s=(0.4, 1.6), sync_s=0.4, quiet_s=0.1, answer_s=0.3, close_s=0.4,
+                     again_s=(0.02, 0.2), broken_s=1.0, suspect_s=3.0)
 
 
 @dataclass(slots=True, eq=False)
@@ -52,23 +55,31 @@
         return words[0] == "request" or (words[0] == "outcome" and len(words) > 5)
 
     def heard(self, words: list[str], body: bytes) -> None:
+        mine = self.agent.life
+        if mine.state is life.State.ASKED:
+            self.agent.tell(life.Heard(mine.link))
+        else:
+            mine.heard_at = self.agent.module.clock()
         self.agent.heard(words, body)
 
+    def _crowded(self) -> bool:
+        return False    # its notices make room: two ends that both stop reading would wait for ever
+
     def input_ended(self) -> None:
         self.broken = True      # half a link is none
 
 
-class Agent:
+class Agent(Linked):
     """Runs requests on the agent; keeps one link to it open and loses no command with a link."""
 
+    where = "agent"
+
     def __init__(
         self, module: ModuleActor, gauges: tuple[str, ...], address: tuple[str, int]
     ) -> None:
-        self.module, self.gauges, self.address = module, gauges, address
-        self.counters = module.counters
+        super().__init__(module, LIMITS, address)
+        self.gauges = gauges
         self.link: AgentLink | None = None
-        self.synced_at = -math.inf              # when a synced link last ended
-        self.synced = False                     # all missed notices are in; commands may go out
         # Sent or to be sent, and not yet known to be read: by number in order, and the numbers by request.
         self.unproved: dict[int, tuple[Request, Command]] = {}
         self.unproved_of: dict[str, list[int]] = {}
@@ -77,45 +88,58 @@
         self.sync_tag = ""
         self.exercises: dict[str, Callable[[bool], None]] = {}
 
-    async def run(self) -> None:
-        """Hold a link open for as long as the process lives."""
-        pause = AGAIN_S[0]
-        while True:
-            address = self.address
-            try:
-                reader, writer = await asyncio.wait_for(asyncio.open_connection(*address), CONNECT_S)
-            except (OSError, TimeoutError):
-                self.counters.add("agent.refused_links")
-                await asyncio.sleep(pause)
-                pause = min(2 * pause, AGAIN_S[1])
-                continue
-            pause = AGAIN_S[0]
-            self.counters.add("agent.links")
-            link = self.link = AgentLink(self)
-            self.synced = False
-            link.post(Command(f"subscribe {self.last_notice}"))
-            await link.serve(reader, writer)
-            if self.synced:
-                self.synced_at = self.module.clock()
-            self.link, self.synced = None, False
-            # A check whose work was asked for on the broken link would wait for ever.
-            broken, self.exercises = self.exercises, {}
-            for report in broken.values():
-                report(False)
-            if self.address == address:
-                await asyncio.sleep(pause)
+    def begin(self) -> None:
+        """Hold a link open from now on, for as long as the process lives."""
+        self.tell(life.Due())
 
     def move(self, address: tuple[str, int]) -> None:
         """Go on at another address: a new link takes up the notices and commands where this one ends."""
-        if address != self.address:
-            self.address = address
+        if address != self.life.address:
             self.counters.add("agent.moves")
-            if self.link is not None:
-                self.link.drop()
+            self.tell(life.Moved(address))
 
     def able(self) -> bool:
         """Whether runs can be started: a link stands, or broke so lately that the next one is under way."""
-        return self.synced or self.module.clock() - self.synced_at < BREAK_S
+        return self.life.able(self.module.clock())
+
+    @property
+    def synced(self) -> bool:
+        """All missed notices are in; commands may go out."""
+        return self.life.state in (life.State.UP, life.State.ASKED)
+
+    async def converse(self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        link = self.link = AgentLink(self)
+        self.counters.add("agent.links")
+        self.tell(life.Opened(number))
+        try:
+            await link.serve(reader, writer)
+        finally:
+            if self.link is link:
+                self.link_over()
+
+    def say(self, action: life.Action) -> None:
+        if self.link is None:
+            return
+        match action:
+            case life.Hail():
+                self.link.post(Command(f"subscribe {self.last_notice}"))
+            case life.Sync():
+                # Notices that were missed come before the answer to this; until then nothing is sent again,
+                # as a run that ended meanwhile must not be started a second time.
+                self.sync_tag = f"s{next(self.numbers)}"
+                self.link.post(Command(f"sample {self.sync_tag}"))
+            case life.Ask():
+                self.link.post(Command("sample quiet"))
+
+    def link_over(self) -> None:
+        if self.link is None:
+            return
+        link, self.link = self.link, None
+        link.drop()
+        # A check whose work was asked for on the broken link would wait for ever.
+        broken, self.exercises = self.exercises, {}
+        for report in broken.values():
+            report(False)
 
     # --- commands
 
@@ -184,11 +208,7 @@
                 self._sampled(words[1], [float(word) for word in words[2:]])
             case "greeting":
                 self.module.post(WorkUp(words[1] == "EMPTY", float(words[2]) / 1000))
-                # Notices that were missed come before the answer to this; until then nothing is sent again,
-                # as a run that ended meanwhile must not be started a second time.
-                self.sync_tag = f"s{next(self.numbers)}"
-                if self.link is not None:
-                    self.link.post(Command(f"sample {self.sync_tag}"))
+                self.tell(life.Greeted(self.life.link))
             case "exercised":
                 self._exercised(words[1], words[2] == "PASS")
             case "refusal":
@@ -227,9 +247,11 @@
             del self.unproved_of[trace]
 
     def _sampled(self, tag: str, values: list[float]) -> None:
+        if tag == "quiet":
+            return
         self.module.post(Sampled(gauges_from(self.gauges, values)))
         if tag == self.sync_tag and not self.synced:
-            self.synced = True
+            self.tell(life.Synced(self.life.link))
             self._send_again()
         elif tag[:1] == "g":    # all that went out before this sample was asked for has been read
             asked = int(tag[1:])
--- a/beechrock/net/ledger.py
+++ b/beechrock/net/ledger.py
@@ -3,10 +3,12 @@
 import asyncio
 from dataclasses import dataclass
 
+from beechrock.core import link as life
 from beechrock.core.module import ModuleActor
 from beechrock.core.requests import CallDone, Request
 from beechrock.core.wheel import Timer
 from beechrock.interface import Outcome
+from beechrock.net.linked import Linked
 from beechrock.net.peer import BadInputError, LinesPeer
 
 ENDS = {"queue_full": Outcome.REJECTED, "error": Outcome.ERROR, "expired": Outcome.TIMED_OUT,
@@ -15,7 +17,9 @@
 MOST_PAST = 1000    # requests remembered for a connection, after which it is replaced
 MOST_REPLY = 200_000        # what the agent's commands carry as well
 IDLE_S = 7.0        # the ledger closes a connection that is idle for 10 s; a call must not meet that
-CONNECT_S = 1.0     # an address that has been left may neither take nor refuse a connection
+# An address that has been left may neither take nor refuse a connection, and a peer that hangs may not read
+# the last words of one that is being closed.
+LIMITS = life.Limits(connect_s=0.4, close_s=2.0)
 
 
 @dataclass(slots=True, eq=False)
@@ -35,6 +39,7 @@
     def __init__(self, ledger: "Ledger") -> None:
         super().__init__(ledger.counters, 1 << 20, 4 * MOST_ON_ONE)
         self.ledger, self.address = ledger, ledger.address
+        self.line = Line(ledger, self)
         self.open: dict[str, OpenCall] = {}
         self.past: set[str] = set()     # requests that called here: a late or second reply may still come
         self.used_at = ledger.module.clock()
@@ -78,6 +83,33 @@
         self.broken = True      # no reply can come any more
 
 
+class Line(Linked):
+    """Makes one connection, and sees to its end."""
+
+    where = "ledger"
+
+    def __init__(self, ledger: "Ledger", link: LedgerLink) -> None:
+        super().__init__(ledger.module, LIMITS, ledger.address)
+        self.ledger, self.link = ledger, link
+        self.outcome = Outcome.UNREACHABLE      # nothing was sent: these calls never ran
+
+    async def converse(self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.counters.add("ledger.links")
+        self.outcome = Outcome.BROKEN_OFF
+        self.tell(life.Opened(number))
+        await self.link.serve(reader, writer)
+
+    def link_over(self) -> None:
+        self.link.drop()
+
+    def over(self) -> None:
+        self.link.lost = True
+        self.ledger.links.remove(self.link)
+        for call in list(self.link.open.values()):
+            self.ledger.ended(call, self.outcome, b"")
+        self.link.open.clear()
+
+
 class Ledger:
     """Calls for requests, each on a connection of its own as long as ``most`` allows."""
 
@@ -88,10 +120,15 @@
         module.wheel.at(module.clock() + 1.0, self._drop_idle)
 
     def move(self, address: tuple[str, int]) -> None:
-        """New calls go to another address; links to the old one end with the calls open on them."""
+        """New calls go to another address; links to the old one end with the calls open on them.
+
+        Those still being made are left at once: nothing was sent on them.
+        """
         if address != self.address:
             self.address = address
             self.counters.add("ledger.moves")
+            for link in list(self.links):
+                link.line.tell(life.Moved(address))
 
     def call(self, request: Request, body: bytes, wait_s: float) -> None:
         self.abandon(request)
@@ -126,27 +163,11 @@
         if len(self.links) < self.most:
             link = LedgerLink(self)
             self.links.append(link)
-            self.counters.spawn(self._run(link), "ledger")
+            link.line.tell(life.Due())
             return link
         fit = [k for k in fit if len(k.open) < MOST_ON_ONE]
         return min(fit, key=lambda k: len(k.open)) if fit else None
 
-    async def _run(self, link: LedgerLink) -> None:
-        outcome = Outcome.BROKEN_OFF
-        try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(*link.address), CONNECT_S)
-            self.counters.add("ledger.links")
-            await link.serve(reader, writer)
-        except (OSError, TimeoutError):
-            outcome = Outcome.UNREACHABLE   # nothing was sent: these calls never ran
-            self.counters.add("ledger.refused_links")
-        finally:
-            link.lost = True
-            self.links.remove(link)
-            for call in list(link.open.values()):
-                self.ended(call, outcome, b"")
-            link.open.clear()
-
     def _out_of_time(self, link: LedgerLink, call: OpenCall) -> None:
         if link.open.get(call.request.trace) is call:
             self._give_up(link, call)
@@ -169,7 +190,9 @@
 
     def _drop_idle(self) -> None:
         now = self.module.clock()
-        for link in self.links:
-            if not link.open and (now - link.used_at > IDLE_S or link.address != self.address):
+        for link in list(self.links):
+            if link.closing and not link.open:
+                link.line.tell(life.Closing(link.line.life.link))
+            elif not link.open and (now - link.used_at > IDLE_S or link.address != self.address):
                 link.finish()
         self.module.wheel.at(now + 1.0, self._drop_idle)
--- a/tests/play.py
+++ b/tests/play.py
@@ -12,6 +12,9 @@
     clock SECONDS   move the clock      counter NAME VALUE      wait until a counter has this value
     beat TEXT       wait for this report     leave      the notice to leave     down STAND-IN   refuse links
     move STAND-IN   from now on at a new address, which ``reload`` tells; ``reload KEY``: that key is bad
+    move STAND-IN deaf      there the kernel takes connections, and nobody reads them
+    move STAND-IN full      there connections are neither taken nor refused
+    NAME mute       from now on its questions for gauges stay without an answer
 """
 
 import ast
@@ -63,7 +66,7 @@
     """One connection of a stand-in; keeps what came in."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, samples: bool) -> None:
-        self.writer, self.samples = writer, samples
+        self.writer, self.samples, self.mute = writer, samples, False
         self.got, self.ended = b"", False
         self.task = asyncio.get_running_loop().create_task(self._read(reader))
 
@@ -78,7 +81,8 @@
         self.ended = True
 
     def _sampled(self, found: "re.Match[bytes]") -> bytes:
-        self.writer.write(b"sampled " + found[1] + b" 0.5 1 0.1 3\r\n")
+        if not self.mute:
+            self.writer.write(b"sampled " + found[1] + b" 0.5 1 0.1 3\r\n")
         return b""
 
 
@@ -101,6 +105,8 @@
         self.servers: dict[str, asyncio.Server] = {}
         self.beats: list[str] = []
         self.bad_key = ""
+        self.holes: dict[str, socket.socket] = {}   # stand-ins that listen and do no more
+        self.fillers: list[socket.socket] = []
 
     async def open(self, inventory: Inventory | None = None, settings: dict[str, Any] = SETTINGS) -> None:
         for name in ("agent", "ledger"):
@@ -136,7 +142,20 @@
         self.servers[name] = await asyncio.start_server(accepted, "127.0.0.1", 0)
         return self.address(name)
 
+    def hole(self, name: str, full: bool) -> None:
+        """Listen without ever taking a connection; ``full``: without room for one either."""
+        self.servers[name].close()
+        hole = self.holes[name] = socket.create_server(("127.0.0.1", 0), backlog=0 if full else 16)
+        self.fillers.append(hole)
+        for _ in range(4 if full else 0):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(hole.getsockname())
+            self.fillers.append(filler)
+
     def address(self, name: str) -> tuple[str, int]:
+        if name in self.holes:
+            return "127.0.0.1", self.holes[name].getsockname()[1]
         host, port = self.servers[name].sockets[0].getsockname()[:2]
         return host, port
 
@@ -148,6 +167,8 @@
             wire.writer.close()
         for server in self.servers.values():
             server.close()
+        for filler in self.fillers:
+            filler.close()
         self.registry.close()
 
     async def play(self, text: str) -> None:
@@ -183,8 +204,11 @@
             case ["move", "registry"]:
                 self.registry.close()
                 await self.listen_for_beats()
+            case ["move", name, "deaf" | "full" as how]:
+                self.hole(name, how == "full")
             case ["move", name]:
                 self.servers[name].close()
+                self.holes.pop(name, None)
                 await self.listen(name)
             case ["reload", *key]:
                 self.bad_key = " ".join(key)
@@ -216,6 +240,8 @@
             await until(lambda: wire.got.endswith(want) or wire.ended, lambda: f"only {wire.got!r}")
             assert wire.got.endswith(want), f"got {wire.got!r}"
             wire.got = b""
+        elif verb == "mute":
+            wire.mute = True
         elif verb == "end":
             wire.writer.write_eof()
         elif verb == "reset":
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,208 @@
+"""The life of a link over all orders of events, and how soon a good address is taken up."""
+
+import copy
+import itertools
+
+import pytest
+
+from beechrock import interface as api
+from beechrock.core import link as life
+from beechrock.core.link import LATE_S, LinkLife, State, Why
+from beechrock.decide import Node
+from beechrock.net import agent, ledger
+
+OLD, GOOD = ("127.0.0.1", 1), ("127.0.0.1", 2)
+DEPTH = 7
+NOW = 1000.0
+
+
+class World:
+    """A machine, its time, and the links that are open as its actions have it."""
+
+    def __init__(self, limits: life.Limits) -> None:
+        self.now, self.life = NOW, LinkLife(limits, OLD, NOW)
+        self.open: dict[int, life.Address] = {}
+
+    def tell(self, event: life.Event) -> list[life.Action]:
+        if isinstance(event, life.Refused | life.Ended):
+            self.open.pop(event.link, None)
+        actions = self.life.take(self.now, event)
+        for action in actions:
+            match action:
+                case life.Connect(number, address):
+                    self.open[number] = address
+                case life.Cut(number, _):
+                    assert self.open.pop(number, None) is not None, "cut what is not open"
+        self.check()
+        return actions
+
+    def check(self) -> None:
+        machine = self.life
+        assert len(self.open) <= 1, "two links at a time"
+        held = machine.state not in (State.WAITING, State.OVER)
+        assert held == bool(self.open)
+        assert not held or machine.link in self.open
+        quiet = machine.state is State.UP and machine.limits.quiet_s == float("inf")
+        if machine.state is not State.OVER and not quiet:
+            assert machine.due < self.now + 10, "a state without an end"
+        if machine.limits.again_s is not None:
+            assert machine.state is not State.OVER
+            assert set(self.open.values()) <= {machine.address}, "a link to an address that was left"
+
+    def key(self) -> tuple[object, ...]:
+        m = self.life
+        return (m.state, m.address, min(m.failures, 4), m._excused,
+                round(m.due - self.now, 3) if m.due != float("inf") else None,
+                round(min(self.now - m.heard_at, 1.0), 2))
+
+    def moves(self) -> list[life.Event | float]:
+        """Events, and passages of time after which the machine is told that it is due."""
+        number = self.life.link
+        kinds = (life.Opened, life.Refused, life.Greeted, life.Synced, life.Heard, life.Closing, life.Ended)
+        found: list[life.Event | float] = [kind(n) for kind in kinds for n in {number, max(0, number - 1)}
+                                           if self.possible(kind, n)]
+        found += [life.Moved(OLD), life.Moved(GOOD), -1.0]
+        if self.life.due != float("inf"):
+            found += [max(0.0, self.life.due - self.now), max(0.0, self.life.due - self.now) + 2 * LATE_S]
+        return found
+
+    def possible(self, kind: type, number: int) -> bool:
+        return kind is not life.Refused or self.life.state is State.CONNECTING or number != self.life.link
+
+    def make(self, move: "life.Event | float") -> None:
+        if move == -1.0:
+            self.life.heard_at = self.now   # as its owner notes it, where the machine need not be told
+        elif isinstance(move, float):
+            self.now += move
+            self.tell(life.Due())
+        else:
+            self.tell(move)     # type: ignore[arg-type]
+
+
+def reachable(limits: life.Limits) -> list[World]:
+    seen, border = {}, [World(limits)]
+    for _ in range(DEPTH):
+        further = []
+        for world, at in [(w, i) for w in border for i in range(len(w.moves()))]:
+            after = copy.deepcopy(world)
+            after.make(after.moves()[at])
+            if after.key() not in seen:
+                seen[after.key()] = after
+                further.append(after)
+        border = further
+    return list(seen.values())
+
+
+def until_able(world: World) -> float:
+    """Seconds until a link is up at a peer that answers at once, but only on links made from now on."""
+    start, served_from = world.now, world.life.link + 1
+    todo: list[life.Action] = []
+    for _ in range(200):
+        if world.life.state in (State.UP, State.ASKED) and world.life.link >= served_from:
+            return world.now - start
+        if not todo:
+            world.now = max(world.now, world.life.due)
+            todo = world.tell(life.Due())
+            continue
+        number = world.life.link
+        match todo.pop(0):
+            case life.Connect(n, _):
+                todo += world.tell(life.Opened(n))
+            case life.Hail() if number >= served_from:
+                todo += world.tell(life.Greeted(number))
+            case life.Sync() if number >= served_from:
+                todo += world.tell(life.Synced(number))
+    raise AssertionError(f"never able, from {world.key()}")
+
+
+@pytest.mark.parametrize("limits", [agent.LIMITS, ledger.LIMITS], ids=["agent", "ledger"])
+def test_the_invariants_hold_after_every_order_of_events(limits: life.Limits) -> None:
+    states = {world.life.state for world in reachable(limits)}
+    expected = set(State) - ({State.OVER} if limits.again_s else {State.GREETING, State.SYNCING, State.ASKED})
+    assert states == expected
+
+
+def test_from_each_state_a_move_to_a_good_address_makes_it_able_at_once() -> None:
+    worst = 0.0
+    for world in reachable(agent.LIMITS):
+        start, number, there = world.now, world.life.link, ("127.0.0.1", 3)
+        assert life.Connect(number + 1, there) in world.tell(life.Moved(there))
+        for event in (life.Opened, life.Greeted, life.Synced):
+            world.tell(event(number + 1))
+        assert world.life.state is State.UP
+        worst = max(worst, world.now - start)
+    assert worst == 0.0
+
+
+def test_from_each_state_a_peer_that_serves_new_links_only_gets_one_within_two_seconds() -> None:
+    longest = agent.LIMITS.greet_s[1] if agent.LIMITS.greet_s else 0.0
+    for world in reachable(agent.LIMITS):
+        assert until_able(world) <= longest + 0.5
+
+
+def test_silence_is_noticed_within_half_a_second_and_a_pause_of_the_process_is_none() -> None:
+    world = World(agent.LIMITS)
+    world.tell(life.Due())
+    for event in (life.Opened, life.Greeted, life.Synced):
+        world.tell(event(1))
+    world.life.heard_at = world.now
+    at = world.now
+    world.now = world.life.due
+    assert world.tell(life.Due()) == [life.Ask()]
+    paused = copy.deepcopy(world)
+    world.now = world.life.due
+    assert world.tell(life.Due()) == [life.Cut(1, Why.SILENT)]
+    assert world.now - at <= 0.45
+    # After a pause the peer's answer is still unread: the link gets the time for it, once.
+    paused.now = paused.life.due + 3.0
+    assert paused.tell(life.Due()) == []
+    paused.now = paused.life.due
+    assert paused.tell(life.Due()) == [life.Cut(1, Why.SILENT)]
+
+
+def test_a_node_that_only_lost_its_peers_word_stays_listed_longer_than_one_whose_link_broke() -> None:
+    world = World(agent.LIMITS)
+    world.tell(life.Due())
+    for event in (life.Opened, life.Greeted, life.Synced):
+        world.tell(event(1))
+    broken = copy.deepcopy(world)
+    broken.tell(life.Ended(1))
+    assert broken.life.able(world.now + 0.9) and not broken.life.able(world.now + 1.1)
+    for _ in range(2):
+        world.now = world.life.due
+        world.tell(life.Due())
+    assert world.life.able(world.now + 2.9) and not world.life.able(world.now + 3.1)
+
+
+def test_lost_is_told_at_every_third_attempt_in_vain() -> None:
+    world = World(agent.LIMITS)
+    told = []
+    for _ in range(6):
+        world.now = world.life.due
+        world.tell(life.Due())
+        told.append(life.Lost() in world.tell(life.Refused(world.life.link)))
+    assert told == [False, False, True] * 2
+
+
+def test_a_node_taken_off_the_list_for_drowning_comes_back_though_nothing_more_reaches_it() -> None:
+    """Ruled out as the cause of a reload day that fell to 0: what waited unread is forgotten slot by slot."""
+    told = api.Settings(cores=2, memory_kb=1e6, tick_s=0.01,
+                        classes=(api.ClassSettings(aim_s=1.0, give_up_s=4.0),))
+    node, ids, now = Node(told, 1, 0.0), itertools.count(1), 0.0
+    for _ in range(200):        # a good rate first
+        now += 0.05
+        three = [next(ids) for _ in range(3)]
+        node.decide(now, [api.Arrived(api.Request(id=number, klass=0, kb=1.0)) for number in three])
+        node.decide(now + 0.04, [api.Finished(number, api.Outcome.OK, 0.04) for number in three])
+    for _ in range(400):        # then nothing ends, and what comes has waited long
+        now += 0.05
+        node.decide(now, [api.Arrived(api.Request(id=next(ids), klass=0, kb=1.0, waited_s=0.9))])
+        if not node.healthy:
+            break
+    assert not node.healthy
+    for _ in range(200):
+        now += 0.05
+        node.decide(now, [])
+        if node.healthy:
+            break
+    assert node.healthy
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -83,6 +83,31 @@
             node.kill()
 
 
+def test_a_changed_file_is_read_though_nobody_tells_of_it_once_no_link_can_be_had(tmp_path: Path) -> None:
+    """A node that started while the file was replaced, or met it half written, is told nothing more."""
+    path = tmp_path / "config.json"
+    told = {"name": "n1", "listen": "127.0.0.1:0", "agent": "127.0.0.1:1", "seed": "1", "stop_ms": 500,
+            "settings": SETTINGS}
+    path.write_text(ujson.dumps(told))
+    with socket.create_server(("127.0.0.1", 0)) as agent, subprocess.Popen(
+            [sys.executable, "-m", "beechrock"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+            env={**os.environ, "LB_CONFIG": str(path)}) as node:
+        assert node.stderr is not None
+        try:
+            assert "frames on" in node.stderr.readline()
+            path.write_text("{")
+            assert "not JSON" in node.stderr.readline()
+            path.write_text(ujson.dumps({**told, "agent": "{}:{}".format(*agent.getsockname())}))
+            agent.settimeout(30)
+            link, _ = agent.accept()
+            with link:
+                assert exactly(link, 13) == b"subscribe 0\r\n"
+            node.send_signal(signal.SIGTERM)
+            assert node.wait(30) == 0
+        finally:
+            node.kill()
+
+
 def test_the_deploy_file_names_what_is_there() -> None:
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     assert {"build", "run", "sim", "policy", "node", "packages"} == set(deploy)
