--- a/beechrock/__init__.py
+++ b/beechrock/__init__.py
@@ -3,4 +3,5 @@
 from beechrock.decide import Node
 from beechrock.interface import Settings
 
-__all__ = ["Node", "Settings"]
+__all__ = ["Node", "Settings", "__version__"]
+__version__ = "0.1.0"
--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -8,8 +8,9 @@
 import sys
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
-from beechrock import config
+from beechrock import config, logs
 from beechrock.core.counters import Counters
 from beechrock.core.module import ModuleActor
 from beechrock.core.requests import Leave, Work
@@ -20,12 +21,17 @@
 from beechrock.net.registry import Registry
 from beechrock.net.scgi import ScgiFront
 from beechrock.net.scgi_work import ScgiWork
+from beechrock.settings import settings_from
+
+if TYPE_CHECKING:       # loaded where the SCGI front is on
+    from beechrock.inventory.keeper import Keeper
+    from beechrock.inventory.plan import Plan
 
 log = logging.getLogger("beechrock")
 EXIT_MARGIN_S = 0.25    # the process has ended this long before it would be killed
 
 # What a reload does not change; ``seed`` is new with each start, and means nothing later.
-FIXED = ("name", "listen", "stop_s", "memory_mb", "sockets", "settings", "gauges", "scgi")
+FIXED = ("name", "listen", "stop_s", "memory_mb", "sockets", "gauges")
 
 
 def _address_of(server: asyncio.Server | None) -> str:
@@ -37,11 +43,12 @@
 
     def __init__(
         self, told: config.Config, clock: Callable[[], float] = time.time,
-        again: Callable[[], config.Config] | None = None,
+        again: "Callable[[config.Config], config.Config] | None" = None,
         stamp: Callable[[], tuple[int, ...]] = tuple, seen: tuple[int, ...] = (),
     ) -> None:
         self.told, self.again = told, again     # ``again`` reads the configuration once more
         self.stamp, self.seen = stamp, seen     # of the configuration's file, now and when it was read
+        self.seen_changed = seen                # and when it was looked at last
         self.counters = Counters()
         self.module = ModuleActor(told.settings, told.seed, clock, self.counters, told.memory_mb)
         self.tasks: list[asyncio.Task[None]] = []
@@ -54,17 +61,50 @@
         self.registry = (Registry(told.name, told.registry, self.counters, self.module.able)
                          if told.registry else None)
         self.scgi: ScgiFront | None = None
+        self.servers: ScgiWork | None = None
+        self.keeper: Keeper | None = None
         work: Work | None = self.agent
         if told.scgi is not None:
-            upstreams = told.scgi.inventory.upstreams
-            self.scgi = ScgiFront(self.module, told.scgi.inventory, told.sockets // 8)
-            servers = ScgiWork(self.module, upstreams)
-            routes = frozenset(name for name, addresses in upstreams.items() if addresses)
-            work = servers if self.agent is None else Routed(routes, servers, self.agent) if routes else work
+            meaning = told.scgi.generation.meaning
+            self.scgi = ScgiFront(self.module, meaning, told.sockets // 8)
+            work = self.servers = ScgiWork(self.module, meaning.upstreams)
+            if self.agent is not None:
+                work = Routed(self.servers, self.agent)
+            self._keep_inventory(told.scgi)
         self.module.work = work
         self.ledger = Ledger(self.module, told.ledger, told.sockets // 8) if told.ledger else None
         self.module.calls = self.ledger
 
+    def _keep_inventory(self, told: config.Scgi) -> None:
+        from beechrock.inventory import keeper, layout, reader, watch
+
+        rules = watch.Rules(settle_s=told.settle_s, confirm_s=told.confirm_s, most_removed=told.most_removed)
+        # The stamp of no files: what was written since they were read is seen as a change.
+        life = watch.Watch(rules, told.generation, ())
+        self.places, self.meaning = layout.first(told.generation.meaning), told.generation.meaning
+        self.keeper = keeper.Keeper(told.path, life, self.counters, self.take_up, told.watch_s, told.state,
+                                    read=reader.read_apart)
+        self.counters.set("inventory.generation", told.generation.number)
+
+    def take_up(self, plan: "Plan") -> bool:
+        """Go by a new generation from here on; what was read before goes on as it was promised.
+
+        In this order: the module's lists, the servers, then those who take requests in. False: not now.
+        """
+        from beechrock.inventory import layout, model
+
+        assert self.scgi is not None and self.servers is not None
+        places, meaning = layout.follow(self.places, self.meaning, plan.new.meaning, self.module.clock())
+        settled = model.over(self.told.raw, meaning) if self.told.raw is not None else meaning.settings
+        if not self.module.renew(settings_from(settled)[0]):
+            return False
+        self.places, self.meaning = places, meaning
+        self.servers.renew(meaning.upstreams)
+        self.scgi.inventory = meaning
+        if self.frames is not None:
+            self.frames.renew()
+        return True
+
     def leave(self) -> None:
         """The notice to leave: all is told of it, and all goes on listening and reading."""
         if self.leaving.is_set():
@@ -83,7 +123,7 @@
         """
         self.seen = self.stamp()
         try:
-            told = self.again() if self.again is not None else self.told
+            told = self.again(self.told) if self.again is not None else self.told
         except config.ConfigError as error:     # nobody is helped by a node that ends over a bad file
             self.counters.add("reload.refused")
             log.error("%s; the old configuration stays", error)
@@ -95,6 +135,8 @@
             self.ledger.move(told.ledger)
         if self.registry is not None and told.registry is not None:
             self.registry.move(told.registry)
+        if self.keeper is not None:
+            self.keeper.word()
         fixed = [key for key in FIXED if getattr(told, key) != getattr(self.told, key)]
         if fixed:
             log.warning("%s: changed, but read at a start only", ", ".join(fixed))
@@ -105,9 +147,11 @@
         A node that starts while the file is replaced, or that met it half written, would else look for its
         agent for ever where that no longer is.
         """
-        if self.stamp() != self.seen:
+        stamp = self.stamp()
+        if stamp != self.seen and stamp == self.seen_changed:   # twice the same: it is written to the end
             self.counters.add("reload.unasked")
             self.reload()
+        self.seen_changed = stamp
 
     async def listen(self) -> None:
         if self.frames is not None and self.told.listen is not None:
@@ -120,7 +164,7 @@
     async def start(self) -> None:
         """Listen, and let the actors run."""
         await self.listen()
-        actors = {"module": self.module, "registry": self.registry}
+        actors = {"module": self.module, "registry": self.registry, "inventory": self.keeper}
         self.tasks = [self.counters.spawn(a.run(), name) for name, a in actors.items() if a is not None]
         if self.agent is not None:
             self.agent.begin()
@@ -138,7 +182,8 @@
             loop.add_signal_handler(number, self.leave)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         loop.add_signal_handler(signal.SIGUSR1, self.module.report)
-        self.look_again()       # SIGHUP was ignored until here
+        if self.stamp() != self.seen:   # SIGHUP was ignored until here
+            self.reload()
         await self.start()
         gc.freeze()     # what is here now stays; full collections look at the rest only, and so come in time
         await self.leaving.wait()
@@ -153,12 +198,28 @@
 
 async def serve(told: config.Config, seen: tuple[int, ...]) -> None:
     """Run until the notice to leave has been worked off."""
-    again, stamp = (lambda: config.load(os.environ)), (lambda: config.stamp(os.environ))
-    await Program(told, again=again, stamp=stamp, seen=seen).run()
+
+    def again(before: config.Config) -> config.Config:
+        return config.load(os.environ, running=before.scgi.generation if before.scgi else None)
+
+    await Program(told, again=again, stamp=lambda: config.stamp(os.environ), seen=seen).run()
 
 
 def main() -> int:
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    """Without arguments a node is run; with some, the command line for operators."""
+    if len(sys.argv) < 2:
+        return serve_from_environment()
+    try:
+        from beechrock.cli.main import main as commands
+    except ImportError as error:
+        print(f"beechrock: commands need {error.name}: pip install 'beechrock[broker]'", file=sys.stderr)
+        return config.EXIT_CODE
+    commands()
+    return 0
+
+
+def serve_from_environment() -> int:
+    """Run a node as the environment tells; gives the exit code."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)    # until it can be acted on, it must not end the process
     seen = config.stamp(os.environ)
     try:
@@ -166,6 +227,9 @@
     except config.ConfigError as error:
         print(f"beechrock: {error}", file=sys.stderr)
         return config.EXIT_CODE
+    logs.set_up(told.scgi.log if told.scgi is not None else "")
+    for note in told.scgi.notes if told.scgi is not None else ():
+        log.warning("inventory: %s", note)
     try:
         asyncio.run(serve(told, seen))
     except OSError as error:
--- /dev/null
+++ b/beechrock/cli/inventory.py
@@ -0,0 +1,150 @@
+"""``beechrock inventory``: check, show, diff, convert, plan."""
+
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, NoReturn
+
+import click
+import ujson
+
+if TYPE_CHECKING:
+    from beechrock.inventory.generation import Generation
+    from beechrock.inventory.merge import Checked
+    from beechrock.inventory.plan import Plan
+
+PATH = click.Path(path_type=Path)
+FORM = click.Choice(["text", "json"])
+
+
+@click.group()
+def inventory() -> None:
+    """The list of teams, services, contracts, budgets, machines and front ends.
+
+    PATH is a file (.yaml, .yml, .csv), a folder of them, or a kept snapshot.
+    """
+
+
+def _fail(lines: list[str], code: int) -> NoReturn:
+    for line in lines:
+        click.echo(line, err=True)
+    sys.exit(code)
+
+
+def _read(path: Path) -> "tuple[Checked, Generation]":
+    """The inventory at ``path``; problems end the command with 1, no file with 2."""
+    from beechrock.inventory import generation, model, snapshot
+    from beechrock.inventory.problems import Problems
+
+    if not path.exists():
+        _fail([f"{path}: No such file or directory"], 2)
+    if path.name == snapshot.NAME:
+        try:
+            found = snapshot.load(path.parent)
+        except generation.DamagedError as error:
+            _fail([str(error)], 1)
+        return found.checked, found
+    problems = Problems()
+    read = model.read(path, problems)
+    if read is None:
+        _fail(problems.lines(), 1)
+    return read[0], generation.from_checked(1, *read)
+
+
+@inventory.command()
+@click.argument("path", type=PATH)
+@click.option("--format", "form", type=FORM, default="text")
+def check(path: Path, form: str) -> None:
+    """Name every problem with file, line and key. Exit 1 if there is an error."""
+    from beechrock.inventory import model
+    from beechrock.inventory.problems import Problems
+
+    if not path.exists():
+        _fail([f"{path}: No such file or directory"], 2)
+    problems = Problems()
+    found = model.read(path, problems)
+    counts = found[1].counts if found is not None else {}
+    if form == "json":
+        listed = [p.as_json() for p in sorted(problems.listed, key=lambda p: p.place)]
+        click.echo(ujson.dumps({"good": found is not None, "errors": problems.errors, "entries": counts,
+                                "warnings": problems.warnings, "problems": listed},
+                               indent=2, escape_forward_slashes=False))
+    else:
+        for line in problems.lines():
+            click.echo(line)
+        told = ", ".join(f"{count} {kind}" for kind, count in counts.items() if count)
+        click.echo(f"good: {told}" if found is not None else f"{problems.errors} errors", err=found is None)
+    sys.exit(0 if found is not None else 1)
+
+
+@inventory.command()
+@click.argument("path", type=PATH)
+@click.option("--host", help="Only the entries of this name.")
+@click.option("--format", "form", type=click.Choice(["yaml", "csv", "json"]), default="yaml",
+              help="json tells where each value comes from.")
+def show(path: Path, host: str | None, form: str) -> None:
+    """Print entries as they count, with all that they inherit."""
+    from beechrock.inventory import export
+
+    checked, _ = _read(path)
+    if host is not None:
+        checked = export.only(checked, host)
+        if not any(checked.kinds.values()):
+            _fail([f"{path}: {host}: no entry of this name"], 1)
+    click.echo(export.WRITERS[form](checked), nl=False)
+
+
+@inventory.command()
+@click.argument("path", type=PATH)
+@click.option("--to", "form", type=click.Choice(["yaml", "csv"]), required=True)
+def convert(path: Path, form: str) -> None:
+    """Write the inventory in another form on standard output, with the same meaning."""
+    from beechrock.inventory import export
+
+    click.echo(export.WRITERS[form](_read(path)[0]), nl=False)
+
+
+def _plan(old: Path, new: Path, most_removed: float) -> "Plan":
+    from beechrock.inventory.plan import plan as planned
+
+    return planned(_read(old)[1], _read(new)[1], most_removed)
+
+
+def _print(change: "Plan", form: str) -> None:
+    from beechrock.inventory.plan import shown
+
+    if form == "json":
+        steps = [{"verb": s.verb.value, "kind": s.kind, "name": s.name,
+                  "keys": {key: [shown(a), shown(b)] for key, a, b in s.keys}} for s in change.steps]
+        click.echo(ujson.dumps({"from": change.running.digest, "to": change.new.digest, "steps": steps,
+                                "refused": list(change.refused), "held": list(change.held)},
+                               indent=2, escape_forward_slashes=False))
+        return
+    for step in change.steps:
+        click.echo(str(step))
+    for why in change.refused:
+        click.echo(f"refused  {why}")
+    for why in change.held:
+        click.echo(f"held     {why}: waits for a second reading, or for SIGHUP")
+
+
+@inventory.command()
+@click.argument("old", type=PATH)
+@click.argument("new", type=PATH)
+@click.option("--format", "form", type=FORM, default="text")
+def diff(old: Path, new: Path, form: str) -> None:
+    """Compare two inventories by what they mean. Exit 1 if they differ."""
+    change = _plan(old, new, 1.0)
+    _print(change, form)
+    sys.exit(1 if change.running.digest != change.new.digest else 0)
+
+
+@inventory.command()
+@click.argument("running", type=PATH)
+@click.argument("new", type=PATH)
+@click.option("--most-removed", type=click.FloatRange(0, 1), default=0.25, show_default=True)
+@click.option("--format", "form", type=FORM, default="text")
+def plan(running: Path, new: Path, most_removed: float, form: str) -> None:
+    """Say what a node that runs RUNNING would do about NEW. Exit 1 if it would refuse or hold it."""
+    change = _plan(running, new, most_removed)
+    _print(change, form)
+    sys.exit(1 if change.refused or change.held else 0)
--- a/beechrock/config.py
+++ b/beechrock/config.py
@@ -4,20 +4,25 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import ujson
 
-from beechrock import inventory as inv
 from beechrock.interface import Settings, SettingsError
 from beechrock.settings import settings_from
 
+if TYPE_CHECKING:   # read only where the SCGI front is on: PyYAML and the rest cost memory
+    from beechrock.inventory.generation import Generation
+
 Address = tuple[str, int]
 EXIT_CODE = 2
 MOST_CONFIG = 4 << 20
 STOP_MS, MEMORY_MB, SOCKETS = 3000.0, 192.0, 1024.0
 ROOT = Path(__file__).parent.parent
-SCGI_KEYS = {"enabled", "listen", "inventory"}
+SCGI_KEYS = {"enabled", "listen", "inventory", "state", "log", "watch_s", "settle_s", "confirm_s",
+             "most_removed"}
+LOG_FORMS = ("text", "json")
+WATCH_S, SETTLE_S, CONFIRM_S, MOST_REMOVED = 0.5, 0.5, 10.0, 0.25
 
 
 class ConfigError(ValueError):
@@ -29,7 +34,15 @@
     """The SCGI front, where it is on."""
 
     listen: Address
-    inventory: inv.Inventory
+    path: Path                  # of the inventory: a file, or a folder
+    generation: "Generation"    # as it was read
+    state: Path | None = None   # where the last good generation is kept
+    notes: tuple[str, ...] = ()         # what there is to say of the start
+    log: str = "text"
+    watch_s: float = WATCH_S            # the files are looked at so often
+    settle_s: float = SETTLE_S          # they must have stood still for so long
+    confirm_s: float = CONFIRM_S        # after which a large removal is read a second time
+    most_removed: float = MOST_REMOVED  # part of a kind of entries that may go unconfirmed
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,11 +61,15 @@
     settings: Settings
     gauges: tuple[str, ...]
     scgi: Scgi | None
+    raw: dict[str, Any] | None = None   # the platform's own settings, under those of an inventory
+
 
+def load(environ: Mapping[str, str], root: Path = ROOT, running: "Generation | None" = None) -> Config:
+    """What this process is told by its environment, and by the files that it names or finds in deploy/.
 
-def load(environ: Mapping[str, str], root: Path = ROOT) -> Config:
-    """What this process is told by its environment, and by the files that it names or finds in deploy/."""
-    scgi = _scgi(Path(environ.get("LB_SCGI") or root / "deploy" / "scgi.toml"), root)
+    ``running``: the inventory in force, which then is not read here: that would hold up a node in service.
+    """
+    scgi = _scgi(Path(environ.get("LB_SCGI") or root / "deploy" / "scgi.toml"), root, running)
     path = environ.get("LB_CONFIG", "")
     if path:
         told, where = _read(path)
@@ -65,7 +82,10 @@
         raise ConfigError(f"{where}: limits: not an object")
     settled = told.get("settings", {})
     if scgi is not None and isinstance(settled, dict):
-        settled = inv.over(settled, scgi.inventory) if path else scgi.inventory.settings
+        from beechrock.inventory import model
+
+        meaning = scgi.generation.meaning
+        settled = model.over(settled, meaning) if path else meaning.settings
     try:
         settings, gauges = settings_from(settled)
     except SettingsError as error:
@@ -86,6 +106,7 @@
         memory_mb=_number(limits, "memory_mb", MEMORY_MB, f"{where}: limits"),
         sockets=int(_number(limits, "sockets", SOCKETS, f"{where}: limits")),
         settings=settings, gauges=gauges, scgi=scgi,
+        raw=told.get("settings", {}) if path and scgi is not None else None,
     )
 
 
@@ -111,7 +132,7 @@
     return told, where
 
 
-def _scgi(path: Path, root: Path) -> Scgi | None:
+def _scgi(path: Path, root: Path, running: "Generation | None") -> Scgi | None:
     """The SCGI front's file; no file, like ``enabled = false``, keeps the front off."""
     try:
         told = tomllib.loads(path.read_text())
@@ -128,11 +149,54 @@
         return None
     if not isinstance(told.get("inventory"), str):
         raise ConfigError(f"{path}: inventory: the path of a file is needed")
+    if told.get("log", "text") not in LOG_FORMS:
+        raise ConfigError(f"{path}: log: {told['log']!r} is none of {', '.join(LOG_FORMS)}")
+    state = told.get("state")
+    if state is not None and (not isinstance(state, str) or not state):
+        raise ConfigError(f"{path}: state: the path of a folder is needed")
+    most_removed = _number(told, "most_removed", MOST_REMOVED, str(path))
+    if most_removed > 1:
+        raise ConfigError(f"{path}: most_removed: {most_removed:g} is a part, and above 1")
+    folder = root / state if state else None
+    source = root / told["inventory"]
+    listen = _address(told.get("listen"), f"{path}: listen", 0)
+    watch_s = _number(told, "watch_s", WATCH_S, str(path))
+    settle_s = _number(told, "settle_s", SETTLE_S, str(path))
+    confirm_s = _number(told, "confirm_s", CONFIRM_S, str(path))
+    notes: tuple[str, ...] = ()
+    if running is None:
+        running, notes = _inventory(path, source, folder)
+    return Scgi(listen, source, running, folder, notes, told.get("log", "text"), watch_s, settle_s, confirm_s,
+                most_removed)
+
+
+def _inventory(path: Path, source: Path, folder: Path | None) -> "tuple[Generation, tuple[str, ...]]":
+    """What the files say now; where they are broken, the last good generation of the state folder."""
     try:
-        inventory = inv.load(root / told["inventory"])
-    except inv.InventoryError as error:
-        raise ConfigError(f"{path}: inventory: {error}") from None
-    return Scgi(_address(told.get("listen"), f"{path}: listen", 0), inventory)
+        from beechrock.inventory import generation, model, snapshot
+        from beechrock.inventory.problems import Problems
+    except ImportError as error:
+        raise ConfigError(f"{path}: enabled: needs {error.name}: pip install 'beechrock[broker]'") from None
+
+    last, notes = None, []
+    if folder is not None:
+        try:
+            last = snapshot.load(folder)
+        except snapshot.MissingError:
+            pass
+        except generation.DamagedError as error:
+            notes.append(f"damaged snapshot, not used: {error}")
+    problems = Problems()
+    found = model.read(source, problems)
+    if found is not None:
+        new = generation.from_checked(1, *found)
+        number = 1 if last is None else last.number + (last.digest != new.digest)
+        return generation.from_checked(number, *found), tuple(notes + problems.lines())
+    told = "\n".join(problems.lines() + notes)
+    if last is None:
+        raise ConfigError(f"{path}: inventory:\n{told}")
+    served = f"the inventory is broken; generation {last} of the state folder is served"
+    return last, (served, *told.split("\n"))
 
 
 def _address(value: object, where: str, least: int = 1) -> Address:
--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -19,6 +19,7 @@
     Gone,
     Leave,
     Message,
+    Renew,
     Request,
     RunEnded,
     Sampled,
@@ -80,6 +81,21 @@
         self.calls: Calls | None = None
         self.wheel.at(now + SWEEP_S, self._sweep)
 
+    def renew(self, settings: api.Settings) -> bool:
+        """Go by other classes and tenants from here on. What was read before is still answered by its own.
+
+        The lists are there at once for the fronts; the module hears of them before any request that is posted
+        from now on, as its mailbox keeps the order. False, and nothing done, where that is full.
+        """
+        if not self.mailbox.put(Renew(settings)):
+            return False
+        self.settings = settings
+        fresh = self._key_table()
+        # Entries that are there keep their end, and linger for the longest due time that any had.
+        self.keys.capacity = max(fresh.capacity, len(self.keys))
+        self.keys.linger_s = max(fresh.linger_s, self.keys.linger_s)
+        return True
+
     def _key_table(self) -> KeyTable:
         """Room for what the module may keep at a time, and for as long again what only lingers.
 
@@ -204,6 +220,8 @@
                 self.gauges, self.sampled_at = gauges, now
             case WorkUp(cold, age):
                 self._work_up(cold, age, now)
+            case Renew(settings):
+                events.append(api.Renewed(settings))
             case Leave(left):
                 if self.leaving_until is None:
                     self.leaving_until = now + left
--- a/beechrock/core/requests.py
+++ b/beechrock/core/requests.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from beechrock.core.wheel import Timer
-from beechrock.interface import Gauges, Outcome
+from beechrock.interface import Gauges, Outcome, Settings
 
 
 class Verdict(Enum):
@@ -143,4 +143,11 @@
     left_s: float
 
 
-Message = Taken | Gone | RunEnded | CallWanted | CallDone | Sampled | WorkUp | Leave
+@dataclass(frozen=True, slots=True)
+class Renew:
+    """Other classes and tenants for what is read from now on; those of before keep their places."""
+
+    settings: Settings
+
+
+Message = Taken | Gone | RunEnded | CallWanted | CallDone | Sampled | WorkUp | Renew | Leave
--- a/beechrock/core/routed.py
+++ b/beechrock/core/routed.py
@@ -1,21 +1,29 @@
 """Work that is done in two places: each request goes where its service runs."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 from beechrock.core.requests import Request, Work
 
 
+class Holder(Work, Protocol):
+    """Work that knows which requests it runs."""
+
+    def runs_here(self, route: str) -> bool: ...
+    def holds(self, request: Request) -> bool: ...
+
+
 class Routed:
-    """Sends the named routes to one worker and all others to the other."""
+    """Launches what has servers there and all else here; the rest of a run stays where it was launched."""
 
-    def __init__(self, routes: frozenset[str], here: Work, others: Work) -> None:
-        self.routes, self.here, self.others = routes, here, others
+    def __init__(self, here: Holder, others: Work) -> None:
+        self.here, self.others = here, others
 
     def _of(self, request: Request) -> Work:
-        return self.here if request.route in self.routes else self.others
+        return self.here if self.here.holds(request) else self.others
 
     def launch(self, request: Request) -> None:
-        self._of(request).launch(request)
+        (self.here if self.here.runs_here(request.route) else self.others).launch(request)
 
     def stop(self, request: Request) -> None:
         self._of(request).stop(request)
--- /dev/null
+++ b/beechrock/core/servers.py
@@ -0,0 +1,64 @@
+"""Which servers run a service, which of them drain, and which is asked first. Pure.
+
+A server is SERVING while its service lists it, then DRAINING until the last run on it has ended, then gone. A
+service that is taken out keeps its last servers for the requests that were read while it was there.
+"""
+
+from enum import Enum
+
+from beechrock.core.link import Address
+
+MOST_PAST = 1_000       # services taken out whose last servers are remembered; the oldest go first
+
+Upstreams = dict[str, tuple[Address, ...]]
+
+
+class State(Enum):
+    SERVING = "serving"
+    DRAINING = "draining"
+
+
+class Servers:
+    """The runs open at each server, and the lists by service."""
+
+    def __init__(self, upstreams: Upstreams) -> None:
+        self.upstreams = upstreams
+        self.load: dict[Address, int] = {}      # open runs; a server without any is not in it
+        self._past: Upstreams = {}
+
+    def state(self, address: Address) -> State | None:
+        """None: nothing goes there, and nothing is open there."""
+        if any(address in places for places in self.upstreams.values()):
+            return State.SERVING
+        return State.DRAINING if address in self.load else None
+
+    def draining(self) -> list[Address]:
+        serving = {address for places in self.upstreams.values() for address in places}
+        return [address for address in self.load if address not in serving]
+
+    def renew(self, upstreams: Upstreams) -> None:
+        """Go by other lists for all runs that begin from now on."""
+        for service, places in self.upstreams.items():
+            if service not in upstreams and places:
+                self._past.pop(service, None)
+                self._past[service] = places
+        for service in upstreams:
+            self._past.pop(service, None)
+        while len(self._past) > MOST_PAST:
+            del self._past[next(iter(self._past))]
+        self.upstreams = upstreams
+
+    def choose(self, service: str) -> list[Address]:
+        """The servers of a service, the least busy first."""
+        places = self.upstreams.get(service)
+        if places is None:
+            places = self._past.get(service, ())
+        return sorted(places, key=lambda address: self.load.get(address, 0))
+
+    def began(self, address: Address) -> None:
+        self.load[address] = self.load.get(address, 0) + 1
+
+    def ended(self, address: Address) -> None:
+        self.load[address] -= 1
+        if not self.load[address]:
+            del self.load[address]
--- a/beechrock/decide.py
+++ b/beechrock/decide.py
@@ -5,7 +5,9 @@
 """
 
 import math
+from collections.abc import Sequence
 from heapq import heappop, heappush
+from typing import TypeVar
 
 from beechrock import interface as api
 from beechrock.interface import Downstream, Effect, Outcome, Request, Say, StopMode
@@ -40,9 +42,22 @@
 OVER, HELD, SHARING, RUNNING, AT_CALL, IN_CALL = range(6)
 AHEAD = (0, 1, 0, 0.5, 0.5, 0.5)     # a phase's part in the predicted waits: runs are half done in the mean
 NEVER_RAN = (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.MOOT)
+N = TypeVar("N", int, float)
+Named = Sequence[api.ClassSettings | api.TenantSettings]
 Queue = list[tuple[float, int]]     # a heap of (moment, request)
 
 
+def _mean_aim(s: api.Settings) -> float:
+    aims = [c.aim_s for c in s.classes if not c.gone] or [s.classes[0].aim_s]
+    return sum(aims) / len(aims)
+
+
+def _kept(values: list[N], old: Named, new: Named, fresh: N) -> list[N]:
+    """By place: what was there goes on for who still stands there."""
+    same = [a.name == b.name for a, b in zip(old, new, strict=False)]
+    return [values[at] if at < len(same) and same[at] else fresh for at in range(len(new))]
+
+
 class Meter:
     """Completions per second of full use: light load is not slowness, but what hangs when full is."""
 
@@ -90,13 +105,12 @@
         # Heaps: answers due, runs of use, table entries, calls; the hold, apart for those that must call.
         self.dues, self.uses, self.ends, self.asks, *self.holds = (Queue() for _ in range(6))
         self.timer_at = self.leave_at = self.full_at = self.kill_at = math.inf
-        self.mean_aim = sum(c.aim_s for c in s.classes) / len(s.classes)
+        self.mean_aim = _mean_aim(s)
         self.cores, self.limit, self.mean_work = Meter(self.mean_aim), 1.5 * s.cores, 0.0
         self.away_s = min(FIRST_OFFSET_S, s.max_retry_after_s or FIRST_OFFSET_S)
         self.d0 = min(self.away_s, OFFSET_AIMS * self.mean_aim)
         self.slot_s = self.d0 / OFFSET_SLOTS
-        slots = int(max(c.give_up_s for c in s.classes) / self.slot_s) + 1
-        self.tokens, self.borrowed = [0] * slots, [0] * slots
+        self.tokens, self.borrowed = [0] * self._slots(), [0] * self._slots()
         self.carry = self.arrivals = self.lam = self.peak_rate = 0.0
         self.tenants = [(t.share or 0.0) / (1 - TENANT_KEPT) for t in s.tenants]
         self.slot_end, self.said, self.unread_s, self.healthy = now + self.slot_s, -1.0, 0.0, True
@@ -128,6 +142,8 @@
                 self._arrived(req)
             case api.TimerFired(_, gauges):
                 self._learn_limit(gauges)
+            case api.Renewed(settings):
+                self._renew(settings)
             case api.Leaving(left):     # checks fail at once; what comes before the grace ends may still run
                 self.leave_at, self.kill_at = self.now, self.now + left * (1 - DRAIN_MARGIN)
                 self.full_at = min(self.now + DRAIN_OPEN * (self.s.drain_grace_s or 0.0),
@@ -136,6 +152,19 @@
             case _ if event.id in self.jobs:
                 self._progress(self.jobs[event.id], event)
 
+    def _renew(self, s: api.Settings) -> None:
+        """Others on the old places, or behind: jobs, learnt rates, keys and what budgets have spent go on."""
+        old, self.s = self.s, s
+        self.calls_per = _kept(self.calls_per, old.classes, s.classes, 1.0)
+        self.tenants, self.spent = (_kept(v, old.tenants, s.tenants, 0.0) for v in (self.tenants, self.spent))
+        self.periods = _kept(self.periods, old.tenants, s.tenants, 0)
+        self.mean_aim, self.limit = _mean_aim(s), self.limit * s.cores / old.cores
+        more = [0] * (self._slots() - len(self.tokens))
+        self.tokens, self.borrowed = self.tokens + more, self.borrowed + more
+
+    def _slots(self) -> int:
+        return int(max(c.give_up_s for c in self.s.classes) / self.slot_s) + 1
+
     def _progress(self, job: Job, event: api.Event) -> None:
         match event:
             case api.Finished(_, outcome, _):
@@ -289,7 +318,8 @@
             return 1.0
         over = [n / (total or 1.0) * self.lam * (s.fleet_size or 1) / t.quota_per_s if t.quota_per_s else 1.0
                 for n, t in zip(self.tenants, s.tenants, strict=True)]
-        inside = min(1.0, max(1.0, min(over)) / max(1.0, over[tenant]))
+        least = min((n for n, t in zip(over, s.tenants, strict=True) if not t.gone), default=1.0)
+        inside = min(1.0, max(1.0, least) / max(1.0, over[tenant]))
         return inside + (1 - inside) * s.over_share_worth
 
     def _judge_health(self) -> None:
--- a/beechrock/interface.py
+++ b/beechrock/interface.py
@@ -73,6 +73,7 @@
     skip_worth: float | None = None
     name: str = ""
     price: float = 1.0      # what one run takes from its tenant's budget
+    gone: bool = False      # kept on its place for the requests that were read under it
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +85,7 @@
     name: str = ""
     budget: float | None = None
     budget_period_s: float | None = None
+    gone: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,6 +193,13 @@
     id: int
 
 
+@dataclass(frozen=True, slots=True)
+class Renewed:
+    """Other settings from now on. Classes and tenants that stay, or are ``gone``, keep their places."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class Leaving:
     """The node will be stopped this long from now."""
@@ -214,7 +223,7 @@
     gauges: Gauges = field(default_factory=Gauges)
 
 
-Event = Arrived | Finished | CallNeeded | CallEnded | CallerGone | Leaving | TimerFired
+Event = Arrived | Finished | CallNeeded | CallEnded | CallerGone | Renewed | Leaving | TimerFired
 
 
 # Actions.
--- /dev/null
+++ b/beechrock/inventory/generation.py
@@ -0,0 +1,101 @@
+"""A checked inventory as an immutable generation with a number and a digest, and its one written form.
+
+The form is a line of JSON an entry, sorted, so that the same content has the same bytes and the same digest
+in whichever file, order or form it was told. The reader's process, the snapshot and ``diff`` all use it.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import blake3
+import ujson
+
+from beechrock.inventory import model
+from beechrock.inventory.merge import Checked, Entry
+from beechrock.inventory.model import HERE, Inventory
+from beechrock.inventory.problems import Problems
+from beechrock.inventory.schema import KEYS
+
+FORMAT = 1
+
+
+class DamagedError(ValueError):
+    """Bytes that are no generation, or not the one that they were written as."""
+
+
+@dataclass(frozen=True, slots=True)
+class Generation:
+    """``number`` counts up within a node's life and state folder; ``digest`` is of the content alone."""
+
+    number: int
+    digest: str
+    checked: Checked
+    meaning: Inventory
+
+    def __str__(self) -> str:
+        return f"{self.number} ({self.digest[:12]})"
+
+
+def content(checked: Checked) -> bytes:
+    """The written form."""
+    return b"".join(_lines(checked))
+
+
+def _lines(checked: Checked) -> Iterator[bytes]:
+    yield _line(["all", "*", checked.node.values])
+    for kind in KEYS:
+        for name in sorted(checked.kinds[kind]):
+            yield _line([kind, name, checked.kinds[kind][name].values])
+    # What a group's name stands for, where a service's servers are told by it.
+    wanted = {host for s in checked.kinds["services"].values() for host, _ in s.values.get("upstreams", ())}
+    for name in sorted(wanted & checked.groups.keys()):
+        yield _line(["group", name, {"machines": sorted(checked.groups[name])}])
+
+
+def _line(parts: list[Any]) -> bytes:
+    text = ujson.dumps(parts, sort_keys=True, ensure_ascii=False, escape_forward_slashes=False)
+    return text.encode() + b"\n"
+
+
+def digest_of(data: bytes) -> str:
+    return blake3.blake3(data).hexdigest()
+
+
+def checked_from(data: bytes) -> Checked:
+    """The entries that ``content`` wrote; DamagedError where these are none."""
+    node, kinds = Entry("all.vars", HERE, {}, {}), {kind: dict[str, Entry]() for kind in KEYS}
+    groups: dict[str, tuple[str, ...]] = {}
+    try:
+        for line in data.splitlines():
+            kind, name, values = ujson.loads(line)
+            if not isinstance(name, str) or not isinstance(values, dict):
+                raise DamagedError(f"no entry: {line[:80]!r}")
+            if kind == "group":
+                groups[name] = tuple(values["machines"])
+                continue
+            if "upstreams" in values:
+                values["upstreams"] = tuple((host, port) for host, port in values["upstreams"])
+            entry = Entry(name, HERE, values, dict.fromkeys(values, HERE))
+            if kind == "all":
+                node = entry
+            else:
+                kinds[kind][name] = entry
+    except (ValueError, KeyError, TypeError) as error:
+        raise DamagedError(f"not in the written form ({error})") from None
+    return Checked(node, kinds, groups)
+
+
+def from_checked(number: int, checked: Checked, meaning: Inventory) -> Generation:
+    return Generation(number, digest_of(content(checked)), checked, meaning)
+
+
+def from_content(number: int, data: bytes) -> Generation:
+    """A generation from its written form, checked again: what others wrote may be anything."""
+    checked, problems = checked_from(data), Problems()
+    meaning = model.build(checked, problems)
+    if meaning is None or problems.errors:
+        raise DamagedError("; ".join(problems.lines()[:3]))
+    return Generation(number, digest_of(data), checked, meaning)
+
+
--- /dev/null
+++ b/beechrock/inventory/schema.py
@@ -0,0 +1,103 @@
+"""What each variable of each group may be: the one table that reading, checking and showing go by."""
+
+import ipaddress
+from collections.abc import Callable
+from typing import Any
+
+from beechrock.inventory.problems import shown
+
+Address = tuple[str, int]
+Check = Callable[[Any], Any]
+EFFECTS = ("safe", "keyed", "unsafe")
+FOREIGN = "ansible_"    # variables of configuration tools themselves say nothing to us
+
+
+def number(least: float, most: float) -> Check:
+    """Above ``least``, up to ``most``; text that is a number counts as one, as CSV holds only text."""
+
+    def check(value: Any) -> float:
+        try:
+            found = float(value) if not isinstance(value, bool) else None
+        except (TypeError, ValueError):
+            found = None
+        if found is None or not least < found <= most:
+            raise ValueError(f"{shown(value)} is not a number above {least:g}, up to {most:g}")
+        return found
+
+    return check
+
+
+def flag(value: Any) -> bool:
+    if value not in (True, False, "true", "false"):
+        raise ValueError(f"{shown(value)} is neither true nor false")
+    return value in (True, "true")
+
+
+def effect(value: Any) -> str:
+    if value not in EFFECTS:
+        raise ValueError(f"{shown(value)} is none of {', '.join(EFFECTS)}")
+    return str(value)
+
+
+def word(value: Any) -> str:
+    if not isinstance(value, str) or not value or len(value.split()) != 1:
+        raise ValueError(f"{shown(value)} is not one word")
+    return value
+
+
+def text(value: Any) -> str:
+    if isinstance(value, (list, dict)):
+        raise ValueError(f"{shown(value)} is not a text")
+    return str(value)
+
+
+def address(value: Any) -> Address:
+    """HOST:PORT, an IPv6 host in brackets."""
+    host, _, port = str(value).rpartition(":")
+    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
+        raise ValueError(f"{shown(value)} is not HOST:PORT")
+    return host.strip("[]"), int(port)
+
+
+def addresses(value: Any) -> tuple[Address, ...]:
+    """A list, or words; HOST may be the name of a machine, or of a group that stands for its machines."""
+    parts = value.split() if isinstance(value, str) else value if isinstance(value, list) else [value]
+    found = tuple(address(part) for part in parts)
+    if not found or len(set(found)) < len(found):
+        raise ValueError("no address, or one twice")
+    return found
+
+
+def network(value: Any) -> str:
+    """An address or a network in CIDR form, in its canonical text."""
+    try:
+        return str(ipaddress.ip_network(str(value)))
+    except ValueError as error:
+        raise ValueError(f"{shown(value)} is no address and no network ({error})") from None
+
+
+POSITIVE = number(0, 1e12)
+NODE: dict[str, Check] = {
+    "cores": number(0, 4096), "memory_mb": POSITIVE, "fleet_size": number(0, 1e6),
+    "over_share_worth": number(0, 1), "max_retry_after_ms": POSITIVE,
+}
+NODE_NEEDED = ("cores", "memory_mb")
+KEYS: dict[str, dict[str, Check]] = {
+    "machines": {
+        "hall": text, "cores": number(0, 4096), "memory_mb": POSITIVE, "address": word, "node": flag,
+    },
+    "front_ends": {"address": network, "network": network, "team": word},
+    "teams": {"contact": text},
+    "services": {"upstreams": addresses},
+    "contracts": {
+        "team": word, "service": word, "share": number(0, 1), "rate": POSITIVE, "aim_ms": POSITIVE,
+        "due_ms": POSITIVE, "effect": effect, "window_ms": POSITIVE, "worth": POSITIVE, "price": POSITIVE,
+        "calls": flag,
+    },
+    "budgets": {"team": word, "amount": POSITIVE, "period_s": POSITIVE},
+}
+NEEDED: dict[str, tuple[str, ...]] = {
+    "machines": (), "front_ends": (), "teams": (), "services": (), "budgets": ("team", "amount", "period_s"),
+    "contracts": ("team", "service", "share", "rate", "aim_ms", "due_ms", "effect"),
+}
+ALL_KEYS = frozenset(key for keys in (NODE, *KEYS.values()) for key in keys)
--- /dev/null
+++ b/beechrock/inventory/snapshot.py
@@ -0,0 +1,82 @@
+"""The last good generation in the state folder: written whole, checked when it is read.
+
+A header line (format, number, digest, length) and the generation's written form. It is written beside,
+flushed to the disk and renamed over, so that a crash at any moment leaves the old one or the new one.
+"""
+
+import os
+from pathlib import Path
+
+from beechrock.inventory.generation import (
+    FORMAT,
+    DamagedError,
+    Generation,
+    content,
+    digest_of,
+    from_content,
+)
+
+NAME = "inventory.snapshot"
+MAGIC = "beechrock-inventory"
+MOST_BYTES = 256 << 20
+
+
+class MissingError(Exception):
+    """There is no snapshot: a first start, and no damage."""
+
+
+def encode(generation: Generation) -> bytes:
+    data = content(generation.checked)
+    return f"{MAGIC} {FORMAT} {generation.number} {digest_of(data)} {len(data)}\n".encode() + data
+
+
+def decode(data: bytes) -> Generation:
+    """DamagedError says what is wrong with it."""
+    head, line_end, body = data.partition(b"\n")
+    words = head.decode("latin-1").split(" ")
+    if not line_end or len(words) != 5 or words[0] != MAGIC or not all(
+            words[at].isascii() and words[at].isdigit() and len(words[at]) < 19 for at in (1, 2, 4)):
+        raise DamagedError("no snapshot's header")
+    if int(words[1]) > FORMAT:
+        raise DamagedError(f"of format {words[1]}; this program reads up to {FORMAT}")
+    if len(body) != int(words[4]):
+        raise DamagedError(f"{len(body)} bytes, not {words[4]}: cut off, or added to")
+    if digest_of(body) != words[3]:
+        raise DamagedError("its digest is another one")
+    return from_content(int(words[2]), body)
+
+
+def save(folder: Path, generation: Generation) -> None:
+    """Write it whole. OSError where the disk does not take it; the old one then stays."""
+    folder.mkdir(parents=True, exist_ok=True)
+    temporary = folder / f".{NAME}.{os.getpid()}"
+    try:
+        with temporary.open("wb") as file:
+            file.write(encode(generation))
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(temporary, folder / NAME)
+    finally:
+        temporary.unlink(missing_ok=True)
+    listing = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(listing)
+    finally:
+        os.close(listing)
+
+
+def load(folder: Path) -> Generation:
+    """MissingError, DamagedError, or the last good generation."""
+    try:
+        with (folder / NAME).open("rb") as file:
+            data = file.read(MOST_BYTES + 1)
+    except FileNotFoundError:
+        raise MissingError(f"{folder / NAME}: none") from None
+    except OSError as error:
+        raise DamagedError(f"{folder / NAME}: {error.strerror}") from None
+    if len(data) > MOST_BYTES:
+        raise DamagedError(f"{folder / NAME}: over {MOST_BYTES} bytes")
+    try:
+        return decode(data)
+    except DamagedError as error:
+        raise DamagedError(f"{folder / NAME}: {error}") from None
--- /dev/null
+++ b/beechrock/inventory/watch.py
@@ -0,0 +1,163 @@
+"""When an inventory is read anew, and whether what was read is taken. Pure: told stamps, readings, times.
+
+States: STEADY, SETTLING (something is being written), READING, HELD (a good reading would remove so much
+that it must be confirmed). Events: ``Seen``, ``Word`` (the operator's), ``Done``. Actions: ``Read``,
+``Take``, ``Refuse``, ``Hold``, ``Same``. Invariants: one reading at a time; nothing is taken that changed
+while it was read; a bad file is told of once; a held generation is taken only if a second reading,
+``confirm_s`` later, or the operator's word finds it again.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from beechrock.inventory.generation import Generation
+from beechrock.inventory.plan import MOST_REMOVED, Plan, plan
+
+Stamp = tuple[tuple[object, ...], ...]      # of each file: name, device, inode, size, times
+
+
+class State(Enum):
+    STEADY = "steady"
+    SETTLING = "settling"
+    READING = "reading"
+    HELD = "held"
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """Seconds, and the part of a kind that may be removed unconfirmed."""
+
+    settle_s: float = 0.5
+    longest_s: float = 10.0     # what never settles is read all the same
+    confirm_s: float = 10.0
+    most_removed: float = MOST_REMOVED
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """The files as they are now."""
+
+    stamp: Stamp
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """The operator asks to read now; of a change that is held it is the leave to take it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """A reading: a generation, or the lines of what is wrong; the stamps before and after it."""
+
+    found: Generation | None
+    problems: tuple[str, ...]
+    before: Stamp
+    after: Stamp
+
+
+@dataclass(frozen=True, slots=True)
+class Read:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Take:
+    plan: Plan
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    problems: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    plan: Plan
+
+
+@dataclass(frozen=True, slots=True)
+class Same:
+    """The files changed, and say the same as before."""
+
+
+Event = Seen | Word | Done
+Action = Read | Take | Refuse | Hold | Same
+
+
+class Watch:
+    """``take`` is told what happened; ``running`` is the generation that the node goes by."""
+
+    def __init__(self, rules: Rules, running: Generation, stamp: Stamp) -> None:
+        self.rules, self.running, self.stamp = rules, running, stamp
+        self.state = State.STEADY
+        self.problems: tuple[str, ...] = ()     # of the last bad reading, until a good one
+        self._candidate, self._since, self._started = stamp, 0.0, 0.0
+        self._held: str | None = None           # digest of what waits to be confirmed
+        self._held_at = 0.0
+        self._word = self._again = False
+
+    def take(self, now: float, event: Event) -> list[Action]:
+        match event:
+            case Seen(stamp):
+                return self._seen(now, stamp)
+            case Word():
+                if self.state is State.READING:
+                    self._again = True      # the reading under way began before this
+                    return []
+                self._word = True
+                return self._read()
+            case Done():
+                return self._done(now, event) if self.state is State.READING else []
+
+    def _read(self) -> list[Action]:
+        self.state = State.READING
+        return [Read()]
+
+    def _seen(self, now: float, stamp: Stamp) -> list[Action]:
+        match self.state:
+            case State.STEADY | State.HELD if stamp != self.stamp:
+                self._settle(now, stamp)
+                self._started = now
+            case State.HELD if now - self._held_at >= self.rules.confirm_s:
+                return self._read()
+            case State.SETTLING if stamp != self._candidate:
+                self._settle(now, stamp)
+        if self.state is State.SETTLING and (now - self._since >= self.rules.settle_s
+                                             or now - self._started >= self.rules.longest_s):
+            return self._read()
+        return []
+
+    def _settle(self, now: float, stamp: Stamp) -> None:
+        self.state, self._candidate, self._since = State.SETTLING, stamp, now
+
+    def _done(self, now: float, done: Done) -> list[Action]:
+        word, self._word = self._word, False
+        if self._again:
+            self._again, self._word = False, True
+            return self._read()
+        if done.before != done.after:
+            # Seen in a test that swaps files while they are read: half of the old, half of the new.
+            self._settle(now, done.after)
+            return []
+        self.stamp = done.after
+        if done.found is None:
+            return self._refuse(done.problems)
+        self.problems = ()
+        if done.found.digest == self.running.digest:
+            self.state, self._held = State.STEADY, None
+            return [Same()]
+        change = plan(self.running, done.found, self.rules.most_removed)
+        if change.refused:
+            return self._refuse(change.refused)
+        again = done.found.digest == self._held
+        if change.held and not (again and (word or now - self._held_at >= self.rules.confirm_s)):
+            if not again:
+                self._held, self._held_at = done.found.digest, now
+            self.state = State.HELD
+            return [] if again else [Hold(change)]
+        self.state, self._held, self.running = State.STEADY, None, done.found
+        return [Take(change)]
+
+    def _refuse(self, problems: tuple[str, ...]) -> list[Action]:
+        self.state, self._held, self.problems = State.STEADY, None, problems
+        return [Refuse(problems)]
--- /dev/null
+++ b/beechrock/logs.py
@@ -0,0 +1,42 @@
+"""Logs: plain lines on the platform, structlog's text or JSON lines where an inventory is served."""
+
+import logging
+import sys
+from typing import Any
+
+LINE = "%(asctime)s %(levelname)s %(message)s"
+log = logging.getLogger("beechrock")
+_structured: Any = None
+
+
+def set_up(form: str = "") -> None:
+    """``form``: empty for the platform's plain lines, which need no library; else ``text`` or ``json``."""
+    global _structured
+    if not form:
+        logging.basicConfig(stream=sys.stderr, level=logging.INFO, format=LINE)
+        return
+    import structlog  # costs memory, so only where it is used
+
+    stamped: list[Any] = [structlog.stdlib.add_log_level,
+                          structlog.processors.TimeStamper(fmt="iso", utc=True)]
+    last = (structlog.processors.JSONRenderer() if form == "json"
+            else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty()))
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(structlog.stdlib.ProcessorFormatter(
+        foreign_pre_chain=stamped,
+        processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta, last]))
+    logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
+    structlog.configure(
+        processors=[*stamped, structlog.stdlib.ProcessorFormatter.wrap_for_formatter],
+        logger_factory=structlog.stdlib.LoggerFactory(), wrapper_class=structlog.stdlib.BoundLogger,
+        cache_logger_on_first_use=True)
+    _structured = structlog.get_logger("beechrock")
+
+
+def event(name: str, level: str = "info", **fields: Any) -> None:
+    """One event with its fields, in whichever form is set up."""
+    if _structured is not None:
+        getattr(_structured, level)(name, **fields)
+        return
+    told = " ".join(f"{key}={value}" for key, value in fields.items())
+    log.log(logging.getLevelNamesMapping()[level.upper()], "%s %s", name, told)
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -268,11 +268,16 @@
 
     def __init__(self, module: ModuleActor, most: int) -> None:
         super().__init__(module, most)
-        # A service has a class for each contract; here, where no team is told, the first one counts.
         self.routes: dict[str, int] = {}
-        for place, c in enumerate(module.settings.classes):
-            self.routes.setdefault(c.name, place)
         self.leaving = False
+        self.renew()
+
+    def renew(self) -> None:
+        """A service has a class for each contract; here, where no team is told, the first one counts."""
+        self.routes = {}
+        for place, c in enumerate(self.module.settings.classes):
+            if not c.gone:
+                self.routes.setdefault(c.name, place)
 
     def peer(self) -> FramesPeer:
         peer = FramesPeer(self)
--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -1,16 +1,20 @@
 """The SCGI front: one request a connection, by the public SCGI specification; answers with ``Status:``."""
 
+import asyncio
 import math
 import secrets
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from beechrock.core.module import ModuleActor
 from beechrock.core.requests import Answer, Gone, Request, Taken, Verdict
 from beechrock.interface import Effect
-from beechrock.inventory import Inventory
 from beechrock.net.front import Front
 from beechrock.net.peer import Peer
 
+if TYPE_CHECKING:
+    from beechrock.inventory.model import Inventory
+
 MOST_HEADER = 16_384
 MOST_BODY = 65_536
 MOST_OUT = 1 << 21
@@ -99,11 +103,22 @@
         self.born = self.spoke_at = self.module.clock()
         self.headers: dict[str, str] | None = None
         self.request: Request | None = None
+        self.bound_to: str | None = None    # the team that the inventory lets this front end ask for
         self.said = False       # the one answer of this connection is on its way
         limit = min(STALL_S, STALL_PART * min(c.give_up_s for c in self.module.settings.classes))
         # What never becomes whole is answered too, long before anybody's due time.
         self.stall = self.module.wheel.at(self.born + limit, self._stalled)
 
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        known = self.front.inventory.front_ends
+        if known is not None:
+            host = (writer.get_extra_info("peername") or ("",))[0]
+            allowed, self.bound_to = known.team_of(host)
+            if not allowed:
+                self.counters.add("intake.scgi_strangers")
+                self.reject(ScgiError(403, f"{host} is no front end of the inventory"))
+        await super().serve(reader, writer)
+
     def parse(self) -> None:
         try:
             if self.headers is None and not self._head():
@@ -154,7 +169,9 @@
     def _request(self, told: dict[str, str], body: bytes) -> Request:
         inventory = self.front.inventory
         route = told.get("HTTP_X_ROUTE") or told.get("PATH_INFO", "").strip("/")
-        team = told.get("HTTP_X_TEAM", "")
+        team = told.get("HTTP_X_TEAM") or self.bound_to or ""
+        if self.bound_to is not None and team != self.bound_to:
+            raise ScgiError(403, f"X-Team: this front end asks for {self.bound_to} alone")
         if route not in inventory.upstreams:
             raise ScgiError(404, f"X-Route: no service {route!r}")
         if team not in inventory.teams:
@@ -216,7 +233,7 @@
 
     where = "scgi"
 
-    def __init__(self, module: ModuleActor, inventory: Inventory, most: int) -> None:
+    def __init__(self, module: ModuleActor, inventory: "Inventory", most: int) -> None:
         super().__init__(module, most)
         self.inventory = inventory
 
--- a/beechrock/net/scgi_work.py
+++ b/beechrock/net/scgi_work.py
@@ -3,10 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
+from beechrock.core.link import Address
 from beechrock.core.module import ModuleActor
 from beechrock.core.requests import Request, RunEnded
+from beechrock.core.servers import Servers, Upstreams
 from beechrock.interface import Outcome
-from beechrock.inventory import Address
 from beechrock.net.peer import Peer
 from beechrock.net.scgi import MOST_HEADER, ScgiError, request_bytes
 
@@ -57,11 +58,21 @@
 class ScgiWork:
     """Sends runs to the servers of their service, to the least busy one first."""
 
-    def __init__(self, module: ModuleActor, upstreams: dict[str, tuple[Address, ...]]) -> None:
-        self.module, self.upstreams = module, upstreams
+    def __init__(self, module: ModuleActor, upstreams: Upstreams) -> None:
+        self.module, self.servers = module, Servers(upstreams)
         self.counters = module.counters
         self.runs: dict[Request, asyncio.Task[None]] = {}
-        self.load: dict[Address, int] = {}
+
+    def renew(self, upstreams: Upstreams) -> None:
+        """Begin no run at a server that is not listed any more; what is open there goes on to its end."""
+        self.servers.renew(upstreams)
+        self.counters.set("open.draining_servers", len(self.servers.draining()))
+
+    def runs_here(self, route: str) -> bool:
+        return bool(self.servers.choose(route))
+
+    def holds(self, request: Request) -> bool:
+        return request in self.runs
 
     def launch(self, request: Request) -> None:
         self.runs[request] = self.counters.spawn(self._run(request), "scgi_work")
@@ -91,7 +102,7 @@
     async def _exercise(self, report: Callable[[bool], None]) -> None:
         """Good when each service has a server that takes connections."""
         reached = []
-        for addresses in self.upstreams.values():
+        for addresses in self.servers.upstreams.values():
             for address in addresses:
                 try:
                     _, writer = await asyncio.wait_for(asyncio.open_connection(*address), CONNECT_S)
@@ -100,7 +111,7 @@
                 writer.close()
                 reached.append(True)
                 break
-        report(len(reached) == sum(bool(a) for a in self.upstreams.values()))
+        report(len(reached) == sum(bool(a) for a in self.servers.upstreams.values()))
 
     async def _run(self, request: Request) -> None:
         settings = self.module.settings.classes[request.klass]
@@ -126,14 +137,19 @@
 
     async def _try(self, request: Request) -> tuple[Outcome, str, bytes]:
         """The first server that takes the connection gets the request; it goes to no second one."""
-        addresses = self.upstreams.get(request.route, ())
-        for address in sorted(addresses, key=lambda a: self.load.get(a, 0)):
+        tried: set[Address] = set()
+        while left := [a for a in self.servers.choose(request.route) if a not in tried]:
+            address = left[0]
+            tried.add(address)
             run = ScgiRun(self)
             try:
                 reader, writer = await asyncio.wait_for(asyncio.open_connection(*address), CONNECT_S)
             except (OSError, TimeoutError):
                 self.counters.add("sent.scgi_refused")
                 continue
+            if address not in self.servers.choose(request.route):   # taken out while we connected
+                writer.close()
+                continue
             headers = {"REQUEST_METHOD": "POST", "REQUEST_URI": f"/{request.route}",
                        "PATH_INFO": f"/{request.route}", "HTTP_X_ROUTE": request.route,
                        "HTTP_X_TRACE": request.trace}
@@ -142,11 +158,11 @@
             if request.nonce is not None:
                 headers["HTTP_IDEMPOTENCY_KEY"] = request.nonce
             run.post(request_bytes(headers, request.body))
-            self.load[address] = self.load.get(address, 0) + 1
+            self.servers.began(address)
             try:
                 await run.serve(reader, writer)
             finally:
-                self.load[address] -= 1
+                self.servers.ended(address)
             try:
                 status, media, body = reply_of(run.reply or b"")
             except ScgiError as error:
--- a/beechrock/settings.py
+++ b/beechrock/settings.py
@@ -84,6 +84,7 @@
         skip_worth=None if skip is None else float(skip),
         name=str(entry.get("name") or ""),
         price=1.0 if price is None else price,
+        gone=bool(entry.get("gone")),
     )
 
 
@@ -96,6 +97,7 @@
         name=str(entry.get("name") or ""),
         budget=_num(entry, "budget"),
         budget_period_s=_num(entry, "budgetPeriodS"),
+        gone=bool(entry.get("gone")),
     )
 
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -29,7 +29,11 @@
 
 from beechrock.__main__ import Program
 from beechrock.config import Config, ConfigError, Scgi
-from beechrock.inventory import Inventory, over
+from beechrock.inventory.generation import Generation, from_checked
+from beechrock.inventory.merge import merge
+from beechrock.inventory.model import InventoryError, build, over
+from beechrock.inventory.problems import Place, Problems
+from beechrock.inventory.raw import Raw, Told
 from beechrock.settings import settings_from
 
 START = 1_700_000_000.0
@@ -47,6 +51,23 @@
 }
 
 
+def inventory_of(
+    node: dict[str, Any], groups: dict[str, dict[str, Any]], number: int = 1
+) -> Generation:
+    """The generation that files with these groups give."""
+    problems = Problems()
+    raw, place = Raw(problems), Place("here", 1)
+    raw.group("all", place).vars.update({key: Told(value, place) for key, value in node.items()})
+    for name, hosts in groups.items():
+        for host, values in hosts.items():
+            raw.host(raw.group(name, place), host, place, {k: Told(v, place) for k, v in values.items()})
+    checked = merge(raw, problems)
+    found = build(checked, problems)
+    if found is None or problems.errors:
+        raise InventoryError(problems)
+    return from_checked(number, checked, found)
+
+
 def bytes_of(text: str) -> bytes:
     """The notation of the exchange files."""
     stack = [b""]
@@ -108,20 +129,22 @@
         self.holes: dict[str, socket.socket] = {}   # stand-ins that listen and do no more
         self.fillers: list[socket.socket] = []
 
-    async def open(self, inventory: Inventory | None = None, settings: dict[str, Any] = SETTINGS) -> None:
+    async def open(self, generation: Generation | None = None, settings: dict[str, Any] = SETTINGS) -> None:
         for name in ("agent", "ledger"):
             await self.listen(name)
         await self.listen_for_beats()
-        told, _ = settings_from(over(settings, inventory) if inventory else settings)
-        scgi = Scgi(("127.0.0.1", 0), inventory) if inventory else None
+        told, _ = settings_from(over(settings, generation.meaning) if generation else settings)
+        scgi = Scgi(("127.0.0.1", 0), Path("none"), generation, watch_s=1e6) if generation else None
         self.told = Config(
             name="n1", listen=("127.0.0.1", 0), agent=self.address("agent"), ledger=self.address("ledger"),
             registry=self.registry.get_extra_info("sockname"), seed=1, stop_s=4.0, memory_mb=192.0,
             sockets=1024, settings=told, gauges=GAUGES, scgi=scgi)
+        if generation:
+            self.told = replace(self.told, raw=settings)
         self.program = Program(self.told, clock=lambda: self.now, again=self.again)
         await self.program.start()
 
-    def again(self) -> Config:
+    def again(self, before: Config) -> Config:
         """The file as a reload reads it."""
         if self.bad_key:
             raise ConfigError(f"config.json: {self.bad_key}: bad")
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -8,11 +8,13 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from pathlib import Path
+
+from play import inventory_of
 
 from beechrock.__main__ import Program
 from beechrock.config import Config, Scgi
 from beechrock.core.requests import Leave
-from beechrock.inventory import build
 from beechrock.net.frames import fields, fields_of, frame
 from beechrock.net.scgi import HELD_KB, headers_of, request_bytes
 from beechrock.settings import settings_from
@@ -95,7 +97,7 @@
         self.server = Server()
         address = await self.server.start()
         due = {"aim_ms": 1000 * AIM_S, "due_ms": 1000 * DUE_S, "team": "releases", "share": 0.5, "rate": 500}
-        inventory = build({"cores": CORES, "memory_mb": 60, "max_retry_after_ms": 1000}, {
+        inventory = inventory_of({"cores": CORES, "memory_mb": 60, "max_retry_after_ms": 1000}, {
             "teams": {"releases": {}},
             "services": {"resolve": {"upstreams": [address]}, "submit": {"upstreams": [address]}},
             "contracts": {"r": {**due, "service": "resolve", "effect": "safe"},
@@ -103,12 +105,13 @@
                                 "worth": 2}},
         })
         rules = {"fallMultiple": 5.0, "rampTimeS": 18.0, "coldFrom": 0.3, "drainGraceS": 2.0}
-        told, _ = settings_from({**inventory.settings, "guarantees": rules, "tickS": 0.004, "extra": {
-            **inventory.settings["extra"], "runFactor": 16.0, "keyKb": 20.0, "freshStart": cold}})
+        meant = inventory.meaning.settings
+        told, _ = settings_from({**meant, "guarantees": rules, "tickS": 0.004, "extra": {
+            **meant["extra"], "runFactor": 16.0, "keyKb": 20.0, "freshStart": cold}})
         self.program = Program(Config(
             name="n", listen=("127.0.0.1", 0), agent=None, ledger=None, registry=None, seed=1, stop_s=STOP_S,
             memory_mb=192.0, sockets=1024, settings=told, gauges=(),
-            scgi=Scgi(("127.0.0.1", 0), inventory)), clock)
+            scgi=Scgi(("127.0.0.1", 0), Path("none"), inventory, watch_s=1e6)), clock)
         self.module = self.program.module
         await self.program.listen()
         self.received = self.ended = 0
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -7,7 +7,8 @@
 import ujson
 from play import SETTINGS
 
-from beechrock import __main__, config, inventory
+from beechrock import __main__, config
+from beechrock.inventory import model as inventory
 from beechrock.settings import settings_from
 
 TOLD: dict[str, Any] = {
@@ -64,7 +65,7 @@
     path = tmp_path / "config.json"
     path.write_text(text)
     monkeypatch.setenv("LB_CONFIG", str(path))
-    assert __main__.main() == 2
+    assert __main__.serve_from_environment() == 2
     assert capsys.readouterr().err.count("\n") == 1
 
 
@@ -84,7 +85,11 @@
     ("enabled = true\nport = 3", "port: unknown key"),
     ("enabled = 1", "enabled: 1 is neither true nor false"),
     ("enabled = true", "inventory: the path of a file is needed"),
-    ('enabled = true\ninventory = "none.yaml"', "none.yaml"),
+    ('enabled = true\nlisten = "127.0.0.1:1"\ninventory = "none.yaml"', "none.yaml: No such file"),
+    ('enabled = true\ninventory = "x"\nlog = "xml"', "log: 'xml' is none of text, json"),
+    ('enabled = true\ninventory = "x"\nstate = 3', "state: the path of a folder is needed"),
+    ('enabled = true\ninventory = "x"\nmost_removed = 1.5', "most_removed: 1.5 is a part, and above 1"),
+    ('enabled = true\ninventory = "x"\nlisten = "127.0.0.1:1"\nsettle_s = "soon"', "settle_s: 'soon' is not"),
     (f'enabled = true\ninventory = "{SHIPPED}"', "listen: None is not HOST:PORT"),
     ("enabled = false", "LB_CONFIG: not set"),
     ("enabled", "scgi.toml"),
@@ -124,7 +129,7 @@
 
 
 @pytest.mark.parametrize(("old", "new", "words"), [
-    ("share: 0.2,", "share: 0.2, shade: 1,", "contracts.releases-resolve: shade: unknown key"),
+    ("share: 0.2,", "share: 0.2, shade: 1,", "releases-resolve: shade: unknown key (is share meant?)"),
     ("share: 0.2,", "", "contracts.releases-resolve: share: missing"),
     ("share: 0.2,", "share: 0.9,", "contracts: share: all shares add up to 1.7, above 1"),
     ("rate: 25", "rate: fast", "contracts.releases-resolve: rate: 'fast' is not a number"),
@@ -137,9 +142,9 @@
     ("{team: packagers,", "{team: releases,", "contracts.releases-resolve: team, service: another contract"),
     ("rate: 25, effect: safe", "rate: 25, effect: unsafe", "effect: differs from another contract"),
     ("releases-daily: {team: releases,", "releases-daily: {team: none,", "daily: team: none is not in"),
-    ("    budgets:", "    budges:", "all.children: budges: unknown key"),
-    ("all:", "any:", "all: any: unknown key"),
-    ("releases: {contact", "packagers: {contact", "packagers: stands twice"),
+    ("    budgets:", "    budges:", "all.children: budges: unknown key (is budgets meant?)"),
+    ("all:", "any:", "all.vars: cores: missing"),
+    ("releases: {contact", "packagers: {contact", "packagers: stands twice, first at"),
     ("127.0.0.1:9201", "127.0.0.1", "services.submit: upstreams: '127.0.0.1' is not HOST:PORT"),
     ("cores: 6", "cores: true", "all.vars: cores: True is not a number"),
     ("cores: 6", "cores: [", "not YAML"),
@@ -152,15 +157,15 @@
     path.write_text(text.replace(old, new, 1))
     with pytest.raises(inventory.InventoryError) as caught:
         inventory.load(path)
-    assert str(caught.value).startswith(f"{path}: ")
+    assert str(caught.value).startswith(f"{path}:")
     assert words in str(caught.value)
 
 
 @pytest.mark.parametrize(("old", "new", "words"), [
-    ("group,host", "host,group", "line 1: the first columns are not group,host"),
-    ("rate,aim_ms", "rate,rate", "line 1: a column stands twice"),
-    ("teams,releases", "teems,releases", "line 3: teems: unknown group"),
-    ("teams,releases,", "teams,releases,,", "line 3: not 15 columns"),
+    ("group,host", "group,name", ":1: the columns group and host are needed"),
+    ("rate,aim_ms", "rate,rate", ":1: rate: a column stands twice"),
+    ("teams,releases", "teems,releases", ":3: teems: unknown group (is teams meant?)"),
+    ("teams,releases,", "teams,releases,,", ":3: 16 columns, not 15"),
     ("teams,releases", "teams,releases,,,,,,,,,,,,,\nteams,releases", "stands twice"),
     ("budgets,day,releases", "budgets,day,nobody", "budgets.day: team: nobody is not in the inventory"),
 ])
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -238,10 +238,17 @@
 
 def test_work_goes_where_its_route_runs() -> None:
     here, others = Worker(), Worker()
-    routed = Routed(frozenset({"r0"}), here, others)    # type: ignore[arg-type]
-    routed.launch(request("a", klass=0))
-    routed.launch(request("b", klass=1))
-    assert (here.told, others.told) == ([("launch", "a")], [("launch", "b")])
+    a, b, runs = request("a", klass=0), request("b", klass=1), {"r0"}
+    here.runs_here = lambda route: route in runs        # type: ignore[attr-defined]
+    here.holds = lambda held: held is a                 # type: ignore[attr-defined]
+    routed = Routed(here, others)    # type: ignore[arg-type]
+    routed.launch(a)
+    routed.launch(b)
+    runs.clear()
+    runs.add("r1")      # services move; the rest of a run stays where it was launched
+    routed.stop(a)
+    routed.stop(b)
+    assert (here.told, others.told) == ([("launch", "a"), ("stop", "a")], [("launch", "b"), ("stop", "b")])
 
 
 def test_a_timer_without_a_fresh_sample_carries_no_gauges(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -5,9 +5,8 @@
 from pathlib import Path
 
 import pytest
-from play import Stand, play, run, until
+from play import Stand, inventory_of, play, run, until
 
-from beechrock.inventory import build
 from beechrock.net.frames import CHECKED, FramesPeer, Reply
 from beechrock.net.front import MOST_UNREAD
 
@@ -24,7 +23,7 @@
     contract = {"share": 0.3, "rate": 50, "aim_ms": 1800, "due_ms": 3600}
     keyed = {**contract, "effect": "keyed", "window_ms": 10_000}
     host, port = await stand.listen("server")
-    await stand.open(build({"cores": 2, "memory_mb": 60}, {
+    await stand.open(inventory_of({"cores": 2, "memory_mb": 60}, {
         "teams": {"releases": {}, "packagers": {}},
         "services": {"resolve": {}, "submit": {}, "pack": {"upstreams": [f"{host}:{port}"]}},
         "contracts": {
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -29,6 +29,15 @@
     return head + exactly(link, int.from_bytes(head, "big"))
 
 
+def line_with(node: "subprocess.Popen[str]", words: str) -> str:
+    """The next line of the log that has these words; others may come between, as nothing else is quiet."""
+    assert node.stderr is not None
+    while line := node.stderr.readline():
+        if words in line:
+            return line
+    raise AssertionError(f"the log ended without {words!r}")
+
+
 def test_the_notice_to_leave_is_worked_off_with_open_ears_and_ends_with_code_0(tmp_path: Path) -> None:
     told = {"name": "n1", "listen": "127.0.0.1:0", "agent": "127.0.0.1:1", "seed": "1", "stop_ms": 5000,
             "settings": SETTINGS}
@@ -38,14 +47,14 @@
         env={**os.environ, "LB_CONFIG": str(tmp_path / "config.json")})
     assert node.stderr is not None
     try:
-        found = re.search(r"frames on 127\.0\.0\.1:(\d+)", node.stderr.readline())
+        found = re.search(r"frames on 127\.0\.0\.1:(\d+)", line_with(node, "frames on"))
         assert found is not None
         address = ("127.0.0.1", int(found[1]))
         with socket.create_connection(address, 30) as old:
             old.sendall(CHECK)
             assert message(old)[4:10] == b"\x05\0\0\0\x01\x01"     # the agent is not up: bad
             node.send_signal(signal.SIGUSR1)
-            assert "answered.checks_bad 1" in node.stderr.readline()
+            line_with(node, "answered.checks_bad 1")
             node.send_signal(signal.SIGTERM)
             assert message(old) == NO_MORE
             with socket.create_connection(address, 30) as new:
@@ -69,13 +78,13 @@
             env={**os.environ, "LB_CONFIG": str(path)}) as node:
         assert node.stderr is not None
         try:
-            assert "frames on" in node.stderr.readline()
+            line_with(node, "frames on")
             path.write_text(ujson.dumps({**told, "agent": "nowhere"}))
             node.send_signal(signal.SIGHUP)
-            assert "agent: 'nowhere' is not HOST:PORT; the old configuration stays" in node.stderr.readline()
+            line_with(node, "agent: 'nowhere' is not HOST:PORT; the old configuration stays")
             path.write_text(ujson.dumps({**told, "agent": "127.0.0.1:2", "stop_ms": 900}))
             node.send_signal(signal.SIGHUP)
-            assert "stop_s: changed, but read at a start only" in node.stderr.readline()
+            line_with(node, "stop_s: changed, but read at a start only")
             node.send_signal(signal.SIGTERM)
             assert node.wait(30) == 0
             assert "agent.moves 1" in node.stderr.read()
@@ -94,9 +103,9 @@
             env={**os.environ, "LB_CONFIG": str(path)}) as node:
         assert node.stderr is not None
         try:
-            assert "frames on" in node.stderr.readline()
+            line_with(node, "frames on")
             path.write_text("{")
-            assert "not JSON" in node.stderr.readline()
+            line_with(node, "not JSON")
             path.write_text(ujson.dumps({**told, "agent": "{}:{}".format(*agent.getsockname())}))
             agent.settimeout(30)
             link, _ = agent.accept()
