Prove the taking up of inventories over sockets: nothing lost, nothing run twice

Need: a contract, a service, a team and a server must be able to go while their requests run and wait.

Change: exchanges with two stand-in servers, and 100 inventories in a row with 200 requests open.

--- a/beechrock/net/scgi_work.py
+++ b/beechrock/net/scgi_work.py
@@ -147,7 +147,10 @@
             except (OSError, TimeoutError):
                 self.counters.add("sent.scgi_refused")
                 continue
-            if address not in self.servers.choose(request.route):   # taken out while we connected
+            if address not in self.servers.choose(request.route):
+                # Taken out while we connected; it may be back before the next one is. Seen with a reload every
+                # 2 ms over three servers: counted as tried, all were, and the request failed.
+                tried.discard(address)
                 writer.close()
                 continue
             headers = {"REQUEST_METHOD": "POST", "REQUEST_URI": f"/{request.route}",
--- a/tests/play.py
+++ b/tests/play.py
@@ -14,6 +14,8 @@
     move STAND-IN   from now on at a new address, which ``reload`` tells; ``reload KEY``: that key is bad
     move STAND-IN deaf      there the kernel takes connections, and nobody reads them
     move STAND-IN full      there connections are neither taken nor refused
+    NAME ask SERVICE TEAM BODY [KEY]    send a whole SCGI request      NAME answered STATUS BODY   wait for all
+    inventory NAME  go by this generation from now on
     NAME mute       from now on its questions for gauges stay without an answer
 """
 
@@ -32,8 +34,10 @@
 from beechrock.inventory.generation import Generation, from_checked
 from beechrock.inventory.merge import merge
 from beechrock.inventory.model import InventoryError, build, over
+from beechrock.inventory.plan import plan
 from beechrock.inventory.problems import Place, Problems
 from beechrock.inventory.raw import Raw, Told
+from beechrock.net.scgi import request_bytes
 from beechrock.settings import settings_from
 
 START = 1_700_000_000.0
@@ -126,6 +130,8 @@
         self.servers: dict[str, asyncio.Server] = {}
         self.beats: list[str] = []
         self.bad_key = ""
+        self.generations: dict[str, Generation] = {}
+        self.running: Generation | None = None
         self.holes: dict[str, socket.socket] = {}   # stand-ins that listen and do no more
         self.fillers: list[socket.socket] = []
 
@@ -139,11 +145,19 @@
             name="n1", listen=("127.0.0.1", 0), agent=self.address("agent"), ledger=self.address("ledger"),
             registry=self.registry.get_extra_info("sockname"), seed=1, stop_s=4.0, memory_mb=192.0,
             sockets=1024, settings=told, gauges=GAUGES, scgi=scgi)
+        self.running = generation
         if generation:
             self.told = replace(self.told, raw=settings)
         self.program = Program(self.told, clock=lambda: self.now, again=self.again)
         await self.program.start()
 
+    def take_up(self, name: str) -> None:
+        """What the inventory's keeper does with a reading that is taken."""
+        assert self.running is not None
+        change = plan(self.running, self.generations[name])
+        assert not change.refused and self.program.take_up(change)
+        self.running = change.new
+
     def again(self, before: Config) -> Config:
         """The file as a reload reads it."""
         if self.bad_key:
@@ -218,6 +232,18 @@
             case ["counter", name, value]:
                 counters = self.program.counters
                 await until(lambda: counters[name] == float(value), lambda: "; ".join(counters.lines()))
+            case ["inventory", name]:
+                self.take_up(name)
+            case [name, "ask", service, team, body, *key]:
+                headers = {"HTTP_X_ROUTE": service, "HTTP_X_TEAM": team}
+                headers.update({"HTTP_IDEMPOTENCY_KEY": k for k in key})
+                self.wires[name].writer.write(request_bytes(headers, body.encode()))
+            case [name, "answered", status, *body]:
+                wire = self.wires[name]
+                await until(lambda: wire.ended, lambda: f"no end, {wire.got!r}")
+                assert wire.got.startswith(f"Status: {status} ".encode()), wire.got
+                assert wire.got.endswith(b"\r\n\r\n" + " ".join(body).encode()) or not body, wire.got
+                wire.got = b""
             case ["leave"]:
                 self.program.leave()
                 module = self.program.module
--- /dev/null
+++ b/tests/test_uptake.py
@@ -0,0 +1,248 @@
+"""A node that goes by another inventory while requests are held and running: what was read is answered as promised."""
+
+import asyncio
+from typing import Any
+
+from play import Stand, inventory_of, run
+
+from beechrock.inventory.generation import Generation
+from beechrock.net.scgi import request_bytes
+
+CONTRACT = {"share": 0.3, "rate": 50, "aim_ms": 1800, "due_ms": 3600, "effect": "safe"}
+KEYED = {**CONTRACT, "effect": "keyed", "window_ms": 10_000}
+UP = 'g = accept agent\ng < "subscribe 0\\r\\n"\ng > "greeting LOADED 5\\r\\n"\ncounter agent.links 1\n'
+
+
+def generation(teams: str, upstreams: dict[str, list[str]], contracts: dict[str, Any],
+               number: int = 1, **more: dict[str, Any]) -> Generation:
+    """Contracts by team and service, as ``a:pack``."""
+    told = {name.replace(":", "-"): {**c, "team": name[0], "service": name[2:]} for name, c in contracts.items()}
+    return inventory_of({"cores": 1, "memory_mb": 60}, {
+        "teams": {t: {} for t in teams},
+        "services": {s: ({"upstreams": a} if a else {}) for s, a in upstreams.items()},
+        "contracts": told, **more}, number)
+
+
+async def opened(stand: Stand) -> tuple[str, str]:
+    """Two stand-in servers' addresses."""
+    places = [await stand.listen(name) for name in ("server", "other")]
+    return f"{places[0][0]}:{places[0][1]}", f"{places[1][0]}:{places[1][1]}"
+
+
+def test_a_contract_a_service_a_team_and_a_server_go_while_their_requests_run_and_wait() -> None:
+    async def work(stand: Stand) -> None:
+        one, two = await opened(stand)
+        first = generation("ab", {"pack": [one], "ship": [two]}, {"a:pack": CONTRACT, "b:ship": KEYED})
+        stand.generations["without"] = generation("b", {"ship": [two]}, {"b:ship": KEYED}, 2)
+        stand.generations["moved"] = generation("b", {"ship": [one]}, {"b:ship": KEYED}, 3)
+        await stand.open(first)
+        await stand.play(UP + """
+            p = connect scgi
+            p ask pack a one
+            u = accept server
+            u ... ",one"
+            q = connect scgi
+            q ask pack a two
+            counter intake.requests 2
+            r = connect scgi
+            r ask ship b three k1
+            counter intake.requests 3
+            inventory without
+            counter open.draining_servers 1
+            # New requests go by the new inventory; what runs and what waits is answered by the old one.
+            s = connect scgi
+            s ask pack a four
+            s answered 404
+            t = connect scgi
+            t ask ship a five k2
+            t answered 403
+            u > "Status: 200 OK\\r\\n\\r\\ndone one"
+            u end
+            p answered 200 done one
+            """)
+        while not stand.links["server"].empty() or stand.links["other"].empty():
+            await asyncio.sleep(0.001)
+            if not stand.links["server"].empty():
+                break
+        await stand.play("""
+            v = accept server
+            v ... ",two"
+            v > "Status: 200 OK\\r\\n\\r\\ndone two"
+            v end
+            q answered 200 done two
+            w = accept other
+            w ... ",three"
+            # Its server is taken out while it runs there; a repeat meanwhile shares the one run.
+            inventory moved
+            x = connect scgi
+            x ask ship b three k1
+            counter intake.repeats 1
+            w > "Status: 200 OK\\r\\n\\r\\ndone three"
+            w end
+            r answered 200 done three
+            x answered 200 done three
+            y = connect scgi
+            y ask ship b three k1
+            y answered 200 done three
+            counter sent.launches 3
+            z = connect scgi
+            z ask ship b six k3
+            n = accept server
+            n ... ",six"
+            n > "Status: 200 OK\\r\\n\\r\\ndone six"
+            n end
+            z answered 200 done six
+            """)
+
+    run(work)
+
+
+def test_a_key_is_known_whatever_becomes_of_its_service_and_its_place() -> None:
+    async def work(stand: Stand) -> None:
+        one, two = await opened(stand)
+        contracts = {"a:ship": KEYED, "b:ship": KEYED}
+        await stand.open(generation("ab", {"ship": [one]}, contracts))
+        stand.generations["gone"] = generation("bc", {"pack": [two]}, {"c:pack": CONTRACT, "b:pack": CONTRACT}, 2)
+        stand.generations["back"] = generation(
+            "cba", {"pack": [two], "ship": [two]}, {"c:pack": CONTRACT, **contracts}, 3)
+        await stand.play(UP + """
+            p = connect scgi
+            p ask ship a one k1
+            u = accept server
+            u ... ",one"
+            u > "Status: 200 OK\\r\\n\\r\\ndone one"
+            u end
+            p answered 200 done one
+            inventory gone
+            q = connect scgi
+            q ask ship a one k1
+            q answered 404
+            inventory back
+            r = connect scgi
+            r ask ship b one k1
+            r answered 200 done one
+            counter sent.launches 1
+            """)
+
+    run(work)
+
+
+def test_what_a_team_has_spent_outlives_a_change_of_its_budget_and_its_absence() -> None:
+    async def work(stand: Stand) -> None:
+        one, _ = await opened(stand)
+
+        def told(amount: int, teams: str, number: int) -> Generation:
+            contracts = {f"{t}:pack": {**CONTRACT, "price": 5} for t in teams}
+            budgets = {"d": {"team": "a", "amount": amount, "period_s": 86_400}} if "a" in teams else {}
+            return generation(teams, {"pack": [one]}, contracts, number, budgets=budgets)
+
+        await stand.open(told(10, "ab", 1))
+        stand.generations.update(less=told(8, "ab", 2), without=told(8, "b", 3), back=told(20, "cab", 4))
+        ask = """
+            {0} = connect scgi
+            {0} ask pack {1} x
+            u{0} = accept server
+            u{0} ... ",x"
+            u{0} > "Status: 200 OK\\r\\n\\r\\nok"
+            u{0} end
+            {0} answered 200 ok
+            """
+        await stand.play(UP + ask.format("k", "a") + """
+            inventory less
+            l = connect scgi
+            l ask pack a x
+            l answered 503
+            inventory without
+            """ + ask.format("m", "b") + "inventory back\n" + "".join(ask.format(f"o{n}", "a") for n in range(3)) + """
+            p = connect scgi
+            p ask pack a x
+            p answered 503
+            """)
+
+    run(work)
+
+
+def test_a_hundred_reloads_with_requests_open_lose_none_and_run_none_twice() -> None:
+    async def work(stand: Stand) -> None:
+        answers: list[bytes] = []
+        keys: dict[bytes, int] = {}
+
+        async def served(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            try:
+                size = int((await reader.readuntil(b":"))[:-1])
+            except asyncio.IncompleteReadError:     # taken out while the node connected
+                return writer.close()
+            block = await reader.readexactly(size + 1)
+            key = block.split(b"HTTP_IDEMPOTENCY_KEY\0")[1].split(b"\0")[0]
+            keys[key] = keys.get(key, 0) + 1
+            await asyncio.sleep(0.002)
+            writer.write(b"Status: 200 OK\r\n\r\n" + key)
+            return writer.close()
+
+        servers = [await asyncio.start_server(served, "127.0.0.1", 0) for _ in range(3)]
+        places = ["{}:{}".format(*s.sockets[0].getsockname()[:2]) for s in servers]
+        contract = {**KEYED, "aim_ms": 60_000, "due_ms": 60_000, "window_ms": 60_000}
+
+        def told(n: int) -> Generation:
+            teams = "".join(sorted({"a", "bcdef"[n % 5]}, reverse=bool(n % 2)))
+            return generation(teams, {"ship": [places[n % 3]]}, {f"{t}:ship": contract for t in teams}, n + 1)
+
+        await stand.open(told(0))
+        await stand.play(UP)
+        assert stand.program.scgi is not None and stand.program.scgi.server is not None
+        address = stand.program.scgi.server.sockets[0].getsockname()[:2]
+
+        async def ask(n: int) -> None:
+            reader, writer = await asyncio.open_connection(*address)
+            headers = {"HTTP_X_ROUTE": "ship", "HTTP_X_TEAM": "a", "HTTP_IDEMPOTENCY_KEY": f"k{n // 2}"}
+            writer.write(request_bytes(headers, b"x"))
+            answers.append(await reader.read())
+            writer.close()
+
+        asked = []
+        for n in range(100):
+            asked += [asyncio.create_task(ask(2 * n)), asyncio.create_task(ask(2 * n + 1))]
+            await asyncio.sleep(0.002)
+            stand.generations["next"] = told(n + 1)
+            stand.take_up("next")
+        # The driven clock stands still but for this, so that nothing falls due.
+        async with asyncio.timeout(20):
+            while len(answers) < 200:
+                stand.now += 0.005
+                stand.program.module.mailbox.wake()
+                await asyncio.sleep(0.002)
+        await asyncio.gather(*asked)
+        served_right = [a for a in answers if a.startswith(b"Status: 200 ")]
+        assert len(served_right) == 200, [a for a in answers if a not in served_right][:3]
+        assert set(keys.values()) == {1} and len(keys) == 100
+        assert not [c for c in stand.program.counters.lines() if c.startswith("trouble.")]
+        for server in servers:
+            server.close()
+
+    run(work)
+
+
+def test_who_is_no_front_end_is_told_so_and_one_that_is_bound_asks_for_its_team() -> None:
+    async def work(stand: Stand) -> None:
+        one, _ = await opened(stand)
+        told = {"pack": [one]}, {"a:pack": CONTRACT, "b:pack": CONTRACT}
+        await stand.open(generation("ab", *told, front_ends={"f": {"network": "10.0.0.0/8"}}))
+        stand.generations["bound"] = generation(
+            "ab", *told, 2, front_ends={"f": {"address": "127.0.0.1", "team": "a"}})
+        await stand.play(UP + """
+            p = connect scgi
+            p answered 403
+            inventory bound
+            q = connect scgi
+            q ask pack b x
+            q answered 403
+            r = connect scgi
+            r ask pack a x
+            u = accept server
+            u ... "HTTP_X_TEAM\\x00a\\x00,x"
+            u > "Status: 200 OK\\r\\n\\r\\nok"
+            u end
+            r answered 200 ok
+            """)
+
+    run(work)
