--- a/beechrock/net/scgi_work.py
+++ b/beechrock/net/scgi_work.py
@@ -148,8 +148,8 @@
                 self.counters.add("sent.scgi_refused")
                 continue
             if address not in self.servers.choose(request.route):
-                # Taken out while we connected; it may be back before the next one is. Seen with a reload every
-                # 2 ms over three servers: counted as tried, all were, and the request failed.
+                # Taken out while we connected; it may be back before the next one is. Seen with a reload
+                # every 2 ms over three servers: counted as tried, all were, and the request failed.
                 tried.discard(address)
                 writer.close()
                 continue
