--- a/tests/play.py
+++ b/tests/play.py
@@ -14,7 +14,8 @@
     move STAND-IN   from now on at a new address, which ``reload`` tells; ``reload KEY``: that key is bad
     move STAND-IN deaf      there the kernel takes connections, and nobody reads them
     move STAND-IN full      there connections are neither taken nor refused
-    NAME ask SERVICE TEAM BODY [KEY]    send a whole SCGI request      NAME answered STATUS BODY   wait for all
+    NAME ask SERVICE TEAM BODY [KEY]    send a whole SCGI request
+    NAME answered STATUS BODY           wait for the end, and for this answer
     inventory NAME  go by this generation from now on
     NAME mute       from now on its questions for gauges stay without an answer
 """
@@ -236,7 +237,8 @@
                 self.take_up(name)
             case [name, "ask", service, team, body, *key]:
                 headers = {"HTTP_X_ROUTE": service, "HTTP_X_TEAM": team}
-                headers.update({"HTTP_IDEMPOTENCY_KEY": k for k in key})
+                if key:
+                    headers["HTTP_IDEMPOTENCY_KEY"] = key[0]
                 self.wires[name].writer.write(request_bytes(headers, body.encode()))
             case [name, "answered", status, *body]:
                 wire = self.wires[name]
--- a/tests/test_uptake.py
+++ b/tests/test_uptake.py
@@ -1,4 +1,4 @@
-"""A node that goes by another inventory while requests are held and running: what was read is answered as promised."""
+"""A node takes up another inventory while requests wait and run: what was read is answered as promised."""
 
 import asyncio
 from typing import Any
@@ -16,7 +16,8 @@
 def generation(teams: str, upstreams: dict[str, list[str]], contracts: dict[str, Any],
                number: int = 1, **more: dict[str, Any]) -> Generation:
     """Contracts by team and service, as ``a:pack``."""
-    told = {name.replace(":", "-"): {**c, "team": name[0], "service": name[2:]} for name, c in contracts.items()}
+    told = {name.replace(":", "-"): {**c, "team": name[0], "service": name[2:]}
+            for name, c in contracts.items()}
     return inventory_of({"cores": 1, "memory_mb": 60}, {
         "teams": {t: {} for t in teams},
         "services": {s: ({"upstreams": a} if a else {}) for s, a in upstreams.items()},
@@ -102,7 +103,8 @@
         one, two = await opened(stand)
         contracts = {"a:ship": KEYED, "b:ship": KEYED}
         await stand.open(generation("ab", {"ship": [one]}, contracts))
-        stand.generations["gone"] = generation("bc", {"pack": [two]}, {"c:pack": CONTRACT, "b:pack": CONTRACT}, 2)
+        stand.generations["gone"] = generation(
+            "bc", {"pack": [two]}, {"c:pack": CONTRACT, "b:pack": CONTRACT}, 2)
         stand.generations["back"] = generation(
             "cba", {"pack": [two], "ship": [two]}, {"c:pack": CONTRACT, **contracts}, 3)
         await stand.play(UP + """
@@ -138,7 +140,7 @@
 
         await stand.open(told(10, "ab", 1))
         stand.generations.update(less=told(8, "ab", 2), without=told(8, "b", 3), back=told(20, "cab", 4))
-        ask = """
+        asked = """
             {0} = connect scgi
             {0} ask pack {1} x
             u{0} = accept server
@@ -147,13 +149,14 @@
             u{0} end
             {0} answered 200 ok
             """
-        await stand.play(UP + ask.format("k", "a") + """
+        await stand.play(UP + asked.format("k", "a") + """
             inventory less
             l = connect scgi
             l ask pack a x
             l answered 503
             inventory without
-            """ + ask.format("m", "b") + "inventory back\n" + "".join(ask.format(f"o{n}", "a") for n in range(3)) + """
+            """ + asked.format("m", "b") + "inventory back\n"
+            + "".join(asked.format(f"o{n}", "a") for n in range(3)) + """
             p = connect scgi
             p ask pack a x
             p answered 503
