--- /dev/null
+++ b/tests/test_keeper.py
@@ -0,0 +1,141 @@
+"""The inventory's actor with real files, load and a driven clock: swapped, half written, broken, removed."""
+
+import asyncio
+from pathlib import Path
+
+from play import Stand, run
+
+from beechrock.inventory import generation, keeper, model, reader, snapshot, watch
+from beechrock.inventory.problems import Problems
+from beechrock.net.scgi import request_bytes
+
+TEXT = """all:
+  vars: {{cores: 4, memory_mb: 64}}
+  children:
+    teams: {{hosts: {{a: }}}}
+    services: {{hosts: {{ship: {{upstreams: ["127.0.0.1:{port}"]}}}}}}
+    contracts: {{hosts: {{c: {{team: a, service: ship, share: 0.5, rate: {rate}, aim_ms: 60000, due_ms: 60000,
+      effect: keyed, window_ms: 60000}}}}}}
+    machines: {{hosts: {{"m[1:{machines}]": }}}}
+"""
+
+
+def read_here(path: Path, number: int) -> watch.Done:
+    """As the reader's process does, without its start."""
+    return reader.understood(reader.answer(path), number)
+
+
+class Desk:
+    """A node with a keeper that the test tells when to look."""
+
+    def __init__(self, stand: Stand, folder: Path) -> None:
+        self.stand, self.folder, self.ran = stand, folder, dict[bytes, int]()
+        self.path = folder / "i.yaml"
+        self.now = 100.0
+
+    async def open(self) -> None:
+        self.server = await asyncio.start_server(self.served, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.path.write_text(self.text())
+        found = model.read(self.path, Problems())
+        assert found is not None
+        first = generation.from_checked(1, *found)
+        await self.stand.open(first)
+        life = watch.Watch(watch.Rules(), first, reader.stamp(self.path))
+        self.keeper = keeper.Keeper(
+            self.path, life, self.stand.program.counters, self.stand.program.take_up, 1.0,
+            self.folder / "state", clock=lambda: self.now, read=read_here)
+        assert self.stand.program.scgi is not None and self.stand.program.scgi.server is not None
+        self.address = self.stand.program.scgi.server.sockets[0].getsockname()[:2]
+
+    def text(self, rate: int = 50, machines: int = 40) -> str:
+        return TEXT.format(port=self.port, rate=rate, machines=machines)
+
+    async def served(self, asker: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        size = int((await asker.readuntil(b":"))[:-1])
+        key = (await asker.readexactly(size + 1)).split(b"HTTP_IDEMPOTENCY_KEY\0")[1].split(b"\0")[0]
+        self.ran[key] = self.ran.get(key, 0) + 1
+        writer.write(b"Status: 200 OK\r\n\r\n" + key)
+        writer.close()
+
+    async def ask(self, n: int) -> bytes:
+        answer_reader, writer = await asyncio.open_connection(*self.address)
+        writer.write(request_bytes({"HTTP_X_ROUTE": "ship", "HTTP_X_TEAM": "a",
+                                    "HTTP_IDEMPOTENCY_KEY": f"k{n}"}, b"x"))
+        answer = await answer_reader.read()
+        writer.close()
+        return answer
+
+    async def look(self, seconds: float = 0.6, word: bool = False) -> None:
+        self.now += seconds
+        await self.keeper.look(word)
+
+    def count(self, name: str) -> float:
+        return self.stand.program.counters["inventory." + name]
+
+
+def test_files_swapped_under_load_in_each_way_lose_nothing(tmp_path: Path) -> None:
+    async def work(stand: Stand) -> None:
+        desk = Desk(stand, tmp_path)
+        await desk.open()
+        asked = [asyncio.create_task(desk.ask(n)) for n in range(40)]
+        done = asyncio.Event()
+
+        async def tick() -> None:
+            while not done.is_set():
+                stand.now += 0.002
+                stand.program.module.mailbox.wake()
+                await asyncio.sleep(0.001)
+
+        ticking = asyncio.create_task(tick())
+        for n in range(12):
+            text = desk.text(rate=60 + n)
+            if n % 3 == 0:
+                desk.path.write_text(text)
+            elif n % 3 == 1:
+                (tmp_path / "new").write_text(text)
+                (tmp_path / "new").rename(desk.path)
+            else:       # half written at first: not taken, whatever the half says
+                desk.path.write_text(text[:len(text) // 2])
+                await desk.look(0.1)
+                desk.path.write_text(text)
+            asked += [asyncio.create_task(desk.ask(100 + 10 * n + k)) for k in range(10)]
+            await desk.look(0.1)
+            await desk.look()
+            assert desk.count("taken") == n + 1
+        answers = await asyncio.gather(*asked)
+        done.set()
+        await ticking
+        assert all(answer.startswith(b"Status: 200 ") for answer in answers)
+        assert len(desk.ran) == 160 and set(desk.ran.values()) == {1}
+        assert desk.count("refused") == 0
+        assert snapshot.load(tmp_path / "state").digest == desk.keeper.life.running.digest
+        desk.server.close()
+
+    run(work)
+
+
+def test_a_bad_file_a_cut_one_and_a_lost_one_change_nothing(tmp_path: Path) -> None:
+    async def work(stand: Stand) -> None:
+        desk = Desk(stand, tmp_path)
+        await desk.open()
+        running = desk.keeper.life.running
+        good = desk.text()
+        for bad in (good.replace("rate", "rats"), good.replace("cores: 4", "cores: {"), ""):
+            desk.path.write_text(bad)
+            for _ in range(5):
+                await desk.look()
+        assert desk.count("refused") == 3
+        desk.path.unlink()
+        await desk.look()
+        await desk.look()
+        assert desk.count("refused") == 4 and desk.keeper.life.running is running
+        desk.path.write_text(desk.text(machines=10))        # valid, and 30 of 40 would go
+        await desk.look()
+        await desk.look()
+        assert (desk.count("held"), desk.count("taken")) == (1, 0)
+        await desk.look(word=True)
+        assert desk.count("taken") == 1
+        desk.server.close()
+
+    run(work)
