--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -24,6 +24,7 @@
     RunEnded,
     Sampled,
     Taken,
+    Tracer,
     Verdict,
     Work,
     WorkUp,
@@ -79,8 +80,18 @@
         self.able: Callable[[], bool] = lambda: True    # whether runs can be started
         self.work: Work | None = None
         self.calls: Calls | None = None
+        self.tracer: Tracer | None = None
         self.wheel.at(now + SWEEP_S, self._sweep)
 
+    def trace(self, tracer: Tracer) -> None:
+        """Have all noted from now on; to be called before the first tick."""
+        self.tracer = tracer
+        tracer.started(self.node.now, self.seed, self.node.s, self.node.started)
+
+    def _team(self, request: Request) -> str:
+        place, tenants = request.tenant, self.settings.tenants
+        return tenants[place].name if place is not None and place < len(tenants) else ""
+
     def renew(self, settings: api.Settings) -> bool:
         """Go by other classes and tenants from here on. What was read before is still answered by its own.
 
@@ -182,7 +193,10 @@
         for message in later:
             self.mailbox.put(message)
         if events:
-            for action in self.node.decide(now, events):
+            actions = self.node.decide(now, events)
+            if self.tracer is not None:
+                self.tracer.batch(now, events, actions)
+            for action in actions:
                 self._carry_out(action, now)
         if self.overdue:
             self._answer_overdue(now)
@@ -251,6 +265,8 @@
         request.first = first
         if first is not None:
             self.counters.add("intake.repeats")
+        if self.tracer is not None:
+            self.tracer.taken(now, request, self._team(request))
         self.book[request.id] = self.traces[request.trace] = request
         events.append(api.Arrived(api.Request(
             id=request.id, klass=request.klass, kb=request.kb, waited_s=max(0.0, now - request.born),
@@ -264,6 +280,8 @@
     def _reject(self, request: Request, count: str, problem: bytes) -> None:
         """Form, not load: such a request is answered here, and the module never hears of it."""
         self.counters.add("intake." + count)
+        if self.tracer is not None:
+            self.tracer.rejected(self.clock(), request, self._team(request), count)
         request.answered = True
         request.answer(Answer(Verdict.FAILED, problem, advice=self.advice))
 
@@ -283,6 +301,8 @@
         """With OK and ERROR the outcome is the answer itself, unless one went out earlier."""
         outcome = end.outcome
         self.counters.add("runs." + outcome.value)
+        if self.tracer is not None:
+            self.tracer.run_ended(now, request, outcome, end.elapsed_s)
         request.running = False
         if request.call_body is not None and self.calls is not None:
             self.calls.abandon(request)     # an end of the run voids its call
@@ -334,7 +354,11 @@
             started = replace(self.settings, cold_start=self.settings.cold_start or cold)
             self.node = Node(started, self.seed, now)
             self.node.started = now - age_s
-            for action in self.node.decide(now, []):
+            actions = self.node.decide(now, [])
+            if self.tracer is not None:
+                self.tracer.started(now, self.seed, started, self.node.started)
+                self.tracer.batch(now, [], actions)
+            for action in actions:
                 self._carry_out(action, now)
 
     # --- what the module says
@@ -403,6 +427,8 @@
         """The one place that hands an answer to a front: each request gets precisely one."""
         request.answered = True
         self.counters.add("answered." + answer.verdict.value)
+        if self.tracer is not None:
+            self.tracer.answered(self.clock(), request, answer)
         tell, request.answer = request.answer, _nobody
         tell(replace(answer, advice=self.advice))
 
--- a/beechrock/core/requests.py
+++ b/beechrock/core/requests.py
@@ -1,12 +1,12 @@
 """Requests, their answers, and the parties that a node's core deals with, in terms of no wire."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
 
 from beechrock.core.wheel import Timer
-from beechrock.interface import Gauges, Outcome, Settings
+from beechrock.interface import Action, Event, Gauges, Outcome, Settings
 
 
 class Verdict(Enum):
@@ -84,6 +84,17 @@
     def abandon(self, request: Request) -> None: ...
 
 
+class Tracer(Protocol):
+    """Who notes what the module is told and says, and what becomes of requests. It must not wait."""
+
+    def started(self, now: float, seed: int, settings: Settings, started: float) -> None: ...
+    def batch(self, now: float, events: Sequence[Event], actions: Sequence[Action]) -> None: ...
+    def taken(self, now: float, request: Request, team: str) -> None: ...
+    def rejected(self, now: float, request: Request, team: str, reason: str) -> None: ...
+    def answered(self, now: float, request: Request, answer: Answer) -> None: ...
+    def run_ended(self, now: float, request: Request, outcome: Outcome, elapsed_s: float) -> None: ...
+
+
 # What the parties tell the module's actor.
 
 
--- /dev/null
+++ b/beechrock/trace/recorder.py
@@ -0,0 +1,200 @@
+"""The actor that records: it notes on the event loop, and writes off it. It never delays an answer.
+
+On the loop a batch costs one entry that holds the module's own events and actions; they are immutable, and
+become rows in the writing thread. Bodies are never written. Subjects may be hashed with a key before that.
+"""
+
+import asyncio
+import itertools
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+import blake3
+import xxhash
+
+from beechrock import interface as api
+from beechrock.core.counters import Counters
+from beechrock.core.requests import Answer, Request
+from beechrock.trace import records
+from beechrock.trace.codec import FormatError
+from beechrock.trace.flow import Flow, Rules
+from beechrock.trace.format import SUFFIX, Writer
+from beechrock.trace.records import Row
+
+MOST_TEXT = 65_536          # characters of a subject; what is longer is cut off
+LOOK_S = 0.1
+JUMP_S = 0.05               # wall clock against the monotonic one, from reading to reading
+HASH_BYTES = 12
+
+
+def keyed_hash(key: bytes, text: str) -> str:
+    """BLAKE3 in its keyed mode, shortened: equal texts stay equal under one key, and nothing else shows."""
+    return blake3.blake3(text.encode("utf-8", "surrogatepass"), key=key).hexdigest(HASH_BYTES)
+
+
+class Recorder:
+    """Fills the module actor's ``Tracer``. ``sample`` below 1: that part of requests, and no batches."""
+
+    def __init__(
+        self, folder: Path, name: str, counters: Counters, clock: Callable[[], float], rules: Rules,
+        sample: float = 1.0, key: bytes | None = None, mono: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.folder, self.name, self.counters, self.clock, self.mono = folder, name, counters, clock, mono
+        self.sample, self.key = sample, key
+        self.flow = Flow(rules, clock())
+        self.notes: list[tuple[int, Any]] = []      # rows that a note will give, and the note
+        self._ahead = clock() - mono()
+        self._numbers = itertools.count(1)
+        self._writer: Writer | None = None
+
+    # --- Tracer: on the event loop
+
+    def started(self, now: float, seed: int, settings: api.Settings, started: float) -> None:
+        if self.sample >= 1:
+            self._note(now, 1, lambda: [("start", now, seed, started, records.settings_text(settings))])
+
+    def batch(self, now: float, events: Sequence[api.Event], actions: Sequence[api.Action]) -> None:
+        ahead = now - self.mono()
+        if abs(ahead - self._ahead) > JUMP_S:
+            self._note(now, 1, ("jump", now, ahead - self._ahead))
+            self._ahead = ahead
+        if self.sample >= 1:
+            self._note(now, 1 + len(events) + len(actions), (now, events, actions))
+
+    def taken(self, now: float, request: Request, team: str) -> None:
+        if self._chosen(request):
+            self._note(now, 1, (
+                "taken", now, request.id, request.trace, request.route, team, self._hidden(request.entity),
+                self._hidden(request.nonce, True), request.retry, request.caller, len(request.body),
+                request.born))
+
+    def rejected(self, now: float, request: Request, team: str, reason: str) -> None:
+        if self._chosen(request):
+            self._note(now, 1, ("rejected", now, request.trace, request.route, team, reason))
+
+    def answered(self, now: float, request: Request, answer: Answer) -> None:
+        if self._chosen(request):
+            self._note(now, 1, (
+                "answered", now, request.id, answer.verdict.value, answer.retry_after_s, answer.no_retry,
+                answer.advice, now - request.born, len(answer.body)))
+
+    def run_ended(self, now: float, request: Request, outcome: api.Outcome, elapsed_s: float) -> None:
+        if self._chosen(request):
+            self._note(now, 1, ("run_ended", now, request.id, outcome.value, elapsed_s))
+
+    def _chosen(self, request: Request) -> bool:
+        """All tries of one key, or none of them."""
+        if self.sample >= 1:
+            return True
+        return xxhash.xxh3_64_intdigest((request.nonce or request.trace).encode()) < self.sample * 2**64
+
+    def _hidden(self, text: str | None, always: bool = False) -> str | None:
+        if not text:
+            return None
+        if self.key is not None:
+            return keyed_hash(self.key, text)
+        if always:      # a key is a secret of its caller, and only has to stay the same
+            return xxhash.xxh3_128_hexdigest(text.encode())
+        return text[:MOST_TEXT].encode("utf-8", "replace")[:MOST_TEXT].decode("utf-8", "ignore")
+
+    def _note(self, now: float, rows: int, note: Any) -> None:
+        if self.flow.offer(now, rows):
+            self.notes.append((rows, note))
+        else:
+            self.counters.add("trace.dropped", rows)
+
+    # --- the actor
+
+    async def run(self) -> None:
+        """For as long as the node lives; what waits at the end is written by ``close``."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            if self.flow.due(self.clock()):
+                await self.write()
+
+    async def write(self) -> None:
+        """Write what waits, as blocks, in a thread of its own."""
+        rows = sum(count for count, _ in self.notes)
+        if not rows:
+            return
+        notes, self.notes = self.notes, []
+        gap = self.flow.begin(self.clock(), rows)
+        ends = self.flow.ended(self.clock())
+        try:
+            size, opened = await asyncio.to_thread(self._write, notes, gap, ends)
+        except (OSError, FormatError) as error:
+            self.counters.add("trace.failed")
+            self.counters.add("trace.dropped", rows)
+            self.flow.failed(self.clock())
+            if self.flow.lost == rows:
+                self.counters.trouble("trace", error)
+            return
+        if opened:
+            self.flow.opened(self.clock())
+        self.flow.wrote(self.clock(), size)
+        self.counters.add("trace.rows", rows)
+        self.counters.add("trace.bytes", size)
+
+    def _write(
+        self, notes: list[tuple[int, Any]], gap: tuple[int, float] | None, ends: bool
+    ) -> tuple[int, bool]:
+        """Bytes written, and whether a file was begun. OSError where the disk takes nothing."""
+        rows: list[Row] = [] if gap is None else [("gap", gap[1], gap[0], gap[1])]
+        for _, note in notes:
+            if callable(note):
+                rows += note()
+            elif isinstance(note[0], str):
+                rows.append(note)
+            else:
+                rows += records.batch_rows(*note)
+        opened = self._writer is None or ends
+        if opened:
+            self._end()
+            self._writer = self._begin()
+        assert self._writer is not None
+        size = 0
+        try:
+            for at in range(0, len(rows), self.flow.rules.block_rows):
+                size += self._writer.write(rows[at:at + self.flow.rules.block_rows])
+        except (OSError, FormatError):
+            self._writer.abandon()
+            self._writer = None
+            raise
+        return size, opened
+
+    def _begin(self) -> Writer:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        held = [(p.name, p.stat().st_size) for p in sorted(self.folder.glob(f"{self.name}-*{SUFFIX}"))]
+        for name in self.flow.outlived(held):
+            (self.folder / name).unlink(missing_ok=True)
+        stamp = time.strftime("%Y%m%dT%H%M%S", time.gmtime(self.clock()))
+        for number in self._numbers:
+            path = self.folder / f"{self.name}-{stamp}-{number:04}{SUFFIX}"
+            if not path.exists():       # a start in the same second as one that was killed
+                break
+        return Writer(path, {"node": self.name, "sample": self.sample, "hidden": self.key is not None})
+
+    def _end(self) -> None:
+        if self._writer is not None:
+            writer, self._writer = self._writer, None
+            try:
+                writer.close()
+            except OSError:     # without its index it is still read, by a scan
+                self.counters.add("trace.failed")
+
+    def close(self) -> None:
+        """Write what waits and end the file; called when nothing else runs any more."""
+        rows = sum(count for count, _ in self.notes)
+        if rows and not self.flow.under_way:
+            notes, self.notes = self.notes, []
+            gap = self.flow.begin(self.clock(), rows)
+            try:
+                size, _ = self._write(notes, gap, self.flow.ended(self.clock()))
+                self.flow.wrote(self.clock(), size)
+                self.counters.add("trace.rows", rows)
+            except (OSError, FormatError):
+                self.flow.failed(self.clock())
+                self.counters.add("trace.dropped", rows)
+        self._end()
--- /dev/null
+++ b/beechrock/trace/records.py
@@ -0,0 +1,169 @@
+"""The rows of a trace: one tuple each, its kind first, then the time, then what ``FIELDS`` names. Pure.
+
+Three families: what the decision module was told and said (``batch`` and what follows it: enough to play it
+again to the bit), what the core knows of requests beyond that, and marks in the record itself.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import asdict
+from enum import Enum
+from typing import Any
+
+import ujson
+
+from beechrock import interface as api
+
+Row = tuple[Any, ...]       # (kind, time, *fields); the time is the Unix clock in seconds
+
+FIELDS: dict[str, tuple[str, ...]] = {
+    # The module: a start, then batches, each with its events and the actions that answered them.
+    "start": ("seed", "started", "settings"),
+    "batch": ("events", "actions"),
+    "arrived": ("id", "klass", "kb", "waited_s", "remaining_s", "work_s", "repeats", "key", "tenant",
+                "caller", "rank", "retry", "write"),
+    "finished": ("id", "outcome", "elapsed_s"),
+    "call_needed": ("id",),
+    "call_ended": ("id", "outcome", "elapsed_s"),
+    "caller_gone": ("id",),
+    "renewed": ("settings",),
+    "leaving": ("left_s",),
+    "timer": ("token", "cpu_busy", "runnable", "memory_used", "connections"),
+    "run": ("id",),
+    "refuse": ("id", "retry_after_s", "no_retry"),
+    "fail": ("id",),
+    "stop": ("id",),
+    "call": ("id", "max_wait_s"),
+    "skip": ("id",),
+    "keep": ("id", "ttl_s"),
+    "forget": ("id",),
+    "share": ("id",),
+    "health": ("good", "stored"),
+    "advertise": ("value",),
+    "close_idle": ("after_s",),
+    "set_timer": ("token", "delay_s"),
+    "log": ("text",),
+    # The core: who asked for what, and what came of it.
+    "taken": ("id", "trace", "route", "team", "subject", "key", "retry", "caller", "size", "born"),
+    "rejected": ("trace", "route", "team", "reason"),
+    "answered": ("id", "verdict", "retry_after_s", "no_retry", "advice", "took_s", "size"),
+    "run_ended": ("id", "outcome", "elapsed_s"),
+    # The record itself.
+    "gap": ("dropped", "since"),
+    "jump": ("by_s",),
+    "node": ("name",),
+}
+KINDS = tuple(FIELDS)
+EVENTS = KINDS[2:10]
+ACTIONS = KINDS[10:24]
+ABOUT_ONE = frozenset(kind for kind, names in FIELDS.items() if names[:1] == ("id",))
+
+_EVENT_KINDS: dict[type, str] = {
+    api.Arrived: "arrived", api.Finished: "finished", api.CallNeeded: "call_needed",
+    api.CallEnded: "call_ended", api.CallerGone: "caller_gone", api.Renewed: "renewed",
+    api.Leaving: "leaving", api.TimerFired: "timer",
+}
+_ACTION_KINDS: dict[type, str] = {
+    api.Run: "run", api.Refuse: "refuse", api.Fail: "fail", api.Stop: "stop", api.Call: "call",
+    api.Skip: "skip", api.Keep: "keep", api.Forget: "forget", api.Share: "share", api.Health: "health",
+    api.Advertise: "advertise", api.CloseIdle: "close_idle", api.SetTimer: "set_timer", api.Log: "log",
+}
+_ACTION_TYPES = {kind: made for made, kind in _ACTION_KINDS.items()}
+
+
+def settings_text(settings: api.Settings) -> str:
+    """All settings as JSON; floats come back as they were."""
+
+    def plain(value: Any) -> Any:
+        if isinstance(value, Enum):
+            return value.value
+        if isinstance(value, dict):
+            return {key: plain(part) for key, part in value.items()}
+        return [plain(part) for part in value] if isinstance(value, (list, tuple)) else value
+
+    return ujson.dumps(plain(asdict(settings)))
+
+
+def settings_of(text: str) -> api.Settings:
+    """ValueError where the text holds none."""
+    try:
+        told = ujson.loads(text)
+        classes = tuple(
+            api.ClassSettings(**{**c, "effect": api.Effect(c["effect"])}) for c in told.pop("classes"))
+        tenants = tuple(api.TenantSettings(**t) for t in told.pop("tenants"))
+        enums = {"stop_mode": api.StopMode, "say": api.Say, "downstream": api.Downstream}
+        told.update({key: kind(told[key]) for key, kind in enums.items()})
+        return api.Settings(classes=classes, tenants=tenants, **told)
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"no settings: {type(error).__name__}: {error}") from None
+
+
+def batch_rows(now: float, events: Iterable[api.Event], actions: Iterable[api.Action]) -> Iterator[Row]:
+    """A batch as rows, in its order."""
+    told = [event_row(now, event) for event in events]
+    said = [action_row(now, action) for action in actions]
+    yield "batch", now, len(told), len(said)
+    yield from told
+    yield from said
+
+
+def event_row(now: float, event: api.Event) -> Row:
+    match event:
+        case api.Arrived(r):
+            return ("arrived", now, r.id, r.klass, r.kb, r.waited_s, r.remaining_s, r.work_s, r.repeats,
+                    r.key, r.tenant, r.caller, r.rank, r.retry, r.write)
+        case api.Finished(ident, outcome, elapsed) | api.CallEnded(ident, outcome, elapsed):
+            return _EVENT_KINDS[type(event)], now, ident, outcome.value, elapsed
+        case api.TimerFired(token, g):
+            return "timer", now, token, g.cpu_busy, g.runnable, g.memory_used, g.connections
+        case api.Renewed(settings):
+            return "renewed", now, settings_text(settings)
+        case api.Leaving(left):
+            return "leaving", now, left
+        case _:
+            return _EVENT_KINDS[type(event)], now, event.id
+
+
+def action_row(now: float, action: api.Action) -> Row:
+    return (_ACTION_KINDS[type(action)], now, *(getattr(action, name) for name in action.__slots__))
+
+
+def event_of(row: Row) -> api.Event:
+    """The event that a row was made of. ValueError where it is none."""
+    kind, _, *told = row
+    try:
+        match kind:
+            case "arrived":
+                return api.Arrived(api.Request(*told))
+            case "finished":
+                return api.Finished(told[0], api.Outcome(told[1]), told[2])
+            case "call_ended":
+                return api.CallEnded(told[0], api.Outcome(told[1]), told[2])
+            case "call_needed":
+                return api.CallNeeded(*told)
+            case "caller_gone":
+                return api.CallerGone(*told)
+            case "renewed":
+                return api.Renewed(settings_of(told[0]))
+            case "leaving":
+                return api.Leaving(*told)
+            case "timer":
+                return api.TimerFired(told[0], api.Gauges(*told[1:]))
+    except TypeError as error:
+        raise ValueError(f"a row {kind} that is none: {error}") from None
+    raise ValueError(f"a row {kind} is no event")
+
+
+def action_of(row: Row) -> api.Action:
+    """The action that a row was made of. ValueError where it is none."""
+    made = _ACTION_TYPES.get(row[0])
+    if made is None:
+        raise ValueError(f"a row {row[0]} is no action")
+    try:
+        return made(*row[2:])       # type: ignore[no-any-return]
+    except TypeError as error:
+        raise ValueError(f"a row {row[0]} that is none: {error}") from None
+
+
+def value(row: Row, name: str) -> Any:
+    """One field of a row by its name."""
+    return row[2 + FIELDS[row[0]].index(name)]
