--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -23,15 +23,16 @@
 from beechrock.net.scgi_work import ScgiWork
 from beechrock.settings import settings_from
 
-if TYPE_CHECKING:       # loaded where the SCGI front is on
+if TYPE_CHECKING:       # loaded where the SCGI front, or the record, is on
     from beechrock.inventory.generation import Generation
     from beechrock.inventory.keeper import Keeper
+    from beechrock.trace.recorder import Recorder
 
 log = logging.getLogger("beechrock")
 EXIT_MARGIN_S = 0.25    # the process has ended this long before it would be killed
 
 # What a reload does not change; ``seed`` is new with each start, and means nothing later.
-FIXED = ("name", "listen", "stop_s", "memory_mb", "sockets", "gauges")
+FIXED = ("trace", "name", "listen", "stop_s", "memory_mb", "sockets", "gauges")
 
 
 def _address_of(server: asyncio.Server | None) -> str:
@@ -51,6 +52,9 @@
         self.seen_changed = seen                # and when it was looked at last
         self.counters = Counters()
         self.module = ModuleActor(told.settings, told.seed, clock, self.counters, told.memory_mb)
+        self.recorder: Recorder | None = None
+        if told.trace is not None:
+            self._record(told.trace, clock)
         self.tasks: list[asyncio.Task[None]] = []
         self.leaving = asyncio.Event()
         # Front ends use up to half of the descriptors; the agent, the ledger and SCGI share the rest.
@@ -75,6 +79,16 @@
         self.ledger = Ledger(self.module, told.ledger, told.sockets // 8) if told.ledger else None
         self.module.calls = self.ledger
 
+    def _record(self, told: config.Trace, clock: Callable[[], float]) -> None:
+        from beechrock.trace.flow import Rules
+        from beechrock.trace.recorder import Recorder
+
+        rules = Rules(flush_s=told.flush_s, segment_bytes=int(told.segment_mb * 2**20),
+                      segment_s=told.segment_s, most_bytes=int(told.most_mb * 2**20))
+        self.recorder = Recorder(
+            told.folder, self.told.name, self.counters, clock, rules, told.sample, told.key)
+        self.module.trace(self.recorder)
+
     def _keep_inventory(self, told: config.Scgi) -> None:
         from beechrock.inventory import keeper, layout, watch
 
@@ -163,7 +177,8 @@
     async def start(self) -> None:
         """Listen, and let the actors run."""
         await self.listen()
-        actors = {"module": self.module, "registry": self.registry, "inventory": self.keeper}
+        actors = {"module": self.module, "registry": self.registry, "inventory": self.keeper,
+                  "trace": self.recorder}
         self.tasks = [self.counters.spawn(a.run(), name) for name, a in actors.items() if a is not None]
         if self.agent is not None:
             self.agent.begin()
@@ -192,6 +207,8 @@
         await asyncio.sleep(EXIT_MARGIN_S / 3)
         for task in self.tasks:
             task.cancel()
+        if self.recorder is not None:
+            self.recorder.close()
         self.module.report()
 
 
--- a/beechrock/cli/main.py
+++ b/beechrock/cli/main.py
@@ -5,6 +5,7 @@
 from beechrock import __version__
 from beechrock.cli.inventory import inventory
 from beechrock.cli.requests import ask
+from beechrock.cli.trace import trace
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
@@ -24,3 +25,4 @@
 
 main.add_command(inventory)
 main.add_command(ask)
+main.add_command(trace)
--- a/beechrock/config.py
+++ b/beechrock/config.py
@@ -19,7 +19,8 @@
 MOST_CONFIG = 4 << 20
 STOP_MS, MEMORY_MB, SOCKETS = 3000.0, 192.0, 1024.0
 ROOT = Path(__file__).parent.parent
-SCGI_KEYS = {"enabled", "listen", "inventory", "state", "log", "watch_s", "settle_s", "confirm_s",
+TRACE_KEYS = {"enabled", "folder", "sample", "key_file", "segment_mb", "segment_s", "most_mb", "flush_s"}
+SCGI_KEYS = {"trace", "enabled", "listen", "inventory", "state", "log", "watch_s", "settle_s", "confirm_s",
              "most_removed"}
 LOG_FORMS = ("text", "json")
 WATCH_S, SETTLE_S, CONFIRM_S, MOST_REMOVED = 0.5, 0.5, 10.0, 0.25
@@ -45,6 +46,19 @@
     most_removed: float = MOST_REMOVED  # part of a kind of entries that may go unconfirmed
 
 
+@dataclass(frozen=True, slots=True)
+class Trace:
+    """What is recorded, where the operator's file turns that on."""
+
+    folder: Path
+    sample: float = 1.0             # part of the requests; below 1 nothing can be played again
+    key: bytes | None = None        # hides subjects and keys at the source
+    segment_mb: float = 64.0
+    segment_s: float = 3600.0
+    most_mb: float = 1024.0         # of all files together; the oldest go
+    flush_s: float = 1.0
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that a node is told; without LB_CONFIG there is no ``listen`` and no ``agent``."""
@@ -61,6 +75,7 @@
     settings: Settings
     gauges: tuple[str, ...]
     scgi: Scgi | None
+    trace: Trace | None = None
     raw: dict[str, Any] | None = None   # the platform's own settings, under those of an inventory
 
 
@@ -69,7 +84,9 @@
 
     ``running``: the inventory in force, which then is not read here: that would hold up a node in service.
     """
-    scgi = _scgi(Path(environ.get("LB_SCGI") or root / "deploy" / "scgi.toml"), root, running)
+    mine = Path(environ.get("LB_SCGI") or root / "deploy" / "scgi.toml")
+    told_by_operator = _operators(mine)
+    scgi = _scgi(mine, told_by_operator, root, running)
     path = environ.get("LB_CONFIG", "")
     if path:
         told, where = _read(path)
@@ -105,7 +122,7 @@
         stop_s=_number(told, "stop_ms", STOP_MS, where) / 1000,
         memory_mb=_number(limits, "memory_mb", MEMORY_MB, f"{where}: limits"),
         sockets=int(_number(limits, "sockets", SOCKETS, f"{where}: limits")),
-        settings=settings, gauges=gauges, scgi=scgi,
+        settings=settings, gauges=gauges, scgi=scgi, trace=_trace(mine, told_by_operator, root),
         raw=told.get("settings", {}) if path and scgi is not None else None,
     )
 
@@ -132,20 +149,56 @@
     return told, where
 
 
-def _scgi(path: Path, root: Path, running: "Generation | None") -> Scgi | None:
-    """The SCGI front's file; no file, like ``enabled = false``, keeps the front off."""
+def _operators(path: Path) -> dict[str, Any]:
+    """The operator's file; no file says nothing."""
     try:
-        told = tomllib.loads(path.read_text())
+        return tomllib.loads(path.read_text())
     except FileNotFoundError:
-        return None
+        return {}
     except (OSError, ValueError) as error:
         raise ConfigError(f"{path}: {error}") from None
+
+
+def _known(told: Mapping[str, Any], keys: set[str], where: str) -> bool:
+    """Whether a part of the operator's file is on; its keys are checked either way."""
     for key in told:
-        if key not in SCGI_KEYS:
-            raise ConfigError(f"{path}: {key}: unknown key")
-    if not isinstance(told.get("enabled", False), bool):
-        raise ConfigError(f"{path}: enabled: {told['enabled']!r} is neither true nor false")
-    if not told.get("enabled", False):
+        if key not in keys:
+            raise ConfigError(f"{where}: {key}: unknown key")
+    on = told.get("enabled", False)
+    if not isinstance(on, bool):
+        raise ConfigError(f"{where}: enabled: {on!r} is neither true nor false")
+    return on
+
+
+def _trace(path: Path, operators: dict[str, Any], root: Path) -> Trace | None:
+    told = operators.get("trace", {})
+    where = f"{path}: trace"
+    if not isinstance(told, dict):
+        raise ConfigError(f"{where}: not a table")
+    if not _known(told, TRACE_KEYS, where):
+        return None
+    if not isinstance(told.get("folder"), str) or not told["folder"]:
+        raise ConfigError(f"{where}: folder: the path of a folder is needed")
+    sample = _number(told, "sample", 1.0, where)
+    if sample > 1:
+        raise ConfigError(f"{where}: sample: {sample:g} is a part, and above 1")
+    key = None
+    if (file := told.get("key_file")) is not None:
+        try:
+            key = (root / str(file)).read_bytes().strip()
+        except OSError as error:
+            raise ConfigError(f"{where}: key_file: {file}: {error.strerror}") from None
+        if len(key) < 16:
+            raise ConfigError(f"{where}: key_file: {file}: at least 16 bytes are needed")
+    defaults = Trace(Path())
+    numbers = {name: _number(told, name, getattr(defaults, name), where)
+               for name in ("segment_mb", "segment_s", "most_mb", "flush_s")}
+    return Trace(root / told["folder"], sample, key, **numbers)
+
+
+def _scgi(path: Path, told: dict[str, Any], root: Path, running: "Generation | None") -> Scgi | None:
+    """The SCGI front; no file, like ``enabled = false``, keeps it off."""
+    if not _known(told, SCGI_KEYS, str(path)):
         return None
     if not isinstance(told.get("inventory"), str):
         raise ConfigError(f"{path}: inventory: the path of a file is needed")
--- a/beechrock/trace/bloom.py
+++ b/beechrock/trace/bloom.py
@@ -8,7 +8,7 @@
 
 
 def _probes(word: str, bits: int) -> list[int]:
-    told = xxhash.xxh3_128_intdigest(word.encode("utf-8", "surrogatepass"))
+    told = xxhash.xxh3_128_intdigest(str(word).encode("utf-8", "surrogatepass"))
     first, step = told >> 64, (told & (2**64 - 1)) | 1
     return [(first + n * step) % bits for n in range(PROBES)]
 
--- a/beechrock/trace/recorder.py
+++ b/beechrock/trace/recorder.py
@@ -30,8 +30,12 @@
 
 
 def keyed_hash(key: bytes, text: str) -> str:
-    """BLAKE3 in its keyed mode, shortened: equal texts stay equal under one key, and nothing else shows."""
-    return blake3.blake3(text.encode("utf-8", "surrogatepass"), key=key).hexdigest(HASH_BYTES)
+    """BLAKE3 in its keyed mode, shortened: equal texts stay equal under one key, and nothing else shows.
+
+    A key of any length, as operators keep them, is brought to the 32 bytes that the mode takes.
+    """
+    whole = key if len(key) == 32 else blake3.blake3(key, derive_key_context="beechrock 1 trace key").digest()
+    return blake3.blake3(text.encode("utf-8", "surrogatepass"), key=whole).hexdigest(HASH_BYTES)
 
 
 class Recorder:
--- a/beechrock/trace/summary.py
+++ b/beechrock/trace/summary.py
@@ -13,6 +13,7 @@
 from beechrock.trace.records import Row, value
 
 MOST_US, DIGITS = 3_600_000_000, 3      # an hour; three digits keep an error under 0.1%
+SHOWN = (50, 95, 99)
 MOST_OPEN = 100_000         # requests whose end is still to come; the oldest beyond it are forgotten
 MOST_GROUPS = 10_000        # of class, team and window; what comes beyond counts as "others"
 
@@ -23,12 +24,21 @@
 
     asked: int = 0
     verdicts: Counter[str] = field(default_factory=Counter)
-    took: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, MOST_US, DIGITS))
+    took: Counter[int] = field(default_factory=Counter)     # microseconds, rounded as the histogram does
 
-    def latency_s(self, percentile: float) -> float | None:
-        if not self.took.get_total_count():
-            return None
-        return float(self.took.get_value_at_percentile(percentile)) / 1e6
+    def add(self, took_s: float) -> None:
+        """Counted first and put into the histogram once: that alone made a summary seven times slower."""
+        us = min(MOST_US, max(1, round(1e6 * took_s)))
+        step = 10 ** max(0, len(str(us)) - DIGITS - 1)
+        self.took[us // step * step] += 1
+
+    def latencies_s(self, percentiles: Iterable[int]) -> list[float | None]:
+        if not self.took:
+            return [None for _ in percentiles]
+        histogram = HdrHistogram(1, MOST_US, DIGITS)
+        for us, count in self.took.items():
+            histogram.record_value(us, count)
+        return [float(histogram.get_value_at_percentile(p)) / 1e6 for p in percentiles]
 
 
 class Summary:
@@ -92,7 +102,7 @@
         group = self._group(row[1], route, team)
         group.verdicts[verdict] += 1
         if verdict == "served":
-            group.took.record_value(min(MOST_US, max(1, round(1e6 * took))))
+            group.add(took)
 
     def table(self) -> list[dict[str, Any]]:
         """A line a group, in the order of windows, classes and teams."""
@@ -103,5 +113,5 @@
                 "from": window or None, "class": route, "team": team, "asked": group.asked,
                 **{name: group.verdicts[name] for name in ("served", "refused", "failed")},
                 "served_part": group.verdicts["served"] / answers if answers else None,
-                **{f"p{p}_s": group.latency_s(p) for p in (50, 95, 99)}})
+                **{f"p{p}_s": took for p, took in zip(SHOWN, group.latencies_s(SHOWN), strict=True)}})
         return found
