--- a/benchmarks/inventory_reload.py
+++ b/benchmarks/inventory_reload.py
@@ -10,10 +10,8 @@
 
 import argparse
 import asyncio
-import os
 import re
 import resource
-import signal
 import statistics
 import subprocess
 import sys
@@ -25,6 +23,7 @@
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT))
 
+from beechrock.lab.node import Node  # noqa: E402
 from beechrock.lab.scgi_servers import Server  # noqa: E402
 from beechrock.net.scgi import request_bytes  # noqa: E402
 
@@ -124,36 +123,22 @@
         folder.mkdir()
         (folder / "main.yaml").write_text(services(ports, 500))
         (folder / "machines.csv").write_text(machines(ROWS))
-        (Path(name) / "scgi.toml").write_text(
-            f'enabled = true\nlisten = "127.0.0.1:0"\ninventory = "{folder}"\nstate = "{name}/state"\n'
-            'watch_s = 0.1\nsettle_s = 0.1\nlog = "json"\n')
-        log = Path(name) / "log"
-        with log.open("wb") as out:
-            node = subprocess.Popen([sys.executable, "-m", "beechrock"], cwd=ROOT, stderr=out,
-                                    env={**os.environ, "LB_SCGI": f"{name}/scgi.toml", "LB_CONFIG": ""})
-        try:
-            while not (found := re.search(r"SCGI on 127\.0\.0\.1:(\d+)", log.read_text())):
-                await asyncio.sleep(0.05)
-            address = ("127.0.0.1", int(found[1]))
-            await load(address, 2.0, Run(), "warm")     # and past the reading that follows a start
+        text = f'inventory = "{folder}"\nstate = "{name}/state"\nwatch_s = 0.1\nsettle_s = 0.1\n'
+        async with Node(Path(name), text) as node:
+            await load(node.address, 2.0, Run(), "warm")    # and past the reading that follows a start
             editing = subprocess.Popen(
                 [sys.executable, __file__, "--edit", str(folder), *map(str, ports), str(int(seconds))],
             ) if edits else None
-            await load(address, seconds, run, "k")
+            await load(node.address, seconds, run, "k")
             if editing is not None:
                 editing.wait()
-            ran: dict[str, int] = {}
-            for server in servers:
-                for key, times in server.keys.items():
-                    ran[key] = ran.get(key, 0) + times
-            run.twice = sum(times > 1 for times in ran.values())
-        finally:
-            node.send_signal(signal.SIGTERM)
-            node.wait(30)
-        text = log.read_text()
-        run.reloads = text.count("inventory.taken")
-        run.lag_ms = float((re.findall(r"lag\.most_ms ([\d.]+)", text) or ["0"])[-1])
-        run.trouble = re.findall(r"trouble\.\w+ \d+", text)
+        ran: dict[str, int] = {}
+        for server in servers:
+            for key, times in server.keys.items():
+                ran[key] = ran.get(key, 0) + times
+        run.twice = sum(times > 1 for times in ran.values())
+        run.reloads, run.lag_ms = int(node.counter("inventory.taken")), node.counter("lag.most_ms")
+        run.trouble = re.findall(r"trouble\.\w+ \d+", node.log.read_text())
     for server in servers:
         server.close()
     return run
--- a/benchmarks/trace_cost.py
+++ b/benchmarks/trace_cost.py
@@ -9,17 +9,13 @@
 import argparse
 import asyncio
 import os
-import re
-import signal
 import statistics
-import subprocess
 import sys
 import tempfile
 from pathlib import Path
 
 import inventory_reload as load_tool
 
-ROOT = Path(__file__).parent.parent
 MOST = 0.05
 TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -37,26 +33,14 @@
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         (folder / "main.yaml").write_text(load_tool.services(ports, 500))
-        (folder / "scgi.toml").write_text(
-            f'enabled = true\nlisten = "127.0.0.1:0"\ninventory = "{folder}/main.yaml"\n'
-            + (f'[trace]\nenabled = true\nfolder = "{folder}/traces"\n' if recorded else ""))
-        log = folder / "log"
-        with log.open("wb") as out:
-            node = subprocess.Popen([sys.executable, "-m", "beechrock"], cwd=ROOT, stderr=out,
-                                    env={**os.environ, "LB_SCGI": f"{name}/scgi.toml", "LB_CONFIG": ""})
-        try:
-            while not (found := re.search(r"SCGI on 127\.0\.0\.1:(\d+)", log.read_text())):
-                await asyncio.sleep(0.05)
-            address = ("127.0.0.1", int(found[1]))
-            await load_tool.load(address, 2.0, load_tool.Run(), "warm")
-            before, run = cpu_s(node.pid), load_tool.Run()
-            await load_tool.load(address, seconds, run, "k")
-            used = cpu_s(node.pid) - before
-        finally:
-            node.send_signal(signal.SIGTERM)
-            node.wait(30)
+        traces = f'[trace]\nenabled = true\nfolder = "{folder}/traces"\n' if recorded else ""
+        async with load_tool.Node(folder, f'inventory = "{folder}/main.yaml"\n{traces}') as node:
+            await load_tool.load(node.address, 2.0, load_tool.Run(), "warm")
+            before, run = cpu_s(node.process.pid), load_tool.Run()
+            await load_tool.load(node.address, seconds, run, "k")
+            used = cpu_s(node.process.pid) - before
         size = sum(path.stat().st_size for path in folder.glob("traces/*"))
-        dropped = int((re.findall(r"trace\.dropped (\d+)", log.read_text()) or ["0"])[-1])
+        dropped = int(node.counter("trace.dropped"))
     for server in servers:
         server.close()
     return 1e6 * used / run.asked, size / run.asked, dropped, run.service
