Wait for a write that is under way before a record ends; end the try-out's servers

Cause: read over, the end of a node closed its record while a thread could still write to it, and changed settings or an SCGI address were no longer told as fixed. Tried over, the stand-in servers of make run outlived an interrupt, as a shell's background commands ignore it.

Change: the recorder's end waits for the write; both keys are told again; the recipe's shell outlives the interrupt and ends the servers.

Measured: a recorded node that is stopped leaves a whole file whose counts are its counters; make run leaves nothing.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	@echo "In another terminal:  $(TRY)"
 	@echo "Edit deploy/inventory.yaml meanwhile; the node takes it up. End with Ctrl-C."
 	@$(PYTHON) -m beechrock.lab.scgi_servers 9101 9102 9201 & servers=$$!; \
-	trap "kill $$servers 2>/dev/null" EXIT; \
+	trap "kill $$servers 2>/dev/null" EXIT; trap : INT TERM; \
 	sed 's/enabled = false/enabled = true/' deploy/scgi.toml > .venv/scgi.toml; \
 	LB_SCGI=.venv/scgi.toml $(PYTHON) -m beechrock
 
--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -32,7 +32,7 @@
 EXIT_MARGIN_S = 0.25    # the process has ended this long before it would be killed
 
 # What a reload does not change; ``seed`` is new with each start, and means nothing later.
-FIXED = ("trace", "name", "listen", "stop_s", "memory_mb", "sockets", "gauges")
+FIXED = ("name", "listen", "stop_s", "memory_mb", "sockets", "settings", "gauges", "scgi", "trace")
 
 
 def _address_of(server: asyncio.Server | None) -> str:
@@ -205,10 +205,13 @@
         await asyncio.sleep(max(0.0, self.told.stop_s - EXIT_MARGIN_S))
         self.close()
         await asyncio.sleep(EXIT_MARGIN_S / 3)
+        for task in self.tasks:
+            if task.get_name() != "trace":
+                task.cancel()
+        if self.recorder is not None:       # nothing comes any more, and a write may be under way
+            await self.recorder.finish()
         for task in self.tasks:
             task.cancel()
-        if self.recorder is not None:
-            self.recorder.close()
         self.module.report()
 
 
--- a/beechrock/config.py
+++ b/beechrock/config.py
@@ -2,7 +2,7 @@
 
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -38,7 +38,7 @@
     path: Path                  # of the inventory: a file, or a folder
     generation: "Generation"    # as it was read
     state: Path | None = None   # where the last good generation is kept
-    notes: tuple[str, ...] = ()         # what there is to say of the start
+    notes: tuple[str, ...] = field(default=(), compare=False)   # what there is to say of the start
     log: str = "text"
     watch_s: float = WATCH_S            # the files are looked at so often
     settle_s: float = SETTLE_S          # they must have stood still for so long
--- a/beechrock/trace/recorder.py
+++ b/beechrock/trace/recorder.py
@@ -52,6 +52,7 @@
         self._ahead = clock() - mono()
         self._numbers = itertools.count(1)
         self._writer: Writer | None = None
+        self._writing = asyncio.Lock()
 
     # --- Tracer: on the event loop
 
@@ -120,6 +121,15 @@
 
     async def write(self) -> None:
         """Write what waits, as blocks, in a thread of its own."""
+        async with self._writing:
+            await self._write_all()
+
+    async def finish(self) -> None:
+        """After the last row: wait for a write that is under way, then write the rest and end the file."""
+        async with self._writing:
+            self.close()
+
+    async def _write_all(self) -> None:
         rows = sum(count for count, _ in self.notes)
         if not rows:
             return
@@ -189,9 +199,9 @@
                 self.counters.add("trace.failed")
 
     def close(self) -> None:
-        """Write what waits and end the file; called when nothing else runs any more."""
+        """Write what waits and end the file; no write may be under way."""
         rows = sum(count for count, _ in self.notes)
-        if rows and not self.flow.under_way:
+        if rows:
             notes, self.notes = self.notes, []
             gap = self.flow.begin(self.clock(), rows)
             try:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,6 +12,8 @@
 import ujson
 from play import SETTINGS
 
+from beechrock.net.scgi import request_bytes
+
 ROOT = Path(__file__).parent.parent
 CHECK = bytes.fromhex("00000006 04 00000001 00".replace(" ", ""))
 NO_MORE = bytes.fromhex("00000005 06 00000000".replace(" ", ""))
@@ -117,6 +119,40 @@
             node.kill()
 
 
+def test_a_node_that_is_recorded_ends_with_a_whole_file_whose_counts_are_its_own(tmp_path: Path) -> None:
+    from beechrock.trace.format import Reader
+    from beechrock.trace.summary import Summary
+
+    text = (ROOT / "deploy" / "inventory.yaml").read_text()
+    (tmp_path / "i.yaml").write_text(re.sub(r"127\.0\.0\.1:9\d+", "127.0.0.1:1", text).replace(
+        '["127.0.0.1:1", "127.0.0.1:1"]', '["127.0.0.1:1"]'))
+    (tmp_path / "op.toml").write_text(
+        f'enabled = true\nlisten = "127.0.0.1:0"\ninventory = "{tmp_path}/i.yaml"\n'
+        f'[trace]\nenabled = true\nfolder = "{tmp_path}/traces"\n')
+    with subprocess.Popen(
+            [sys.executable, "-m", "beechrock"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+            env={**os.environ, "LB_SCGI": str(tmp_path / "op.toml"), "LB_CONFIG": ""}) as node:
+        assert node.stderr is not None
+        try:
+            found = re.search(r"SCGI on 127\.0\.0\.1:(\d+)", line_with(node, "SCGI on"))
+            assert found is not None
+            for _ in range(3):      # no server is there: each fails
+                with socket.create_connection(("127.0.0.1", int(found[1])), 30) as link:
+                    link.sendall(request_bytes({"HTTP_X_ROUTE": "resolve", "HTTP_X_TEAM": "packagers"}, b"x"))
+                    assert exactly(link, 11) == b"Status: 500"
+            node.send_signal(signal.SIGTERM)
+            assert node.wait(30) == 0
+            told = node.stderr.read()
+        finally:
+            node.kill()
+    [path] = (tmp_path / "traces").iterdir()
+    with Reader(path) as reader:
+        assert reader.whole and reader.check() == []
+        counters = Summary().take(reader.rows()).counters
+    assert counters["answered.failed"] == 3 and "answered.failed 3" in told
+    assert counters["runs.error"] == 3 and "runs.error 3" in told
+
+
 def test_the_deploy_file_names_what_is_there() -> None:
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     assert {"build", "run", "sim", "policy", "node", "packages"} == set(deploy)
