--- a/beechrock/cli/trace.py
+++ b/beechrock/cli/trace.py
@@ -196,6 +196,8 @@
         begins = begin_of(files)
         wanted = tools.Wanted(at(since, begins, float("-inf")), at(until, begins, float("inf")), route, team,
                               subject, outcome)
+        if wanted.by_request:
+            tools.of_one_node(files)
         with progress(files * (2 if wanted.by_request else 1)) as done:
             kept = tools.chosen(tools.rows_of(files, done), wanted) if wanted.by_request else None
             count = tools.write(out, tools.cut(tools.rows_of(files, done), wanted, kept),
@@ -227,7 +229,7 @@
                     shifts.append(estimate.to_first)
             streams = [tools.rows_of(held, done) for held in nodes.values()]
             meta = {"node": "+".join(nodes), "merged": True}
-            count = tools.write(out, tools.merge(list(streams), shifts), meta)
+            count = tools.write(out, tools.merge(list(streams), shifts, list(nodes)), meta)
     click.echo(f"{out}: {count} rows of {len(nodes)} nodes")
 
 
@@ -371,6 +373,7 @@
         files = tools.paths_of(paths)
         if len(by_node(files)) > 1:
             raise ValueError("records of several nodes; play each by itself")
+        tools.of_one_node(files)
         make = _node_of(policy)
         if exact:
             with progress(files) as done:
--- a/beechrock/trace/summary.py
+++ b/beechrock/trace/summary.py
@@ -53,7 +53,8 @@
         self._open: dict[tuple[str, int], tuple[str, str]] = {}     # by node and id: route and team
 
     def take(self, rows: Iterable[Row], node: str = "") -> "Summary":
-        """Count the rows of one node."""
+        """Count rows of one node, or of several with the marks that a merge sets between them."""
+        several = node
         for row in rows:
             self.rows += 1
             at = row[1]
@@ -74,6 +75,8 @@
                     self.counters["runs." + value(row, "outcome")] += 1
                 case "answered":
                     self._answered(row, node)
+                case "node":
+                    node = f"{several}/{row[2]}"
                 case "gap":
                     self.gaps, self.dropped = self.gaps + 1, self.dropped + value(row, "dropped")
                 case "jump":
--- a/beechrock/trace/tools.py
+++ b/beechrock/trace/tools.py
@@ -28,6 +28,14 @@
     return found
 
 
+def of_one_node(paths: list[Path]) -> None:
+    """FormatError where a file holds several nodes' rows, as each numbers its requests for itself."""
+    for path in paths:
+        with Reader(path) as reader:
+            if reader.meta.get("merged"):
+                raise FormatError(f"{path}: holds several nodes; do this to each node's record, then merge")
+
+
 def rows_of(paths: Iterable[Path], progress: Progress = lambda _: None) -> Iterator[Row]:
     """The rows of one node's files, one after the other; damaged blocks are passed over and stand as gaps."""
     for path in paths:
@@ -114,9 +122,13 @@
 
 
 def merge(
-    sources: list[Iterable[Row]], shifts: list[Callable[[float], float]] | None = None
+    sources: list[Iterable[Row]], shifts: list[Callable[[float], float]] | None = None,
+    names: list[str] | None = None,
 ) -> Iterator[Row]:
-    """Rows of several records by time, each in its own order; ``shifts`` take times to the first's clock."""
+    """Rows of several records by time, each in its own order; ``shifts`` take times to the first's clock.
+
+    Nodes count their requests each from 1: with ``names`` a mark stands wherever the node changes.
+    """
     def placed(number: int, rows: Iterable[Row]) -> Iterator[tuple[float, int, Row]]:
         latest = float("-inf")
         for row in rows:
@@ -125,7 +137,11 @@
             yield latest, number, (row[0], at, *row[2:]) if shifts else row
 
     streams = [placed(number, rows) for number, rows in enumerate(sources)]
-    for _, _, row in heapq.merge(*streams, key=lambda item: (item[0], item[1])):
+    latest_from = None
+    for at, number, row in heapq.merge(*streams, key=lambda item: (item[0], item[1])):
+        if names is not None and number != latest_from:
+            latest_from = number
+            yield "node", at, names[number]
         yield row
 
 
