Answer the second address: health, figures, and a drain by call

Change: beechrock/admin (serving state, figures, HTTP by h11, one call a connection, a full table ends the oldest half-said call); core/tally.py counts each request once as taken and once as ended; config reads admin_addr. Without the setting nothing of it is imported (a test).

--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -23,7 +23,9 @@
 from beechrock.net.scgi_work import ScgiWork
 from beechrock.settings import settings_from
 
-if TYPE_CHECKING:       # loaded where the SCGI front, or the record, is on
+if TYPE_CHECKING:       # loaded where the second address, the SCGI front, or the record, is on
+    from beechrock.admin.http import AdminFront
+    from beechrock.admin.serving import Serving
     from beechrock.inventory.generation import Generation
     from beechrock.inventory.keeper import Keeper
     from beechrock.trace.recorder import Recorder
@@ -32,7 +34,7 @@
 EXIT_MARGIN_S = 0.25    # the process has ended this long before it would be killed
 
 # What a reload does not change; ``seed`` is new with each start, and means nothing later.
-FIXED = ("name", "listen", "stop_s", "memory_mb", "sockets", "settings", "gauges", "scgi", "trace")
+FIXED = ("name", "listen", "admin", "stop_s", "memory_mb", "sockets", "settings", "gauges", "scgi", "trace")
 
 
 def _address_of(server: asyncio.Server | None) -> str:
@@ -78,6 +80,20 @@
         self.module.work = work
         self.ledger = Ledger(self.module, told.ledger, told.sockets // 8) if told.ledger else None
         self.module.calls = self.ledger
+        self.serving: Serving | None = None
+        self.admin: AdminFront | None = None
+        if told.admin is not None:
+            self._open_to_operators()
+
+    def _open_to_operators(self) -> None:
+        from beechrock.admin.http import AdminFront, Calls
+        from beechrock.admin.serving import Serving
+
+        agent = self.agent
+        self.serving = serving = Serving(lambda: self.module.able())
+        self.module.offered = lambda: serving.offered
+        self.admin = AdminFront(
+            self.module, Calls(self.module, serving, lambda: agent.dispatches if agent is not None else 0))
 
     def _record(self, told: config.Trace, clock: Callable[[], float]) -> None:
         from beechrock.trace.flow import Rules
@@ -123,6 +139,8 @@
         if self.leaving.is_set():
             return
         self.leaving.set()
+        if self.serving is not None:
+            self.serving.leave()
         self.module.post(Leave(self.told.stop_s))
         if self.frames is not None:
             self.frames.leave()
@@ -167,6 +185,12 @@
         self.seen_changed = stamp
 
     async def listen(self) -> None:
+        if self.admin is not None and self.told.admin is not None:
+            try:
+                await self.admin.start(*self.told.admin)
+            except OSError as error:
+                raise config.ConfigError(f"{self.told.admin_at}: {error.strerror or error}") from None
+            log.info("%s: second address %s", self.told.name, _address_of(self.admin.server))
         if self.frames is not None and self.told.listen is not None:
             await self.frames.start(*self.told.listen)
             log.info("%s: frames on %s", self.told.name, _address_of(self.frames.server))
@@ -185,7 +209,7 @@
 
     def close(self) -> None:
         """Stop listening."""
-        for front in (self.frames, self.scgi):
+        for front in (self.frames, self.scgi, self.admin):
             if front is not None:
                 front.close()
 
@@ -251,6 +275,9 @@
         log.warning("inventory: %s", note)
     try:
         asyncio.run(serve(told, seen))
+    except config.ConfigError as error:     # an address that is well written and cannot be had
+        print(f"beechrock: {error}", file=sys.stderr)
+        return config.EXIT_CODE
     except OSError as error:
         print(f"beechrock: {error}", file=sys.stderr)
         return 1
--- /dev/null
+++ b/beechrock/admin/http.py
@@ -0,0 +1,162 @@
+"""The wire of the second address: HTTP/1.1, one call a connection."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import h11
+
+from beechrock.admin import figures
+from beechrock.admin.serving import Serving
+from beechrock.core.module import ModuleActor
+from beechrock.net.front import Front
+from beechrock.net.peer import Peer
+
+MOST_CONNECTIONS = 16
+MOST_HEAD = 8192
+MOST_BODY = 4096        # no call has one; what a caller sends all the same is read and passed over
+MOST_OUT = 65_536
+# Half-said calls are waited for so long; a whole one finds room before, as a full table ends the oldest.
+WHOLE_S = 6.0
+PLAIN = b"text/plain; charset=utf-8"
+
+
+@dataclass(frozen=True, slots=True)
+class Said:
+    """The answer to a call."""
+
+    status: int
+    body: str
+    media: bytes = PLAIN
+    allow: str = ""
+
+
+class Calls:
+    """What the four calls do."""
+
+    def __init__(self, module: ModuleActor, serving: Serving, dispatches: Callable[[], int]) -> None:
+        self.module, self.serving, self.dispatches = module, serving, dispatches
+        self.table: dict[str, tuple[str, Callable[[], Said]]] = {
+            "/healthcheck": ("GET", self._healthcheck),
+            "/stats": ("GET", self._stats),
+            "/healthcheck/fail": ("POST", lambda: self._word(self.serving.fail())),
+            "/healthcheck/ok": ("POST", lambda: self._word(self.serving.ok())),
+        }
+
+    def answer(self, method: str, target: str) -> Said:
+        path = target.partition("?")[0]
+        if path not in self.table:
+            return Said(404, f"{path}: none of {', '.join(self.table)}\n")
+        wanted, call = self.table[path]
+        if method != wanted:
+            return Said(405, f"{path}: takes {wanted}\n", allow=wanted)
+        self.module.counters.add("admin.calls")
+        return call()
+
+    def _healthcheck(self) -> Said:
+        return Said(200 if self.serving.can_serve else 503, self.serving.state.value + "\n")
+
+    def _stats(self) -> Said:
+        names = [c.name for c in self.module.settings.classes if not c.gone]
+        return Said(200, figures.text(names, self.module.tally, self.dispatches()), figures.MEDIA)
+
+    def _word(self, taken: bool) -> Said:
+        return Said(200 if taken else 409, self.serving.state.value + "\n")
+
+
+class AdminPeer(Peer[Said]):
+    """One call: a request in, one answer out."""
+
+    where = "admin"
+
+    def __init__(self, front: "AdminFront") -> None:
+        super().__init__(front.module.counters, MOST_HEAD + MOST_BODY, MOST_OUT, 4)
+        self.front = front
+        self.spoke_at = front.module.clock()
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        self.asked: h11.Request | None = None
+        self.body = 0
+        self.said = False
+
+    def parse(self) -> None:
+        try:
+            self.http.receive_data(self.inbox.read(len(self.inbox)))
+            while not self.said and self._event(self.http.next_event()):
+                pass
+        except h11.RemoteProtocolError as error:
+            self._say(Said(error.error_status_hint, f"{error}\n"))
+
+    def _event(self, event: object) -> bool:
+        """Whether there may be another one."""
+        match event:
+            case h11.Request():
+                self.asked = event
+            case h11.Data():
+                self.body += len(event.data)
+                if self.body > MOST_BODY:
+                    self._say(Said(413, f"a body of over {MOST_BODY} bytes\n"))
+            case h11.EndOfMessage() if self.asked is not None:
+                self.spoke = True
+                self._say(self.front.calls.answer(self.asked.method.decode("ascii", "replace"),
+                                                  self.asked.target.decode("ascii", "replace")))
+            case _:     # more is to come, or nothing ever will
+                return False
+        return True
+
+    def _say(self, said: Said) -> None:
+        if not self.said:
+            self.said = True
+            self.counters.add(f"admin.answered_{said.status}")
+            self.post(said)
+            self.finish()
+
+    def encode(self, message: Said) -> bytes:
+        body = message.body.encode()
+        headers = [(b"Content-Type", message.media), (b"Content-Length", str(len(body)).encode()),
+                   (b"Connection", b"close")]
+        if message.allow:
+            headers.append((b"Allow", message.allow.encode()))
+        head = h11.Response(status_code=message.status, headers=headers,
+                            reason=HTTPStatus(message.status).phrase)
+        if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return b""
+        # After what could not be read, and for HEAD, h11 takes no body; it has all that it needs in the head.
+        return b"".join(
+            self.http.send(event) or b"" for event in (head, *self._tail(body), h11.EndOfMessage()))
+
+    def _tail(self, body: bytes) -> tuple[h11.Data, ...]:
+        head_only = self.asked is not None and self.asked.method == b"HEAD"
+        return () if head_only else (h11.Data(data=body),)
+
+    def settled(self) -> bool:
+        return self.said or self.asked is None or not self.spoke
+
+    def input_ended(self) -> None:
+        if self.said:
+            return
+        if self.asked is not None or self.http.trailing_data[0]:
+            self._say(Said(400, "the call is cut off\n"))
+        self.finish()
+
+
+class AdminFront(Front[AdminPeer]):
+    """Listens at the second address."""
+
+    where = "admin"
+
+    def __init__(self, module: ModuleActor, calls: Calls, most: int = MOST_CONNECTIONS) -> None:
+        super().__init__(module, most)
+        self.calls = calls
+
+    def peer(self) -> AdminPeer:
+        return AdminPeer(self)
+
+    def no_room(self, peer: AdminPeer) -> None:
+        peer._say(Said(503, "too many calls at once\n"))
+
+    def ended(self, peer: AdminPeer) -> None:
+        """Nothing is open on it that anybody else holds."""
+
+    def look_at(self, peer: AdminPeer, now: float) -> None:
+        if now - peer.spoke_at > WHOLE_S:
+            peer._say(Said(408, "the call did not come whole in time\n"))
--- a/beechrock/config.py
+++ b/beechrock/config.py
@@ -76,6 +76,8 @@
     gauges: tuple[str, ...]
     scgi: Scgi | None
     trace: Trace | None = None
+    admin: Address | None = None        # the operators' second address
+    admin_at: str = field(default="", compare=False)    # where that was told
     raw: dict[str, Any] | None = None   # the platform's own settings, under those of an inventory
 
 
@@ -112,6 +114,8 @@
         raise ConfigError(f"{where}: name: one word is needed")
     listen = environ.get("LB_LISTEN") or told.get("listen")
     listen_at = "LB_LISTEN" if environ.get("LB_LISTEN") else f"{where}: listen"
+    admin = environ.get("LB_ADMIN_ADDR") or (told.get("admin_addr") if path else None)
+    admin_at = "LB_ADMIN_ADDR" if environ.get("LB_ADMIN_ADDR") else f"{where}: admin_addr"
     return Config(
         name=name,
         listen=_address(listen, listen_at, 0) if path else None,
@@ -123,6 +127,7 @@
         memory_mb=_number(limits, "memory_mb", MEMORY_MB, f"{where}: limits"),
         sockets=int(_number(limits, "sockets", SOCKETS, f"{where}: limits")),
         settings=settings, gauges=gauges, scgi=scgi, trace=_trace(mine, told_by_operator, root),
+        admin=_address(admin, admin_at, 0) if admin is not None else None, admin_at=admin_at,
         raw=told.get("settings", {}) if path and scgi is not None else None,
     )
 
--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -29,6 +29,7 @@
     Work,
     WorkUp,
 )
+from beechrock.core.tally import Tally
 from beechrock.core.wheel import Wheel
 from beechrock.decide import Node
 
@@ -78,6 +79,8 @@
         self.idle_s = 0.0
         self.leaving_until: float | None = None
         self.able: Callable[[], bool] = lambda: True    # whether runs can be started
+        self.offered: Callable[[], bool] = lambda: True     # whether operators want it listed
+        self.tally = Tally()
         self.work: Work | None = None
         self.calls: Calls | None = None
         self.tracer: Tracer | None = None
@@ -128,14 +131,20 @@
 
     def post(self, message: Message) -> bool:
         """Put a message into the mailbox; a full one is counted, and said to the sender."""
-        if isinstance(message, Taken) and len(self.mailbox) + len(self.book) >= self.most_open:
-            self.counters.add("intake.beyond_memory")
-            return False
+        if isinstance(message, Taken):
+            if len(self.mailbox) + len(self.book) >= self.most_open:
+                self.counters.add("intake.beyond_memory")
+                return False
+            self.tally.take()
         if isinstance(message, Gone) and not message.request.id:
-            message.request.gone = True     # it is still in the mailbox, and is passed over there
+            if not message.request.gone and not message.request.answered:
+                message.request.gone = True     # it is still in the mailbox, and is passed over there
+                self.tally.gone()
             return True
         if self.mailbox.put(message):
             return True
+        if isinstance(message, Taken):
+            self.tally.gone()       # its front answers it
         self.counters.add("trouble.mailbox_full")
         return False
 
@@ -212,6 +221,7 @@
             case Gone(request):
                 if not request.answered and not request.gone and request.id in self.book:
                     request.gone = True
+                    self.tally.gone()
                     self.counters.add("intake.gone")
                     events.append(api.CallerGone(request.id))
                     self._release(request, events, now)
@@ -286,6 +296,7 @@
         if self.tracer is not None:
             self.tracer.rejected(self.clock(), request, self._team(request), count)
         request.answered = True
+        self.tally.answered(request, Verdict.FAILED)
         request.answer(Answer(Verdict.FAILED, problem, advice=self.advice))
 
     def _answer_overdue(self, now: float) -> None:
@@ -430,6 +441,7 @@
         """The one place that hands an answer to a front: each request gets precisely one."""
         request.answered = True
         self.counters.add("answered." + answer.verdict.value)
+        self.tally.answered(request, answer.verdict)
         if self.tracer is not None:
             self.tracer.answered(self.clock(), request, answer)
         tell, request.answer = request.answer, _nobody
--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -83,7 +83,7 @@
         # Sent or to be sent, and not yet known to be read: by number in order, and the numbers by request.
         self.unproved: dict[int, tuple[Request, Command]] = {}
         self.unproved_of: dict[str, list[int]] = {}
-        self.last_notice = 0
+        self.last_notice = self.dispatches = 0      # ``dispatches``: runs handed over since the start
         self.numbers = itertools.count(1)       # of commands, and the tags of samples and checks among them
         self.sync_tag = ""
         self.exercises: dict[str, Callable[[bool], None]] = {}
@@ -144,7 +144,8 @@
     # --- commands
 
     def launch(self, request: Request) -> None:
-        self._send(request, Command(f"launch {request.trace} {request.route}", request.body, True))
+        self.dispatches += self._send(
+            request, Command(f"launch {request.trace} {request.route}", request.body, True))
 
     def stop(self, request: Request) -> None:
         self._send(request, Command(f"freeze {request.trace}"))
@@ -176,15 +177,16 @@
         if report is not None:
             report(good)
 
-    def _send(self, request: Request, command: Command) -> None:
+    def _send(self, request: Request, command: Command) -> bool:
         if len(self.unproved) >= MOST_COMMANDS:
             self.counters.add("trouble.agent_commands_full")
-            return
+            return False
         number = next(self.numbers)
         self.unproved[number] = request, command
         self.unproved_of.setdefault(request.trace, []).append(number)
         if self.link is not None and self.synced:
             self.link.post(command)
+        return True
 
     # --- notices
 
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -29,7 +29,9 @@
 
 
 class BadRequestError(Exception):
-    """A frame that is whole, but asks for what cannot be."""
+    """A frame that is whole, but asks for what cannot be; ``route`` where its class is a known one."""
+
+    route = ""
 
 
 def fields_of(data: bytes) -> tuple[dict[str, str], bytes]:
@@ -174,10 +176,13 @@
         try:
             request = self._request(stream, *fields_of(payload))
         except BadRequestError as error:
+            if error.route:
+                self.module.tally.unread(error.route, Verdict.FAILED)
             self._bad(stream, str(error))
             return
         if len(self.open) >= MOST_OPEN or not self.module.post(Taken(request)):
             self.counters.add("intake.frames_beyond_limit")
+            self.module.tally.unread(request.route, Verdict.REFUSED)
             self.post(Reply(ANSWER, stream, REFUSED, _advice(self.module.advice)))
             return
         self.open[stream] = request
@@ -186,6 +191,13 @@
         klass = self.front.routes.get(told.get("route", ""))
         if klass is None:
             raise BadRequestError(f"route: unknown class {told.get('route', '')!r}")
+        try:
+            return self._request_of(klass, stream, told, body)
+        except BadRequestError as error:
+            error.route = told["route"]
+            raise
+
+    def _request_of(self, klass: int, stream: int, told: dict[str, str], body: bytes) -> Request:
         settings = self.module.settings.classes[klass]
         nonce = told.get("nonce") or None
         if (settings.effect is Effect.KEYED) is not (nonce is not None):
@@ -240,7 +252,7 @@
 
     def _checked(self, stream: int, worked: bool) -> None:
         self.open.pop(stream, None)
-        good = worked and self.module.healthy and self.module.able()
+        good = worked and self.module.healthy and self.module.able() and self.module.offered()
         self.counters.add("answered.checks_good" if good else "answered.checks_bad")
         self.post(Reply(CHECKED, stream, 0 if good else 1, _advice(self.module.advice)))
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -3,7 +3,7 @@
 A line is one step; ``#`` starts a comment. Bytes are written as hex and "text", and ``{...}`` puts the length
 of what it holds, in four bytes, before it.
 
-    NAME = connect frames|scgi          a caller's connection
+    NAME = connect frames|scgi|admin    a caller's connection
     NAME = accept agent|ledger|server   the node's next connection to a stand-in
     NAME > BYTES    send        NAME < BYTES    wait for exactly these
     NAME ... BYTES  wait for anything that ends in these
@@ -136,7 +136,9 @@
         self.holes: dict[str, socket.socket] = {}   # stand-ins that listen and do no more
         self.fillers: list[socket.socket] = []
 
-    async def open(self, generation: Generation | None = None, settings: dict[str, Any] = SETTINGS) -> None:
+    async def open(
+        self, generation: Generation | None = None, settings: dict[str, Any] = SETTINGS, admin: bool = False,
+    ) -> None:
         for name in ("agent", "ledger"):
             await self.listen(name)
         await self.listen_for_beats()
@@ -145,7 +147,7 @@
         self.told = Config(
             name="n1", listen=("127.0.0.1", 0), agent=self.address("agent"), ledger=self.address("ledger"),
             registry=self.registry.get_extra_info("sockname"), seed=1, stop_s=4.0, memory_mb=192.0,
-            sockets=1024, settings=told, gauges=GAUGES, scgi=scgi)
+            sockets=1024, settings=told, gauges=GAUGES, scgi=scgi, admin=("127.0.0.1", 0) if admin else None)
         self.running = generation
         if generation:
             self.told = replace(self.told, raw=settings)
@@ -268,7 +270,8 @@
                 text = line.partition(" ")[2]
                 await until(lambda: text in self.beats, lambda: f"{self.beats[-3:]}")
             case [name, "=", "connect", kind]:
-                front = self.program.frames if kind == "frames" else self.program.scgi
+                program = self.program
+                front = {"frames": program.frames, "scgi": program.scgi, "admin": program.admin}[kind]
                 assert front is not None and front.server is not None
                 address = front.server.sockets[0].getsockname()[:2]
                 self.wires[name] = Wire(*await asyncio.open_connection(*address), False)
@@ -328,7 +331,7 @@
 
 def play(path: Path) -> None:
     async def work(stand: Stand) -> None:
-        await stand.open()
+        await stand.open(admin=path.name.startswith("admin"))
         await stand.play(path.read_text())
 
     run(work)
