Take connections from the inherited listening socket

Change: LB_LISTEN_FD names the socket; checked to be a listening TCP socket at the named address, exit 2 with what is wrong.

--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -192,7 +192,7 @@
                 raise config.ConfigError(f"{self.told.admin_at}: {error.strerror or error}") from None
             log.info("%s: second address %s", self.told.name, _address_of(self.admin.server))
         if self.frames is not None and self.told.listen is not None:
-            await self.frames.start(*self.told.listen)
+            await self.frames.start(*self.told.listen, self.told.listen_fd)
             log.info("%s: frames on %s", self.told.name, _address_of(self.frames.server))
         if self.scgi is not None and self.told.scgi is not None:
             await self.scgi.start(*self.told.scgi.listen)
--- a/beechrock/config.py
+++ b/beechrock/config.py
@@ -1,5 +1,7 @@
 """The one place that reads the environment, LB_CONFIG and the deploy/ files; it checks and gives defaults."""
 
+import os
+import socket
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -78,6 +80,7 @@
     trace: Trace | None = None
     admin: Address | None = None        # the operators' second address
     admin_at: str = field(default="", compare=False)    # where that was told
+    listen_fd: int | None = None        # the listening socket that the platform holds for us
     raw: dict[str, Any] | None = None   # the platform's own settings, under those of an inventory
 
 
@@ -116,9 +119,11 @@
     listen_at = "LB_LISTEN" if environ.get("LB_LISTEN") else f"{where}: listen"
     admin = environ.get("LB_ADMIN_ADDR") or (told.get("admin_addr") if path else None)
     admin_at = "LB_ADMIN_ADDR" if environ.get("LB_ADMIN_ADDR") else f"{where}: admin_addr"
+    listen_to = _address(listen, listen_at, 0) if path else None
+    fd = environ.get("LB_LISTEN_FD")
     return Config(
         name=name,
-        listen=_address(listen, listen_at, 0) if path else None,
+        listen=listen_to,
         agent=_address(told.get("agent"), f"{where}: agent") if path else None,
         ledger=_address(told["ledger"], f"{where}: ledger") if told.get("ledger") else None,
         registry=_address(told["registry"], f"{where}: registry") if told.get("registry") else None,
@@ -128,6 +133,7 @@
         sockets=int(_number(limits, "sockets", SOCKETS, f"{where}: limits")),
         settings=settings, gauges=gauges, scgi=scgi, trace=_trace(mine, told_by_operator, root),
         admin=_address(admin, admin_at, 0) if admin is not None else None, admin_at=admin_at,
+        listen_fd=_inherited(fd, listen_to) if fd and listen_to is not None else None,
         raw=told.get("settings", {}) if path and scgi is not None else None,
     )
 
@@ -265,6 +271,26 @@
     return host.strip("[]"), int(port)
 
 
+def _inherited(text: str, address: Address) -> int:
+    """The descriptor of a listening socket that was made for us, at the address that we are told."""
+    where = f"LB_LISTEN_FD {text!r}"
+    if not (text.isascii() and text.isdigit()):
+        raise ConfigError(f"{where}: not the number of a descriptor")
+    try:
+        with socket.socket(fileno=os.dup(int(text))) as found:
+            listens = found.type == socket.SOCK_STREAM and found.getsockopt(
+                socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+            name = found.getsockname()
+    except (OSError, OverflowError) as error:
+        problem = error.strerror if isinstance(error, OSError) else "too large"
+        raise ConfigError(f"{where}: {problem}") from None
+    if not listens or not isinstance(name, tuple):
+        raise ConfigError(f"{where}: not a listening TCP socket")
+    if address[1] not in (0, name[1]) or name[0] not in (address[0], "0.0.0.0", "::"):
+        raise ConfigError(f"{where}: listens at {name[0]}:{name[1]}, and not at {address[0]}:{address[1]}")
+    return int(text)
+
+
 def _number(told: Mapping[str, Any], key: str, default: float, where: str) -> float:
     value = told.get(key, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)) or not value > 0:
--- a/beechrock/net/front.py
+++ b/beechrock/net/front.py
@@ -41,8 +41,8 @@
 
     # The front.
 
-    async def start(self, host: str, port: int) -> None:
-        self.server = await listen(self._accepted, host, port)
+    async def start(self, host: str, port: int, fd: int | None = None) -> None:
+        self.server = await listen(self._accepted, host, port, fd)
         self._sweep()
 
     def close(self) -> None:
--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -1,6 +1,7 @@
 """The actor at one end of a connection: a mailbox, and a ring buffer a direction."""
 
 import asyncio
+import os
 import socket
 from collections.abc import Callable
 from typing import Generic, TypeVar
@@ -21,14 +22,18 @@
 
 
 async def listen(
-    accepted: Callable[[asyncio.StreamReader, asyncio.StreamWriter], None], host: str, port: int
+    accepted: Callable[[asyncio.StreamReader, asyncio.StreamWriter], None], host: str, port: int,
+    fd: int | None = None,
 ) -> asyncio.Server:
     """Listen with a long backlog, of which each turn of the loop takes a few.
 
-    asyncio takes as many at once as its backlog says: a rush of them could use up all descriptors.
+    ``fd``: at a socket that is there already. asyncio takes as many at once as its backlog says: a rush of them could use up all descriptors.
     """
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = socket.create_server((host, port), family=family, backlog=BACKLOG)
+    if fd is not None:      # a descriptor of our own for it: others hold it too, and it outlives us
+        sock = socket.socket(fileno=os.dup(fd))
+    else:
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.create_server((host, port), family=family, backlog=BACKLOG)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
     server = await asyncio.start_server(accepted, sock=sock, backlog=MOST_AT_ONCE, limit=CHUNK)
     sock.listen(BACKLOG)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,5 +1,6 @@
 """Configuration and inventory: what is wrong is refused with the file, the entry and the key."""
 
+import socket
 from pathlib import Path
 from typing import Any
 
@@ -42,6 +43,37 @@
     assert told.scgi is None
 
 
+def test_the_second_address_is_read_and_its_variable_comes_first(tmp_path: Path) -> None:
+    told = {**TOLD, "admin_addr": "127.0.0.1:9600"}
+    assert load(tmp_path, TOLD).admin is None
+    assert load(tmp_path, told).admin == ("127.0.0.1", 9600)
+    assert load(tmp_path, told, LB_ADMIN_ADDR="127.0.0.1:9601").admin == ("127.0.0.1", 9601)
+    with pytest.raises(config.ConfigError, match="LB_ADMIN_ADDR: 'here' is not HOST:PORT"):
+        load(tmp_path, told, LB_ADMIN_ADDR="here")
+
+
+def test_an_inherited_descriptor_is_a_listening_socket_at_the_named_address(tmp_path: Path) -> None:
+    def told(fd: object, at: str) -> config.Config:
+        return load(tmp_path, TOLD, LB_LISTEN=at, LB_LISTEN_FD=str(fd))
+
+    assert load(tmp_path, TOLD).listen_fd is None
+    with socket.create_server(("127.0.0.1", 0)) as held, socket.socket() as idle, \
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+        port = held.getsockname()[1]
+        assert told(held.fileno(), f"127.0.0.1:{port}").listen_fd == held.fileno()
+        assert held.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)     # looking did not close it
+        for fd, at, words in (
+                ("x", "127.0.0.1:1", "'x': not the number of a descriptor"),
+                (99_999, "127.0.0.1:1", "'99999': Bad file descriptor"),
+                (10**30, "127.0.0.1:1", "too large"),
+                (idle.fileno(), "127.0.0.1:1", "not a listening TCP socket"),
+                (datagrams.fileno(), "127.0.0.1:1", "not a listening TCP socket"),
+                (held.fileno(), "127.0.0.1:1", f"listens at 127.0.0.1:{port}, and not at 127.0.0.1:1")):
+            with pytest.raises(config.ConfigError, match="LB_LISTEN_FD") as error:
+                told(fd, at)
+            assert words in str(error.value)
+
+
 @pytest.mark.parametrize(("change", "words"), [
     ({"agent": "nowhere"}, "agent: 'nowhere' is not HOST:PORT"),
     ({"listen": None}, "listen: None is not HOST:PORT"),
