--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -26,12 +26,14 @@
 if TYPE_CHECKING:       # loaded where the second address, the SCGI front, or the record, is on
     from beechrock.admin.http import AdminFront
     from beechrock.admin.serving import Serving
+    from beechrock.handover.node import Handover
     from beechrock.inventory.generation import Generation
     from beechrock.inventory.keeper import Keeper
     from beechrock.trace.recorder import Recorder
 
 log = logging.getLogger("beechrock")
 EXIT_MARGIN_S = 0.25    # the process has ended this long before it would be killed
+LOOK_S = 0.05           # so often a process that has a successor looks whether anything is left to do
 
 # What a reload does not change; ``seed`` is new with each start, and means nothing later.
 FIXED = ("name", "listen", "admin", "stop_s", "memory_mb", "sockets", "settings", "gauges", "scgi", "trace")
@@ -53,7 +55,9 @@
         self.stamp, self.seen = stamp, seen     # of the configuration's file, now and when it was read
         self.seen_changed = seen                # and when it was looked at last
         self.counters = Counters()
-        self.module = ModuleActor(told.settings, told.seed, clock, self.counters, told.memory_mb)
+        # Where processes follow one another, two of them share the node's memory for a while.
+        memory_mb = told.memory_mb / (2 if told.listen_fd is not None else 1)
+        self.module = ModuleActor(told.settings, told.seed, clock, self.counters, memory_mb)
         self.recorder: Recorder | None = None
         if told.trace is not None:
             self._record(told.trace, clock)
@@ -80,17 +84,58 @@
         self.module.work = work
         self.ledger = Ledger(self.module, told.ledger, told.sockets // 8) if told.ledger else None
         self.module.calls = self.ledger
+        self.handover: Handover | None = None
+        self.replaced = self._open = False
+        if told.listen_fd is not None:
+            self._follow()
         self.serving: Serving | None = None
         self.admin: AdminFront | None = None
         if told.admin is not None:
             self._open_to_operators()
 
+    def _follow(self) -> None:
+        """Take an older process's place, and leave ours to a newer one."""
+        from beechrock.handover.node import Handover
+
+        assert self.frames is not None and self.told.listen is not None
+        node = "{}_{}".format(*self.told.listen)
+        frames = self.frames
+        self.handover = Handover(self.module, self.told.handover, node, lambda: len(frames.peers))
+        self.module.partner = self.handover
+        self.handover.changed = self._steer
+
+    def _steer(self) -> None:
+        """Take connections from the shared socket, or leave them to the other process."""
+        assert self.handover is not None and self.frames is not None
+        self.frames.most = max(self.told.sockets // 16,
+                               self.told.sockets * 5 // 8 - self.handover.others_connections)
+        if self.handover.life.accepting is not self._open:
+            self._open = self.handover.life.accepting
+            if self._open:
+                self.counters.spawn(self._take_connections(), "listen")
+            else:
+                self.frames.close()
+        if self.replaced and not self.handover.life.replaced:   # the successor is gone: this node leaves
+            self.replaced = False
+            self._tell_leave()
+
+    async def _take_connections(self) -> None:
+        assert self.frames is not None and self.told.listen is not None
+        await self.frames.start(*self.told.listen, self.told.listen_fd)
+        log.info("%s: frames on %s", self.told.name, _address_of(self.frames.server))
+        if not self._open:
+            self.frames.close()
+
     def _open_to_operators(self) -> None:
         from beechrock.admin.http import AdminFront, Calls
         from beechrock.admin.serving import Serving
 
-        agent = self.agent
-        self.serving = serving = Serving(lambda: self.module.able())
+        agent, handover = self.agent, self.handover
+        self.serving = serving = Serving(
+            lambda: self.module.able() and (handover is None or handover.life.serves))
+        if handover is not None:
+            serving.told, handover.word = handover.operator, serving.hear
+            handover.failed = lambda: serving.failed
         self.module.offered = lambda: serving.offered
         self.admin = AdminFront(
             self.module, Calls(self.module, serving, lambda: agent.dispatches if agent is not None else 0))
@@ -141,10 +186,17 @@
         self.leaving.set()
         if self.serving is not None:
             self.serving.leave()
-        self.module.post(Leave(self.told.stop_s))
+        self.replaced = self.handover is not None and self.handover.leave()
+        self._tell_leave()
         if self.frames is not None:
             self.frames.leave()
-        if self.registry is not None:
+        if self.handover is not None:
+            self._steer()
+
+    def _tell_leave(self) -> None:
+        """The module, and unless another process goes on as this node, the registry."""
+        self.module.post(Leave(self.told.stop_s, self.replaced))
+        if self.registry is not None and not self.replaced:
             self.registry.mailbox.put("draining")
 
     def reload(self) -> None:
@@ -191,7 +243,7 @@
             except OSError as error:
                 raise config.ConfigError(f"{self.told.admin_at}: {error.strerror or error}") from None
             log.info("%s: second address %s", self.told.name, _address_of(self.admin.server))
-        if self.frames is not None and self.told.listen is not None:
+        if self.frames is not None and self.told.listen is not None and self.handover is None:
             await self.frames.start(*self.told.listen, self.told.listen_fd)
             log.info("%s: frames on %s", self.told.name, _address_of(self.frames.server))
         if self.scgi is not None and self.told.scgi is not None:
@@ -202,7 +254,7 @@
         """Listen, and let the actors run."""
         await self.listen()
         actors = {"module": self.module, "registry": self.registry, "inventory": self.keeper,
-                  "trace": self.recorder}
+                  "trace": self.recorder, "handover": self.handover}
         self.tasks = [self.counters.spawn(a.run(), name) for name, a in actors.items() if a is not None]
         if self.agent is not None:
             self.agent.begin()
@@ -212,6 +264,8 @@
         for front in (self.frames, self.scgi, self.admin):
             if front is not None:
                 front.close()
+        if self.handover is not None:
+            self.handover.close()
 
     async def run(self) -> None:
         """From the first connection to the way out, as the signals ask."""
@@ -226,7 +280,7 @@
         gc.freeze()     # what is here now stays; full collections look at the rest only, and so come in time
         await self.leaving.wait()
         # Requests in the backlog of a listening socket are ours too: it stays open, and read, to the end.
-        await asyncio.sleep(max(0.0, self.told.stop_s - EXIT_MARGIN_S))
+        await self._worked_off()
         self.close()
         await asyncio.sleep(EXIT_MARGIN_S / 3)
         for task in self.tasks:
@@ -239,6 +293,14 @@
         self.module.report()
 
 
+    async def _worked_off(self) -> None:
+        """Until the process has to end; with a successor, until nothing is left to do."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.told.stop_s - EXIT_MARGIN_S
+        while (left := end - loop.time()) > 0 and not (self.handover is not None and self.handover.may_go()):
+            await asyncio.sleep(left if self.handover is None else min(left, LOOK_S))
+
+
 async def serve(told: config.Config, seen: tuple[int, ...]) -> None:
     """Run until the notice to leave has been worked off."""
 
--- a/beechrock/admin/serving.py
+++ b/beechrock/admin/serving.py
@@ -26,6 +26,7 @@
     def __init__(self, able: Callable[[], bool]) -> None:
         self.able = able        # whether runs can be started
         self.failed = self.leaving = False
+        self.told: Callable[[bool], None] = lambda _: None      # hears each word, to pass it on
 
     @property
     def state(self) -> State:
@@ -48,6 +49,7 @@
     def fail(self) -> bool:
         """Drain. Always a yes: while leaving, what is asked for holds already."""
         self.failed = True
+        self.told(True)
         return True
 
     def ok(self) -> bool:
@@ -55,7 +57,12 @@
         if self.leaving:
             return False
         self.failed = False
+        self.told(False)
         return True
 
+    def hear(self, failed: bool) -> None:
+        """A word that was said at the node's other process."""
+        self.failed = failed
+
     def leave(self) -> None:
         self.leaving = True
--- a/beechrock/config.py
+++ b/beechrock/config.py
@@ -81,6 +81,7 @@
     admin: Address | None = None        # the operators' second address
     admin_at: str = field(default="", compare=False)    # where that was told
     listen_fd: int | None = None        # the listening socket that the platform holds for us
+    handover: Path | None = None        # with it: the folder that this node's processes share
     raw: dict[str, Any] | None = None   # the platform's own settings, under those of an inventory
 
 
@@ -134,6 +135,7 @@
         settings=settings, gauges=gauges, scgi=scgi, trace=_trace(mine, told_by_operator, root),
         admin=_address(admin, admin_at, 0) if admin is not None else None, admin_at=admin_at,
         listen_fd=_inherited(fd, listen_to) if fd and listen_to is not None else None,
+        handover=Path(environ["TMPDIR"]) if fd and environ.get("TMPDIR") else None,
         raw=told.get("settings", {}) if path and scgi is not None else None,
     )
 
--- a/beechrock/core/keys.py
+++ b/beechrock/core/keys.py
@@ -54,6 +54,14 @@
         if key and (entry := self._entries.get(key)) is not None and entry.request is request:
             del self._entries[key]
 
+    def holds(self, request: Request) -> bool:
+        """Whether it is this request that its key stands for."""
+        key = self.key(request)
+        return key is not None and (entry := self._entries.get(key)) is not None and entry.request is request
+
+    def entries(self) -> list[Entry]:
+        return list(self._entries.values())
+
     def sweep(self, now: float) -> None:
         dead = [key for key, e in self._entries.items() if e.until + SLACK_S + self.linger_s < now]
         for key in dead:
--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -16,9 +16,11 @@
     CallDone,
     Calls,
     CallWanted,
+    Elsewhere,
     Gone,
     Leave,
     Message,
+    Partner,
     Renew,
     Request,
     RunEnded,
@@ -78,12 +80,14 @@
         self.healthy, self.stored = True, False
         self.idle_s = 0.0
         self.leaving_until: float | None = None
+        self.replaced = False
         self.able: Callable[[], bool] = lambda: True    # whether runs can be started
         self.offered: Callable[[], bool] = lambda: True     # whether operators want it listed
         self.tally = Tally()
         self.work: Work | None = None
         self.calls: Calls | None = None
         self.tracer: Tracer | None = None
+        self.partner: Partner | None = None     # the other process of this node
         self.wheel.at(now + SWEEP_S, self._sweep)
 
     def trace(self, tracer: Tracer) -> None:
@@ -192,6 +196,9 @@
             # 0.4 s; each was launched in vain, and its wait made the module call itself full.
             if isinstance(message, Taken) and message.request.gone:
                 self.counters.add("intake.gone_unread")
+                self._done_with(message.request)
+                continue
+            if isinstance(message, Taken) and not self._cleared(message.request):
                 continue
             if isinstance(message, Taken) and (key := KeyTable.key(message.request)) is not None:
                 if key in new:      # whether the first of them is kept shows only after this batch
@@ -249,10 +256,44 @@
                 # a change within the ramp let all runs in at once.
                 cold = settings.cold_start or self.node.s.cold_start
                 events.append(api.Renewed(replace(settings, cold_start=cold)))
-            case Leave(left):
+            case Leave(left, replaced):
                 if self.leaving_until is None:
-                    self.leaving_until = now + left
-                    events.append(api.Leaving(left))
+                    self.leaving_until, self.replaced = now + left, replaced
+                    events.append(api.Leaving(left, replaced))
+                elif self.replaced and not replaced:    # the successor is gone: this node leaves after all
+                    self.replaced = False
+                    events.append(api.Leaving(self.leaving_until - now))
+            case Elsewhere(runs, kb, calls):
+                events.append(api.Elsewhere(runs, kb, calls))
+
+    def _cleared(self, request: Request) -> bool:
+        """Whether the other process of this node has no say in a try, or has said it."""
+        if self.partner is None or request.granted or request.nonce is None or self.keys.find(request):
+            return True
+        if not request.digest:
+            request.digest = _digest(request)
+        return self.partner.want(request)
+
+    def turn_back(self, request: Request, after_s: float) -> None:
+        """Nobody can tell whether a try of this key ran: this one does not. It was not taken in."""
+        if not request.answered and not request.gone:
+            self.counters.add("intake.in_doubt")
+            longest = self.settings.max_retry_after_s or after_s
+            self._send(request, Answer(
+                Verdict.REFUSED, b"", min(after_s, longest) if self.settings.retry_after else None))
+
+    def shared_out(self, first: Request) -> None:
+        """The other's request is over: those that wait for its result get it."""
+        waiters, first.waiters = first.waiters, []
+        now = self.clock()
+        for waiter in waiters:
+            self._share_out(waiter, first, self.next_events, now)
+        if waiters:
+            self.mailbox.wake()
+
+    def _done_with(self, request: Request, kept: bool = False) -> None:
+        if self.partner is not None and request.nonce is not None:
+            self.partner.over(request, kept)
 
     def _taken(self, request: Request, events: list[api.Event], now: float) -> None:
         self.counters.add("intake.requests")
@@ -266,7 +307,9 @@
         first = self.keys.find(request)
         if settings.effect is api.Effect.KEYED:
             # Seen on a rough day: a key with another body got the first one's result, and so was 'served'.
-            request.digest = hashlib.blake2b(request.body, digest_size=16).digest()
+            request.digest = request.digest or _digest(request)
+            if first is None and self.partner is not None:
+                first = self.partner.find(request)
             if first is not None and first.digest != request.digest:
                 return self._reject(request, "key_with_other_body", b"this key came with another body")
         self.last_id += 1
@@ -297,6 +340,7 @@
             self.tracer.rejected(self.clock(), request, self._team(request), count)
         request.answered = True
         self.tally.answered(request, Verdict.FAILED)
+        self._done_with(request)
         request.answer(Answer(Verdict.FAILED, problem, advice=self.advice))
 
     def _answer_overdue(self, now: float) -> None:
@@ -324,7 +368,7 @@
         if outcome is api.Outcome.OK:
             request.result, request.media = end.result, end.media
         if outcome is api.Outcome.REJECTED:     # it never ran, so a further try of its key is no repeat
-            self.keys.forget(request)
+            self._forget(request)
         if not request.answered and not request.gone:
             served = outcome is api.Outcome.OK
             answer = Answer(Verdict.SERVED, end.result, media=end.media) if served else Answer(Verdict.FAILED)
@@ -337,6 +381,7 @@
         if request.running or not (request.answered or request.gone) or request.over:
             return
         request.over, request.ended_at = True, now
+        self._done_with(request, self.keys.holds(request) if self.partner is not None else False)
         # A kept request must hold neither its body nor, by ``answer``, a connection that is long closed.
         request.body, request.first, request.answer = b"", None, _nobody
         if request.overdue is not None:
@@ -417,13 +462,12 @@
                 request.call_body = None
                 self.work.forgo(request, request.call_mark)
             case api.Keep(_, ttl):
-                if not self.keys.keep(request, now + ttl, now):
-                    self.counters.add("trouble.keys_full")
-                    if not request.running:     # not remembered it must not run: a repeat would run again
-                        self._answer(request, Answer(Verdict.REFUSED), now)
-                        self.next_events.append(api.Finished(request.id, api.Outcome.REJECTED, 0.0))
+                if not self._keep(request, now + ttl, now) and not request.running:
+                    # Not remembered it must not run: a repeat would run again.
+                    self._answer(request, Answer(Verdict.REFUSED), now)
+                    self.next_events.append(api.Finished(request.id, api.Outcome.REJECTED, 0.0))
             case api.Forget():
-                self.keys.forget(request)
+                self._forget(request)
             case api.Share():
                 first = request.first
                 request.shared_at = now
@@ -432,6 +476,26 @@
                 else:
                     first.waiters.append(request)
 
+    def _keep(self, request: Request, until: float, now: float) -> bool:
+        """Remember a request, here and in the other process of this node."""
+        if not self.keys.keep(request, until, now):
+            self.counters.add("trouble.keys_full")
+            return False
+        if self.partner is not None and request.nonce is not None and not self.partner.kept(request, until):
+            self.counters.add("intake.untold")      # killed now, this process would leave its run unknown
+            self._forget(request)
+            return False
+        return True
+
+    def _forget(self, request: Request) -> None:
+        self.keys.forget(request)
+        if self.partner is not None and request.nonce is not None:
+            self.partner.forgotten(request)
+
+    def load(self) -> Elsewhere:
+        """What this process has on the cores, holds and has in calls, in the words of the other's module."""
+        return Elsewhere(*self.node.load())
+
     def _answer(self, request: Request, answer: Answer, now: float) -> None:
         if not request.answered and not request.gone:
             self._send(request, answer)
@@ -469,6 +533,10 @@
         self.wheel.at(now + SWEEP_S, self._sweep)
 
 
+def _digest(request: Request) -> bytes:
+    return hashlib.blake2b(request.body, digest_size=16).digest()
+
+
 def _nobody(answer: Answer) -> None:
     """Where the answer of a request goes that has had it."""
 
--- a/beechrock/core/requests.py
+++ b/beechrock/core/requests.py
@@ -49,6 +49,7 @@
     overdue: Timer | None = None
     id: int = 0
     digest: bytes = b""         # keyed classes: of the body, which itself is dropped at the end
+    granted: bool = False       # its key, by the other process of this node
     first: "Request | None" = None                          # the try that this one repeats
     waiters: "list[Request]" = field(default_factory=list)  # repeats that share this one's result
     answered: bool = False
@@ -84,6 +85,25 @@
     def abandon(self, request: Request) -> None: ...
 
 
+class Partner(Protocol):
+    """The other process of this node, where one takes another's place: which keys it may run, or has run."""
+
+    def want(self, request: Request) -> bool:
+        """Whether a keyed try may be taken in now; if not, it comes again, or has its answer."""
+        ...
+
+    def find(self, request: Request) -> Request | None:
+        """The other's request that this one repeats."""
+        ...
+
+    def kept(self, request: Request, until: float) -> bool:
+        """It is about to run. False where the other cannot be told of that: then it must not."""
+        ...
+
+    def forgotten(self, request: Request) -> None: ...
+    def over(self, request: Request, kept: bool) -> None: ...
+
+
 class Tracer(Protocol):
     """Who notes what the module is told and says, and what becomes of requests. It must not wait."""
 
@@ -149,9 +169,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Leave:
-    """The notice to leave: the process is stopped this long from now."""
+    """The notice to leave: the process is stopped this long from now. ``replaced``: the node stays."""
 
     left_s: float
+    replaced: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """What the other process of this node has on the cores, holds, and has in calls."""
+
+    runs: int = 0
+    kb: float = 0.0
+    calls: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,4 +191,4 @@
     settings: Settings
 
 
-Message = Taken | Gone | RunEnded | CallWanted | CallDone | Sampled | WorkUp | Renew | Leave
+Message = Taken | Gone | RunEnded | CallWanted | CallDone | Sampled | WorkUp | Renew | Leave | Elsewhere
--- a/beechrock/decide.py
+++ b/beechrock/decide.py
@@ -114,6 +114,7 @@
         self.carry = self.arrivals = self.lam = self.peak_rate = 0.0
         self.tenants = [(t.share or 0.0) / (1 - TENANT_KEPT) for t in s.tenants]
         self.slot_end, self.said, self.unread_s, self.healthy = now + self.slot_s, -1.0, 0.0, True
+        self.other = api.Elsewhere()    # what another process of this node has, on the same cores
         self.calls, self.calls_per = Meter(self.mean_aim), [1.0] * len(s.classes)
         self.most_calls = 2.0 * s.cores if s.calls_share is None else CALLS_MARGIN * s.calls_share
         self.call_limit, self.calls_from, self.call_fails, self.call_heard = self.most_calls, now, 0, now
@@ -144,11 +145,14 @@
                 self._learn_limit(gauges)
             case api.Renewed(settings):
                 self._renew(settings)
-            case api.Leaving(left):     # checks fail at once; what comes before the grace ends may still run
+            case api.Elsewhere():
+                self.other = event
+            case api.Leaving(left, replaced):   # what comes before the grace ends may still run
                 self.leave_at, self.kill_at = self.now, self.now + left * (1 - DRAIN_MARGIN)
-                self.full_at = min(self.now + DRAIN_OPEN * (self.s.drain_grace_s or 0.0),
-                                   self.kill_at - self.mean_aim)
-                self.out.append(api.Health(False))
+                if not replaced:    # checks fail at once, and callers are sent elsewhere in time
+                    self.full_at = min(self.now + DRAIN_OPEN * (self.s.drain_grace_s or 0.0),
+                                       self.kill_at - self.mean_aim)
+                    self.out.append(api.Health(False))
             case _ if event.id in self.jobs:
                 self._progress(self.jobs[event.id], event)
 
@@ -183,11 +187,11 @@
 
     def _advance(self, now: float) -> None:
         passed, self.now = now - self.now, now
-        self.cores.advance(passed, self.count[RUNNING] / self.limit)
+        self.cores.advance(passed, self.count[RUNNING] / self._rest(self.limit, self.other.runs))
         # Below one call at a time, the pause between calls is full use too while someone waits for it.
         self.calls.advance(passed, self.count[IN_CALL] / max(1.0, self.call_limit)
                            or self.count[AT_CALL] * (self.call_limit < 1))
-        self.call_time_s += passed * (self.count[IN_CALL] + len(self.lingering))
+        self.call_time_s += passed * (self.count[IN_CALL] + len(self.lingering) + self.other.calls)
         while now >= self.slot_end:
             self._shift()
         while self.lingering and self.lingering[0] <= now:
@@ -206,7 +210,7 @@
         self.timer_at = math.inf
         cores, busy, queue = self.s.cores, gauges.cpu_busy, gauges.runnable
         if busy is not None and queue is not None:
-            fewer = queue > 1.5 * cores and self.count[RUNNING] >= self.limit - 1
+            fewer = queue > 1.5 * cores and self.count[RUNNING] + self.other.runs >= self.limit - 1
             more = busy < 0.95 and queue < cores and self.count[HELD] > 0
             self.limit = min(max(self.limit + 0.5 * more - 0.5 * fewer, 1.0 * cores), 2.5 * cores)
 
@@ -357,7 +361,16 @@
             cold = s.cold_from or 0.0
             share = min(1.0, cold + (1 - cold) * (self.now - self.started) / s.ramp_s)
         crowd = s.cores * (1 + ((s.crowd_multiple or math.inf) - 1) * share)
-        return max(1, int(min(self.limit, CROWD_MARGIN * crowd)))
+        return max(1, int(self._rest(min(self.limit, CROWD_MARGIN * crowd), self.other.runs)))
+
+    def _rest(self, limit: float, taken: int) -> float:
+        """Of a limit of the node, what the other process leaves; half of it if it takes more."""
+        return max(limit / 2, limit - taken)
+
+    def load(self) -> tuple[int, float, int]:
+        """For the other process: runs on the cores, kilobytes held, calls in hand."""
+        keys_kb = len(self.keys) * (self.s.key_kb or 0.0)
+        return self.count[RUNNING], self.memory_kb + keys_kb, self.count[IN_CALL] + len(self.lingering)
 
     def _first(self, queue: Queue, phase: int) -> Job | None:
         while queue:
@@ -427,7 +440,7 @@
             if self.now + self.call_s > end and (self.now >= end or self.count[IN_CALL]):
                 self._go_without(job)
             elif (self.now < self.calls_from or room < self.call_s
-                  or self.count[IN_CALL] + len(self.lingering) + 1 > max(1.0, self.call_limit)):
+                  or self.load()[2] + 1 > max(1.0, self._rest(self.call_limit, self.other.calls))):
                 break
             else:
                 self._move(job, IN_CALL)
@@ -474,7 +487,7 @@
     # --- guards for the rules
 
     def _memory_full(self, more_kb: float, share: float) -> bool:
-        return self.memory_kb + len(self.keys) * (self.s.key_kb or 0.0) + more_kb > share * self.s.memory_kb
+        return self.load()[1] + self.other.kb + more_kb > share * self.s.memory_kb
 
     def _keep(self, job: Job, ttl: float) -> bool:
         """Remember the request, so that its repeats are known, if memory has room for that."""
--- /dev/null
+++ b/beechrock/handover/claims.py
@@ -0,0 +1,241 @@
+"""Which of two processes may run a keyed request. Pure.
+
+One of them, the predecessor, is the authority. It runs what it likes, but says so before (``Claimed``). The
+successor asks for each key (``Ask``) and runs it only when that is ``Granted``. Once the predecessor is
+gone, and all that it said has been read, the successor decides by itself.
+
+``theirs`` holds the claims of the other process, and of those before it; they stand until they are released
+or their window is over. ``mine`` holds, in a successor, what was granted and may still be given back.
+
+Invariants: a key is never granted while it is claimed by either; what was granted is released only when no
+try here uses it any more and none was kept; what the other held when it went is never free in its window.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Generic, TypeVar
+
+from beechrock.core.keys import SLACK_S
+from beechrock.handover import wire
+
+T = TypeVar("T")
+# A question unanswered for so long is a refusal. On the days of upgrades the other's loop is late by 60 ms.
+ASK_S = 0.3
+MOST_ASKED = 2000       # tries that wait for an answer
+MOST_GRANTED = 20_000   # granted keys with no use here any more are released, so these are live ones
+
+
+class Side(Enum):
+    """What the other process is to this one."""
+
+    ALONE = "alone"
+    PREDECESSOR = "predecessor"
+    SUCCESSOR = "successor"
+    STRANGER = "stranger"
+
+
+class Answer(Enum):
+    """What is to become of a try."""
+
+    GO = "go"           # by what is known here: fresh, or a repeat of what ``find`` gives
+    WAIT = "wait"       # the other has been asked
+    BACK = "back"       # nobody can tell: it must not run
+
+
+@dataclass(slots=True, eq=False)
+class Claim:
+    """One key that the other process holds, or held."""
+
+    key: bytes
+    digest: bytes
+    until: float
+    over: bool = False
+    good: bool = False
+    media: str = ""
+    result: bytes = b""
+
+
+@dataclass(slots=True)
+class Mine:
+    """A key that was granted to this process."""
+
+    uses: int = 0
+    kept: bool = False
+    until: float = 0.0
+
+
+@dataclass(slots=True)
+class Asked(Generic[T]):
+    due: float
+    tries: list[T] = field(default_factory=list)
+
+
+class Claims(Generic[T]):
+    """The claims of one process; ``T`` is whatever names a waiting try. ``out``: what to tell the other."""
+
+    def __init__(self, window_s: float, linger_s: float, most: int, most_bytes: int) -> None:
+        self.window_s, self.linger_s, self.most, self.most_bytes = window_s, linger_s, most, most_bytes
+        self.side = Side.ALONE
+        self.theirs: dict[bytes, Claim] = {}
+        self.mine: dict[bytes, Mine] = {}
+        self.asked: dict[bytes, Asked[T]] = {}
+        self.out: list[wire.Message] = []
+        self.doubt_until = 0.0
+        self.result_bytes = self.waiting = 0
+
+    # --- a try here
+
+    def find(self, key: bytes, born: float) -> Claim | None:
+        """The other's claim of which a try born then is a repeat."""
+        claim = self.theirs.get(key)
+        return claim if claim is not None and born <= claim.until + SLACK_S else None
+
+    def want(self, key: bytes, digest: bytes, born: float, until: float, of: T, now: float) -> Answer:
+        """A try came whose key nobody here holds."""
+        if self.find(key, born) is not None:
+            return Answer.GO
+        if self.side is Side.STRANGER or now < self.doubt_until:
+            return Answer.BACK
+        if self.side is not Side.PREDECESSOR:
+            return Answer.GO
+        if key in self.mine:
+            self.mine[key].uses += 1
+            return Answer.GO
+        if self.waiting >= MOST_ASKED or len(self.mine) >= MOST_GRANTED:
+            return Answer.BACK
+        asked = self.asked.get(key)
+        if asked is None:
+            asked = self.asked[key] = Asked(now + ASK_S)
+            self.out.append(wire.Ask(key, digest, born, until))
+        elif now >= asked.due:
+            return Answer.BACK
+        asked.tries.append(of)
+        self.waiting += 1
+        return Answer.WAIT
+
+    def kept(self, key: bytes, digest: bytes, until: float) -> None:
+        """A try here is about to run."""
+        if key in self.mine:
+            self.mine[key].kept, self.mine[key].until = True, until
+        elif self.side is Side.SUCCESSOR:
+            self.out.append(wire.Claimed(key, digest, until))
+
+    def forgotten(self, key: bytes) -> None:
+        """It did not run after all."""
+        if key in self.mine:
+            self.mine[key].kept = False
+            self._give_back(key)
+        elif self.side is Side.SUCCESSOR:
+            self.out.append(wire.Released(key))
+
+    def ended(self, key: bytes, good: bool, media: str, result: bytes) -> None:
+        """It ran, and is over."""
+        if self.side in (Side.SUCCESSOR, Side.PREDECESSOR):
+            self.out.append(wire.Ended(key, good, media, result))
+
+    def done(self, key: bytes) -> None:
+        """A try here that ``want`` let go, and that was granted, has no further use of it."""
+        if key in self.mine:
+            self.mine[key].uses -= 1
+            self._give_back(key)
+
+    def _give_back(self, key: bytes) -> None:
+        mine = self.mine[key]
+        if mine.uses <= 0 and not mine.kept:
+            del self.mine[key]
+            self.out.append(wire.Released(key))
+
+    # --- the other's word
+
+    def heard(self, message: wire.Message, held: bool) -> tuple[list[T], list[Claim]]:
+        """Tries that may go on now, and claims that are over. ``held``: a try here holds the asked key."""
+        match message:
+            case wire.Claimed(key, digest, until):
+                self._theirs(Claim(key, digest, until))
+            case wire.Released(key):
+                claim = self.theirs.pop(key, None)
+                if claim is not None:
+                    return [], [self._over(claim, False, "", b"")]
+            case wire.Ended(key, good, media, result):
+                claim = self.theirs.get(key)
+                if claim is not None and not claim.over:
+                    return [], [self._over(claim, good, media, result)]
+            case wire.Ask():
+                self._asked(message, held)
+            case wire.Granted(key):
+                tries = self._answered(key)
+                if not tries:       # all were turned away meanwhile, or have gone
+                    self.out.append(wire.Released(key))
+                    return [], []
+                self.mine[key] = Mine(len(tries))
+                return tries, []
+            case wire.Denied(key):
+                return self._answered(key), []
+        return [], []
+
+    def _asked(self, ask: wire.Ask, held: bool) -> None:
+        claim = self.find(ask.key, ask.born)
+        if claim is not None and claim.over:    # it ran, and the other no longer knows that it did
+            self.out += [wire.Claimed(ask.key, claim.digest, claim.until),
+                         wire.Ended(ask.key, claim.good, claim.media, claim.result), wire.Denied(ask.key)]
+        elif held:
+            self.out.append(wire.Denied(ask.key))
+        else:
+            if claim is None:
+                self._theirs(Claim(ask.key, ask.digest, ask.until))
+            self.out.append(wire.Granted(ask.key))
+
+    def _answered(self, key: bytes) -> list[T]:
+        asked = self.asked.pop(key, None)
+        tries = asked.tries if asked is not None else []
+        self.waiting -= len(tries)
+        return tries
+
+    def _theirs(self, claim: Claim) -> None:
+        old = self.theirs.get(claim.key)
+        if old is not None:
+            old.until = max(old.until, claim.until)
+            return
+        if len(self.theirs) >= self.most:   # what there is no room for may run: in doubt until it is over
+            self.doubt_until = max(self.doubt_until, claim.until + SLACK_S + self.linger_s)
+            return
+        self.theirs[claim.key] = claim
+
+    def _over(self, claim: Claim, good: bool, media: str, result: bytes) -> Claim:
+        claim.over, claim.good, claim.media, claim.result = True, good, media, result
+        self.result_bytes += len(result)
+        for old in self.theirs.values() if self.result_bytes > self.most_bytes else ():
+            if old.over and old.result:     # the oldest results go; their repeats fail, as they ran
+                self.result_bytes -= len(old.result)
+                old.good, old.result = False, b""
+                if self.result_bytes <= self.most_bytes:
+                    break
+        return claim
+
+    # --- time, and the other's end
+
+    def lost(self, now: float) -> tuple[list[T], list[Claim]]:
+        """The other process is gone, and all that it said has been read."""
+        if self.side is Side.STRANGER:      # nobody knows what it ran
+            self.doubt_until = max(self.doubt_until, now + self.window_s + SLACK_S + self.linger_s)
+        self.side = Side.ALONE
+        self.mine.clear()
+        over = [self._over(claim, False, "", b"") for claim in self.theirs.values() if not claim.over]
+        return [of for key in list(self.asked) for of in self._answered(key)], over
+
+    def late(self, now: float) -> list[T]:
+        """Tries whose question was not answered in time; it stands, as the answer may still come."""
+        back: list[T] = []
+        for asked in self.asked.values():
+            if now >= asked.due and asked.tries:
+                back += asked.tries
+                self.waiting -= len(asked.tries)
+                asked.tries = []
+        return back
+
+    def sweep(self, now: float) -> None:
+        """Drop what no try can repeat any more."""
+        for key in [k for k, m in self.mine.items() if m.kept and m.until + self.linger_s < now]:
+            del self.mine[key]
+        for key in [k for k, c in self.theirs.items() if c.until + SLACK_S + self.linger_s < now]:
+            self.result_bytes -= len(self.theirs.pop(key).result)
--- /dev/null
+++ b/beechrock/handover/node.py
@@ -0,0 +1,421 @@
+"""The actor of a replacement: between the module's actor, the other process, and the shared socket."""
+
+import asyncio
+import hashlib
+import logging
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+from beechrock.core.keys import SLACK_S
+from beechrock.core.module import ModuleActor
+from beechrock.core.requests import Elsewhere, Request, Taken
+from beechrock.handover import wire
+from beechrock.handover.channel import Channel, ChannelPeer, same_user
+from beechrock.handover.claims import ASK_S, Answer, Claim, Claims, Side
+from beechrock.handover.life import Before, Life
+from beechrock.interface import Effect
+
+log = logging.getLogger("beechrock")
+PULSE_S = 0.01          # the other hears of our load so often; its own batches come no closer than 4 ms
+AGAIN_S = 0.05          # between two attempts to reach a predecessor
+SWEEP_S = 1.0
+CHUNK_CLAIMS = 200      # of a copy, in one turn of the loop
+# Results follow the claims at this pace: what the kernel holds for a reader that is 60 ms late stays far
+# under its 200 KB, so that claims always find room.
+RESULT_BYTES, RESULT_PAUSE_S = 32_768, 0.02
+
+
+class Handover:
+    """One process's part in a replacement."""
+
+    def __init__(
+        self, module: ModuleActor, folder: Path | None, node: str, connections: Callable[[], int],
+    ) -> None:
+        self.module, self.counters, self.connections = module, module.counters, connections
+        self.life = Life()
+        classes = module.settings.classes
+        keyed = [c for c in classes if c.effect is Effect.KEYED]
+        self.claims: Claims[Request] = Claims(
+            max((c.window_s or c.give_up_s for c in keyed), default=0.0), module.keys.linger_s,
+            2 * module.keys.capacity, module.most_results)
+        self.channel = Channel(folder, node) if folder is not None else None
+        self.before: ChannelPeer | None = None      # towards the predecessor
+        self.after: ChannelPeer | None = None       # towards the successor
+        self.waiting: list[ChannelPeer] = []        # successors that are still to be heard
+        self.firsts: dict[bytes, Request] = {}      # the other's requests that tries here repeat
+        self.ours: dict[bytes, float] = {}          # our claims and their ends, while a successor is there
+        self.failed: Callable[[], bool] = lambda: False         # whether an operator drains this node
+        self.word: Callable[[bool], None] = lambda _: None      # told of an operator's word at the other
+        self.changed: Callable[[], None] = lambda: None         # whether connections are taken may have
+        self.others_connections = 0
+        self._pulsing: asyncio.Task[None] | None = None
+        self._said_ready = False
+        self._load = wire.Load(0, 0.0, 0, 0)
+        self._swept_at = module.clock()
+
+    @property
+    def peer(self) -> ChannelPeer | None:
+        """The other process, as far as claims go."""
+        return self.before if self.before is not None else self.after
+
+    # --- the way in
+
+    async def run(self) -> None:
+        """Listen for a successor, and find the predecessor."""
+        if self.channel is None:
+            log.warning("handover: TMPDIR is not set: this process can neither follow nor be followed")
+            return self._nobody()
+        try:
+            await self.channel.listen(self._accepted)
+        except OSError as error:
+            log.warning("handover: %s: no successor can be heard", error)
+        while True:
+            try:
+                found = await self.channel.connect()
+            except OSError as error:    # it may be there, and cannot be reached
+                self.counters.add("handover.unreachable")
+                log.warning("handover: predecessor: %s", error)
+                self.life.found(self.module.clock())
+                self._pulse_on()
+                await asyncio.sleep(AGAIN_S)
+                continue
+            if found is None:
+                return self._nobody()
+            self.life.found(self.module.clock())
+            self.before = ChannelPeer(self, successor=False)
+            self.before.post(wire.Hello())
+            self._pulse_on()
+            await self.before.serve(*found)
+            self.before = None
+            self._said_ready = False
+            self.life.cut()
+            self._elsewhere(wire.Load(0, 0.0, 0, 0))
+            self.counters.add("handover.channels_ended")
+            await asyncio.sleep(0 if self.claims.side is Side.PREDECESSOR else AGAIN_S)
+
+    def _nobody(self) -> None:
+        if self.claims.side is not Side.ALONE:
+            log.info("handover: the predecessor is gone; %d of its keys are kept", len(self.claims.theirs))
+        self._lost()
+        self.life.nobody()
+        self.changed()
+        self._join_next()
+
+    def _lost(self) -> None:
+        tries, over = self.claims.lost(self.module.clock())
+        self.claims.out.clear()
+        self._settle(over)
+        for request in tries:   # all that the other said is known: by that, and by what is here
+            self._again(request)
+
+    # --- a successor
+
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if not same_user(writer) or len(self.waiting) >= 4:
+            self.counters.add("handover.strangers")
+            writer.close()
+            return
+        peer = ChannelPeer(self, successor=True)
+        peer.post(wire.Hello())
+        await peer.serve(reader, writer)
+        if peer in self.waiting:
+            self.waiting.remove(peer)
+        if peer is self.after:
+            log.info("handover: the successor is gone")
+            self.after = None
+            self.ours.clear()
+            self._lost()
+            self.life.alone()
+            self._elsewhere(wire.Load(0, 0.0, 0, 0))
+            self.changed()
+            self._join_next()
+
+    def _join_next(self) -> None:
+        for peer in [peer for peer in self.waiting if not peer.strange][:1]:
+            self._join(peer)
+
+    def _join(self, peer: ChannelPeer) -> None:
+        """Copy all claims to a successor, if this process can vouch for them and serves no other one."""
+        if not self.life.authority or self.after is not None:
+            peer.tell(wire.Wait())
+            return
+        self.waiting.remove(peer)
+        self.after = peer
+        self.life.joined()
+        self.counters.add("handover.successors")
+        self.claims.side = Side.SUCCESSOR
+        self.counters.spawn(self._copy(peer), "handover.copy")
+        self._pulse_on()
+
+    async def _copy(self, peer: ChannelPeer) -> None:
+        held = [(e.request, e.until) for e in self.module.keys.entries() if e.request.nonce is not None]
+        theirs = list(self.claims.theirs.values())
+        self.ours = {_key(request): until for request, until in held}
+        if self.failed():
+            peer.tell(wire.Word(True))
+        for at in range(0, len(held), CHUNK_CLAIMS):
+            for request, until in held[at:at + CHUNK_CLAIMS]:
+                if self.module.keys.holds(request):     # not forgotten meanwhile
+                    peer.tell(wire.Claimed(_key(request), request.digest, until))
+            await asyncio.sleep(0)
+        for claim in theirs:
+            peer.tell(wire.Claimed(claim.key, claim.digest, claim.until))
+        peer.tell(wire.Synced())
+        sent = 0
+        for ended in self._results(held, theirs):
+            if peer.lost:
+                return
+            sent += len(ended.result) + 64
+            peer.tell(ended)
+            if sent >= RESULT_BYTES:
+                sent = 0
+                await asyncio.sleep(RESULT_PAUSE_S)
+
+    def _results(self, held: list[tuple[Request, float]], theirs: list[Claim]) -> Iterator[wire.Ended]:
+        for request, _ in held:
+            if request.over:    # else its end is told when it comes
+                yield wire.Ended(_key(request), request.result is not None, request.media,
+                                 request.result or b"")
+        for claim in theirs:
+            if claim.over:
+                yield wire.Ended(claim.key, claim.good, claim.media, claim.result)
+
+    # --- the other's word
+
+    def heard(self, peer: ChannelPeer, message: wire.Message) -> None:
+        match message:
+            case wire.Hello(version):
+                self._greeted(peer, version == wire.VERSION)
+            case wire.Wait() if peer is self.before:
+                self.life.deferred()
+            case wire.Synced() if peer is self.before:
+                self.life.copied()
+                self.claims.side = Side.PREDECESSOR
+                self.counters.set("handover.claims_copied", len(self.claims.theirs))
+                for request in [r for asked in self.claims.asked.values() for r in asked.tries]:
+                    key = _key(request)     # of a channel before this one
+                    self.claims.out.append(wire.Ask(key, request.digest, request.born, self._until(request)))
+                self._flush()
+                self.changed()
+                self.pulse()
+            case wire.Ready() if peer is self.after:
+                log.info("handover: the successor takes connections")
+                self.life.ready()
+                self.changed()
+            case wire.Load():
+                if peer is self.peer:
+                    self._elsewhere(message)
+            case wire.Word(failed):
+                self.word(failed)
+            case _ if peer is self.peer:
+                self._claims_heard(message)
+
+    def _greeted(self, peer: ChannelPeer, understood: bool) -> None:
+        if peer.successor:
+            self.waiting.append(peer)
+            if understood:
+                self._join(peer)
+            else:   # it will ask nothing; that it stands here says that it has come
+                peer.strange = True
+                log.warning("handover: a successor of another version")
+            return
+        self.life.greeted(self.module.clock(), understood)
+        if not understood:
+            peer.strange = True
+            self._strange()
+
+    def _strange(self) -> None:
+        if self.claims.side is not Side.STRANGER:
+            log.warning("handover: the predecessor cannot be understood; keyed requests are turned away")
+            self.claims.side = Side.STRANGER
+            self.changed()
+
+    def _claims_heard(self, message: wire.Message) -> None:
+        held = isinstance(message, wire.Ask) and message.born <= self.ours.get(message.key, 0.0) + SLACK_S
+        if isinstance(message, wire.Ask):
+            self.counters.add("handover.asked")
+        tries, over = self.claims.heard(message, held)
+        self._settle(over)
+        for request in tries:
+            key = _key(request)
+            if key in self.claims.mine:
+                request.granted = True
+                self._again(request)
+            elif self.claims.find(key, request.born) is not None:
+                self._again(request)
+            else:   # the other knows of a claim that here is over, by a hair
+                self._back(request)
+        self._flush()
+
+    def _again(self, request: Request) -> None:
+        """A try that waited is taken in now."""
+        if not self.module.mailbox.put(Taken(request)):
+            self._back(request)
+
+    def _back(self, request: Request) -> None:
+        self.counters.add("handover.in_doubt")
+        self.module.turn_back(request, ASK_S)
+
+    def _settle(self, over: list[Claim]) -> None:
+        for claim in over:
+            first = self.firsts.get(claim.key)
+            if first is not None:
+                self._end(first, claim)
+                self.module.shared_out(first)
+
+    def _end(self, first: Request, claim: Claim) -> None:
+        first.over, first.ended_at, first.media = True, self.module.clock(), claim.media
+        first.result = claim.result if claim.good else None
+
+    # --- the module's actor asks (core.requests.Partner)
+
+    def _idle(self) -> bool:
+        claims = self.claims
+        return claims.side is Side.ALONE and not claims.theirs and not claims.doubt_until
+
+    def want(self, request: Request) -> bool:
+        if self._idle():
+            return True
+        answer = self.claims.want(_key(request), request.digest, request.born, self._until(request), request,
+                                  self.module.clock())
+        self._flush()
+        if answer is Answer.GO and _key(request) in self.claims.mine:
+            request.granted = True
+        if answer is Answer.BACK:
+            self._back(request)
+        return answer is Answer.GO
+
+    def _until(self, request: Request) -> float:
+        c = self.module.settings.classes[request.klass]
+        return request.born + (c.window_s or c.give_up_s)
+
+    def find(self, request: Request) -> Request | None:
+        if self._idle():
+            return None
+        key = _key(request)
+        claim = self.claims.find(key, request.born)
+        if claim is None:
+            return None
+        first = self.firsts.get(key)
+        if first is None:
+            self.module.last_id += 1
+            first = self.firsts[key] = Request(
+                trace="", klass=request.klass, route=request.route, born=request.born, body=b"",
+                answer=lambda _: None, id=self.module.last_id, digest=claim.digest)
+        if claim.over and not first.over:
+            self._end(first, claim)
+        self.counters.add("handover.repeats")
+        return first
+
+    def kept(self, request: Request, until: float) -> bool:
+        if self.claims.side is Side.ALONE:
+            return True
+        key = _key(request)
+        if self.after is not None:
+            self.ours[key] = until
+        self.claims.kept(key, request.digest, until)
+        return self._flush()
+
+    def forgotten(self, request: Request) -> None:
+        if self.claims.side is not Side.ALONE:
+            key = _key(request)
+            self.ours.pop(key, None)
+            self.claims.forgotten(key)
+            self._flush()
+
+    def over(self, request: Request, kept: bool) -> None:
+        if self.claims.side is Side.ALONE:
+            return
+        if kept:
+            self.claims.ended(_key(request), request.result is not None, request.media, request.result or b"")
+        if request.granted:
+            request.granted = False
+            self.claims.done(_key(request))
+        self._flush()
+
+    def _flush(self) -> bool:
+        """Whether all that was to be told is in the kernel's hands."""
+        out, self.claims.out = self.claims.out, []
+        peer = self.peer
+        return all([peer is not None and peer.tell(message) for message in out])
+
+    # --- time
+
+    def _pulse_on(self) -> None:
+        if self._pulsing is None or self._pulsing.done():
+            self._pulsing = self.counters.spawn(self._pulses(), "handover.pulse")
+
+    async def _pulses(self) -> None:
+        while self.peer is not None or self.life.before is not Before.GONE:
+            self.pulse()
+            await asyncio.sleep(PULSE_S)
+
+    def pulse(self) -> None:
+        now, served = self.module.clock(), self.life.serves
+        self.life.time(now)
+        if self.life.before is Before.STRANGE:
+            self._strange()
+        if served is not self.life.serves:
+            self.changed()
+        for request in self.claims.late(now):
+            self._back(request)
+        if self.life.before is Before.TOGETHER and not self._said_ready and self.module.able() and (
+            self.before is not None
+        ):
+            self._said_ready = True
+            self.before.tell(wire.Ready())
+        self._tell_load()
+        if now - self._swept_at > SWEEP_S:
+            self.sweep(now)
+
+    def _tell_load(self) -> None:
+        mine = self.module.load()
+        load = wire.Load(mine.runs, mine.kb, mine.calls, self.connections())
+        if self.peer is not None and load != self._load:
+            self._load = load
+            self.peer.tell(load)
+
+    def sweep(self, now: float) -> None:
+        self._swept_at = now
+        self.claims.sweep(now)
+        self.firsts = {key: first for key, first in self.firsts.items() if key in self.claims.theirs}
+        linger_s = self.claims.linger_s
+        self.ours = {key: until for key, until in self.ours.items() if until + linger_s > now}
+
+    def _elsewhere(self, load: wire.Load) -> None:
+        self.others_connections = load.connections
+        self.module.post(Elsewhere(load.runs, load.kb, load.calls))
+        self.changed()
+
+    # --- the operators, and the way out
+
+    def operator(self, failed: bool) -> None:
+        """An operator's word here holds there too."""
+        if self.peer is not None:
+            self.peer.tell(wire.Word(failed))
+
+    def leave(self) -> bool:
+        """The notice to leave; whether another process goes on as this node."""
+        self.life.leave()
+        if any(peer.strange for peer in self.waiting):
+            self.life.ready()
+        return self.life.replaced
+
+    def may_go(self) -> bool:
+        """Nothing is owed here any more, and what comes is the successor's."""
+        return (self.life.replaced and not self.connections() and not self.module.book
+                and not self.module.mailbox and not self.claims.waiting
+                and (self.after is None or self.after.flushed))
+
+    def close(self) -> None:
+        if self.channel is not None:
+            self.channel.close()
+        for peer in (self.before, self.after, *self.waiting):
+            if peer is not None:
+                peer.drop()
+
+
+def _key(request: Request) -> bytes:
+    """What both processes know a key by; by service, as ``KeyTable`` does."""
+    told = f"{request.route}\0{request.nonce}".encode("utf-8", "surrogatepass")
+    return hashlib.blake2b(told, digest_size=16).digest()
--- /dev/null
+++ b/beechrock/handover/wire.py
@@ -0,0 +1,170 @@
+"""What two processes of one node tell each other, as bytes. Pure.
+
+    message = length:4 type:1 payload      length counts the type and the payload
+
+``Hello`` comes first from both ends, and is the one message that no version may change: a magic word and a
+version. A process that meets another version reads nothing after it.
+"""
+
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+
+MAGIC = b"beechrock"
+VERSION = 1
+HEAD = struct.Struct(">IB")
+MOST_RESULT = 65_536        # a longer result is not passed on: its repeats fail
+MOST = MOST_RESULT + 512
+MOST_MEDIA = 255
+
+
+class WireError(ValueError):
+    """Bytes that are no message."""
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    version: int = VERSION
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """From a process with a predecessor of its own: it can vouch for no key yet."""
+
+
+@dataclass(frozen=True, slots=True)
+class Claimed:
+    """The sender has begun, or may begin, this key's run; tries born until then are its repeats."""
+
+    key: bytes
+    digest: bytes
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Synced:
+    """All that the sender had claimed has been said; from here on each claim is said before its run."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ready:
+    """The successor takes connections, and says yes."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """May the sender run this key? For a try that was born then."""
+
+    key: bytes
+    digest: bytes
+    born: float
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    key: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """The key is claimed; its ``Claimed`` came before."""
+
+    key: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Released:
+    """The sender's claim is void: nothing was run."""
+
+    key: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The run under the sender's claim is over, with this result or with none."""
+
+    key: bytes
+    good: bool
+    media: str = ""
+    result: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What the sender holds now."""
+
+    runs: int
+    kb: float
+    calls: int
+    connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """An operator's word: whether the node is drained."""
+
+    failed: bool
+
+
+Message = (Hello | Wait | Claimed | Synced | Ready | Ask | Granted | Denied | Released | Ended | Load | Word)
+
+# By type number: the class, and the layout of its fields.
+LAYOUTS: dict[int, tuple[Callable[..., Message], struct.Struct]] = {
+    2: (Wait, struct.Struct(">")),
+    3: (Claimed, struct.Struct(">16s16sd")),
+    4: (Synced, struct.Struct(">")),
+    5: (Ready, struct.Struct(">")),
+    6: (Ask, struct.Struct(">16s16sdd")),
+    7: (Granted, struct.Struct(">16s")),
+    8: (Denied, struct.Struct(">16s")),
+    9: (Released, struct.Struct(">16s")),
+    11: (Load, struct.Struct(">IdII")),
+    12: (Word, struct.Struct(">?")),
+}
+NUMBERS = {made: number for number, (made, _) in LAYOUTS.items()}
+HELLO, ENDED = 1, 10
+HELLO_LAYOUT = struct.Struct(f">{len(MAGIC)}sH")
+ENDED_LAYOUT = struct.Struct(">16s?B")
+
+
+def encode(message: Message) -> bytes:
+    match message:
+        case Hello(version):
+            number, payload = HELLO, HELLO_LAYOUT.pack(MAGIC, version)
+        case Ended(key, good, media, result):
+            told = media.encode()[:MOST_MEDIA]
+            if len(result) > MOST_RESULT:
+                good, result = False, b""
+            number, payload = ENDED, ENDED_LAYOUT.pack(key, good, len(told)) + told + result
+        case _:
+            number = NUMBERS[type(message)]
+            values = [getattr(message, name) for name in message.__slots__]
+            payload = LAYOUTS[number][1].pack(*values)
+    return HEAD.pack(1 + len(payload), number) + payload
+
+
+def length(head: bytes) -> int:
+    """Of what follows the head's four bytes of length. WireError where no message is so long."""
+    size = int.from_bytes(head[:4], "big")
+    if not 1 <= size <= MOST:
+        raise WireError(f"a message of {size} bytes")
+    return size
+
+
+def decode(number: int, payload: bytes) -> Message:
+    """WireError where it is none."""
+    try:
+        if number == HELLO:
+            magic, version = HELLO_LAYOUT.unpack(payload[:HELLO_LAYOUT.size])
+            if magic != MAGIC:
+                raise WireError("a greeting of something else")
+            return Hello(version)
+        if number == ENDED:
+            key, good, told = ENDED_LAYOUT.unpack_from(payload)
+            rest = payload[ENDED_LAYOUT.size:]
+            return Ended(key, good, rest[:told].decode(), rest[told:])
+        made, layout = LAYOUTS[number]
+        return made(*layout.unpack(payload))
+    except (struct.error, UnicodeDecodeError, KeyError) as error:
+        raise WireError(f"a message of type {number}: {type(error).__name__}") from None
--- a/beechrock/interface.py
+++ b/beechrock/interface.py
@@ -202,9 +202,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Leaving:
-    """The node will be stopped this long from now."""
+    """The process will be stopped this long from now. ``replaced``: another one goes on as this node."""
 
     left_s: float
+    replaced: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """What another process of this node, beside this one, has on the same cores, holds, and has in calls."""
+
+    runs: int = 0
+    kb: float = 0.0
+    calls: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,7 +233,9 @@
     gauges: Gauges = field(default_factory=Gauges)
 
 
-Event = Arrived | Finished | CallNeeded | CallEnded | CallerGone | Renewed | Leaving | TimerFired
+Event = (
+    Arrived | Finished | CallNeeded | CallEnded | CallerGone | Renewed | Leaving | Elsewhere | TimerFired
+)
 
 
 # Actions.
--- a/beechrock/net/front.py
+++ b/beechrock/net/front.py
@@ -21,6 +21,7 @@
         self.module, self.most = module, most
         self.peers: set[P] = set()
         self.server: asyncio.Server | None = None
+        self._sweeping = False
 
     # What a kind of front adds.
 
@@ -42,12 +43,17 @@
     # The front.
 
     async def start(self, host: str, port: int, fd: int | None = None) -> None:
+        """Listen; after ``close``, again."""
         self.server = await listen(self._accepted, host, port, fd)
-        self._sweep()
+        if not self._sweeping:
+            self._sweeping = True
+            self._sweep()
 
     def close(self) -> None:
+        """Take no more connections; those that are open go on."""
         if self.server is not None:
             self.server.close()
+            self.server = None
 
     def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.module.counters.spawn(self._serve(reader, writer), self.where)
--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -27,7 +27,8 @@
 ) -> asyncio.Server:
     """Listen with a long backlog, of which each turn of the loop takes a few.
 
-    ``fd``: at a socket that is there already. asyncio takes as many at once as its backlog says: a rush of them could use up all descriptors.
+    ``fd``: at a socket that is there already. asyncio takes as many at once as its backlog says: a rush of
+    them could use up all descriptors.
     """
     if fd is not None:      # a descriptor of our own for it: others hold it too, and it outlives us
         sock = socket.socket(fileno=os.dup(fd))
--- a/beechrock/trace/format.py
+++ b/beechrock/trace/format.py
@@ -25,7 +25,7 @@
 from beechrock.trace.codec import FormatError
 from beechrock.trace.records import Row, value
 
-VERSION = 1
+VERSION = 2         # 2: the kinds ``replaced`` and ``elsewhere``, which a replay cannot do without
 MAGIC, TRAILER_MAGIC, MARKER = b"BTRACE\r\n", b"BTRINDEX", b"BLK\x1a"
 HEAD = struct.Struct(">8sHI")
 BLOCK = struct.Struct(">4sBIIdd")       # marker, type, payload's bytes, rows, first and last time
--- a/beechrock/trace/records.py
+++ b/beechrock/trace/records.py
@@ -51,9 +51,12 @@
     "gap": ("dropped", "since"),
     "jump": ("by_s",),
     "node": ("name",),
+    # Of the module again; kinds keep their numbers, so what is new stands at the end.
+    "replaced": ("left_s",),
+    "elsewhere": ("runs", "kb", "calls"),
 }
 KINDS = tuple(FIELDS)
-EVENTS = KINDS[2:10]
+EVENTS = (*KINDS[2:10], "replaced", "elsewhere")
 ACTIONS = KINDS[10:24]
 ABOUT_ONE = frozenset(kind for kind, names in FIELDS.items() if names[:1] == ("id",))
 
@@ -117,8 +120,10 @@
             return "timer", now, token, g.cpu_busy, g.runnable, g.memory_used, g.connections
         case api.Renewed(settings):
             return "renewed", now, settings_text(settings)
-        case api.Leaving(left):
-            return "leaving", now, left
+        case api.Leaving(left, replaced):
+            return "replaced" if replaced else "leaving", now, left
+        case api.Elsewhere(runs, kb, calls):
+            return "elsewhere", now, runs, kb, calls
         case _:
             return _EVENT_KINDS[type(event)], now, event.id
 
@@ -146,6 +151,10 @@
                 return api.Renewed(settings_of(told[0]))
             case "leaving":
                 return api.Leaving(*told)
+            case "replaced":
+                return api.Leaving(told[0], True)
+            case "elsewhere":
+                return api.Elsewhere(*told)
             case "timer":
                 return api.TimerFired(told[0], api.Gauges(*told[1:]))
     except TypeError as error:
--- a/tests/test_trace_tools.py
+++ b/tests/test_trace_tools.py
@@ -315,12 +315,13 @@
     assert call("info", Path(__file__)).exit_code == 2
 
 
-def test_version_1_is_read() -> None:
-    with files.Reader(DATA / "version1.btrace") as reader:
-        assert (reader.version, reader.whole, reader.check()) == (1, True, [])
+@pytest.mark.parametrize(("version", "new_after"), [(1, ("replaced", "elsewhere")), (2, ())])
+def test_each_version_is_read(version: int, new_after: tuple[str, ...]) -> None:
+    with files.Reader(DATA / f"version{version}.btrace") as reader:
+        assert (reader.version, reader.whole, reader.check()) == (version, True, [])
         rows = list(reader.rows())
-    assert {row[0] for row in rows} == set(FIELDS)
-    assert [row[1] for row in rows] == [1000.0 + n / 8 for n in range(len(FIELDS))]
+    assert {row[0] for row in rows} == set(FIELDS) - set(new_after)
+    assert [row[1] for row in rows] == [1000.0 + n / 8 for n in range(len(rows))]
 
 
 # --- settings
