Pause the taking of connections without dropping those just accepted

Server.close() of asyncio drops a connection between its accept and its transport; the process that leaves did that to the shared socket. Shown by a test that stops the loop after each turn: with close() it fails after turn 1. Change: Front.pause only takes the socket out of the loop; the way out needs three looks in a row with nothing left.

--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -33,7 +33,9 @@
 
 log = logging.getLogger("beechrock")
 EXIT_MARGIN_S = 0.25    # the process has ended this long before it would be killed
-LOOK_S = 0.05           # so often a process that has a successor looks whether anything is left to do
+# So often a process that has a successor looks whether anything is left to do, and how many times in a row
+# there was nothing: a connection that has just been accepted shows up some turns of the loop later.
+LOOK_S, IDLE_LOOKS = 0.05, 3
 
 # What a reload does not change; ``seed`` is new with each start, and means nothing later.
 FIXED = ("name", "listen", "admin", "stop_s", "memory_mb", "sockets", "settings", "gauges", "scgi", "trace")
@@ -114,7 +116,7 @@
             if self._open:
                 self.counters.spawn(self._take_connections(), "listen")
             else:
-                self.frames.close()
+                self.frames.pause()
         if self.replaced and not self.handover.life.replaced:   # the successor is gone: this node leaves
             self.replaced = False
             self._tell_leave()
@@ -124,7 +126,7 @@
         await self.frames.start(*self.told.listen, self.told.listen_fd)
         log.info("%s: frames on %s", self.told.name, _address_of(self.frames.server))
         if not self._open:
-            self.frames.close()
+            self.frames.pause()
 
     def _open_to_operators(self) -> None:
         from beechrock.admin.http import AdminFront, Calls
@@ -296,9 +298,10 @@
     async def _worked_off(self) -> None:
         """Until the process has to end; with a successor, until nothing is left to do."""
         loop = asyncio.get_running_loop()
-        end = loop.time() + self.told.stop_s - EXIT_MARGIN_S
-        while (left := end - loop.time()) > 0 and not (self.handover is not None and self.handover.may_go()):
+        end, idle = loop.time() + self.told.stop_s - EXIT_MARGIN_S, 0
+        while (left := end - loop.time()) > 0 and idle < IDLE_LOOKS:
             await asyncio.sleep(left if self.handover is None else min(left, LOOK_S))
+            idle = idle + 1 if self.handover is not None and self.handover.may_go() else 0
 
 
 async def serve(told: config.Config, seen: tuple[int, ...]) -> None:
--- a/beechrock/net/front.py
+++ b/beechrock/net/front.py
@@ -22,6 +22,7 @@
         self.peers: set[P] = set()
         self.server: asyncio.Server | None = None
         self._sweeping = False
+        self._paused: list[asyncio.Server] = []
 
     # What a kind of front adds.
 
@@ -43,18 +44,29 @@
     # The front.
 
     async def start(self, host: str, port: int, fd: int | None = None) -> None:
-        """Listen; after ``close``, again."""
+        """Listen; after ``pause``, again."""
         self.server = await listen(self._accepted, host, port, fd)
         if not self._sweeping:
             self._sweeping = True
             self._sweep()
 
-    def close(self) -> None:
-        """Take no more connections; those that are open go on."""
+    def pause(self) -> None:
+        """Take no more connections from a socket that others hold too; those that are open go on.
+
+        Seen on a day of upgrades: asyncio's server, when it is closed, drops what it has accepted and not yet
+        handed on, and so a request on such a connection was lost. So it is only no longer asked to accept.
+        """
         if self.server is not None:
-            self.server.close()
+            for sock in self.server.sockets:
+                asyncio.get_running_loop().remove_reader(sock.fileno())
+            self._paused.append(self.server)
             self.server = None
 
+    def close(self) -> None:
+        for server in (*self._paused, self.server):
+            if server is not None:
+                server.close()
+
     def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.module.counters.spawn(self._serve(reader, writer), self.where)
 
