Take nothing on the way out, nor beside another process before runs can be started

The old process took the end of the channel that it closed itself for its successor's end ('the successor is gone' in its last log lines), took connections again for its last 80 ms and ran what came, unknown to the other. Found by a test besides: a successor whose agent was not up took connections as soon as it had copied the claims. Change: Life has an end, after which nothing is taken; the channel is closed last; a successor takes connections only once it can start runs. Tests play two processes of a node in one loop: repeats over both, grants given back, deaths at either side, a third process, strangers and noise at the channel. Ruled out: the pause of the socket (its own test).

--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -117,7 +117,8 @@
                 self.counters.spawn(self._take_connections(), "listen")
             else:
                 self.frames.pause()
-        if self.replaced and not self.handover.life.replaced:   # the successor is gone: this node leaves
+        life = self.handover.life
+        if self.replaced and not life.replaced and not life.over:   # the successor is gone: this node leaves
             self.replaced = False
             self._tell_leave()
 
@@ -263,11 +264,11 @@
 
     def close(self) -> None:
         """Stop listening."""
+        if self.handover is not None:
+            self.handover.end()
         for front in (self.frames, self.scgi, self.admin):
             if front is not None:
                 front.close()
-        if self.handover is not None:
-            self.handover.close()
 
     async def run(self) -> None:
         """From the first connection to the way out, as the signals ask."""
@@ -292,6 +293,8 @@
             await self.recorder.finish()
         for task in self.tasks:
             task.cancel()
+        if self.handover is not None:   # last, as until here a run may begin
+            self.handover.close()
         self.module.report()
 
 
--- a/beechrock/handover/channel.py
+++ b/beechrock/handover/channel.py
@@ -12,7 +12,7 @@
 import stat
 import struct
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -29,7 +29,7 @@
 LONGEST_PATH = 100          # bytes that a Unix socket's name may have; longer folders are named by descriptor
 CREDENTIALS = struct.Struct("3i")
 
-Accepted = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+Accepted = Callable[[asyncio.StreamReader, asyncio.StreamWriter], None]
 
 
 class ChannelPeer(Peer[wire.Message]):
--- a/beechrock/handover/life.py
+++ b/beechrock/handover/life.py
@@ -5,15 +5,16 @@
 STRANGE, it is there and cannot be understood, or says nothing; GONE, or never was there.
 Of the successor (``After``): NONE; JOINING; READY, it takes connections.
 
-Events: what the channel tells (found, nobody, greeted, ...), ``leave``, and time.
+Events: what the channel tells (found, nobody, greeted, ...), ``able`` once runs can be started here,
+``leave``, ``end``, and time.
 
 Invariants:
 1. This process has taken a connection only once it knew its predecessor's claims, knew that there is none,
-   or was in doubt (STRANGE), in which it runs no key.
+   or was in doubt (STRANGE), in which it runs no key; and beside another one only once it can start runs.
 2. Once it serves, it takes connections until its end, but for one case: it leaves, and its successor is
-   READY.
+   READY. After its end it takes none, whatever becomes of the channels that it closes itself.
 3. It vouches for keys to a successor only while it has no predecessor itself.
-4. From the first channel to serving it takes at most GREET_S + COPY_S, unless it is deferred.
+4. From the first channel it takes at most GREET_S + COPY_S until it may serve, unless it is deferred.
 """
 
 import math
@@ -48,12 +49,12 @@
     def __init__(self) -> None:
         self.before, self.after = Before.SOUGHT, After.NONE
         self.due = self.limit = math.inf    # ``limit``: of all attempts to join, until this process serves
-        self.serves = self.leaving = False
+        self.fit = self.serves = self.leaving = self.over = False
 
     @property
     def accepting(self) -> bool:
         """Whether connections are taken from the shared socket."""
-        return self.serves and not self.replaced
+        return self.serves and not self.replaced and not self.over
 
     @property
     def replaced(self) -> bool:
@@ -66,7 +67,7 @@
         return self.before is Before.GONE
 
     def _go(self, before: Before, due: float = math.inf) -> None:
-        self.serves = self.serves or before in JOINED
+        self.serves = self.serves or before is Before.GONE or (before in JOINED and self.fit)
         self.before, self.due = before, due if self.serves else min(due, self.limit)
 
     # Of the predecessor.
@@ -104,6 +105,11 @@
         if now >= self.due and self.before in (Before.SOUGHT, Before.GREETED, Before.COPIED):
             self._go(Before.STRANGE)
 
+    def able(self) -> None:
+        """Runs can be started here."""
+        self.fit = True
+        self._go(self.before, self.due)
+
     # Of the successor, and of this process.
 
     def joined(self) -> None:
@@ -119,3 +125,7 @@
 
     def leave(self) -> None:
         self.leaving = True
+
+    def end(self) -> None:
+        """This process goes now."""
+        self.over = True
--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -88,6 +88,8 @@
             await self.before.serve(*found)
             self.before = None
             self._said_ready = False
+            if self.life.over:
+                return
             self.life.cut()
             self._elsewhere(wire.Load(0, 0.0, 0, 0))
             self.counters.add("handover.channels_ended")
@@ -110,7 +112,10 @@
 
     # --- a successor
 
-    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.counters.spawn(self._serve(reader, writer), "handover.successor")
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if not same_user(writer) or len(self.waiting) >= 4:
             self.counters.add("handover.strangers")
             writer.close()
@@ -120,7 +125,9 @@
         await peer.serve(reader, writer)
         if peer in self.waiting:
             self.waiting.remove(peer)
-        if peer is self.after:
+        # Seen on a day of upgrades: the channel that a process closes on its way out was taken for its
+        # successor's end; it took connections again for its last 80 ms, and ran a key that nobody knew of.
+        if peer is self.after and not self.life.over:
             log.info("handover: the successor is gone")
             self.after = None
             self.ours.clear()
@@ -353,13 +360,15 @@
     def pulse(self) -> None:
         now, served = self.module.clock(), self.life.serves
         self.life.time(now)
+        if not self.life.fit and self.module.able():
+            self.life.able()
         if self.life.before is Before.STRANGE:
             self._strange()
         if served is not self.life.serves:
             self.changed()
         for request in self.claims.late(now):
             self._back(request)
-        if self.life.before is Before.TOGETHER and not self._said_ready and self.module.able() and (
+        if self.life.before is Before.TOGETHER and self.life.serves and not self._said_ready and (
             self.before is not None
         ):
             self._said_ready = True
@@ -407,7 +416,14 @@
                 and not self.module.mailbox and not self.claims.waiting
                 and (self.after is None or self.after.flushed))
 
+    def end(self) -> None:
+        """Take no more connections; what is still done here is still said to the other."""
+        self.life.end()
+        self.changed()
+
     def close(self) -> None:
+        """The last step: from here on the other decides alone."""
+        self.life.end()
         if self.channel is not None:
             self.channel.close()
         for peer in (self.before, self.after, *self.waiting):
--- a/tests/play.py
+++ b/tests/play.py
@@ -138,16 +138,19 @@
 
     async def open(
         self, generation: Generation | None = None, settings: dict[str, Any] = SETTINGS, admin: bool = False,
+        **shared: Any,
     ) -> None:
+        """``shared``: what the configuration says of a listening socket that is inherited."""
         for name in ("agent", "ledger"):
             await self.listen(name)
         await self.listen_for_beats()
         told, _ = settings_from(over(settings, generation.meaning) if generation else settings)
         scgi = Scgi(("127.0.0.1", 0), Path("none"), generation, watch_s=1e6) if generation else None
         self.told = Config(
-            name="n1", listen=("127.0.0.1", 0), agent=self.address("agent"), ledger=self.address("ledger"),
-            registry=self.registry.get_extra_info("sockname"), seed=1, stop_s=4.0, memory_mb=192.0,
-            sockets=1024, settings=told, gauges=GAUGES, scgi=scgi, admin=("127.0.0.1", 0) if admin else None)
+            name="n1", listen=shared.pop("listen", ("127.0.0.1", 0)), agent=self.address("agent"),
+            ledger=self.address("ledger"), registry=self.registry.get_extra_info("sockname"), seed=1,
+            stop_s=4.0, memory_mb=192.0, sockets=1024, settings=told, gauges=GAUGES, scgi=scgi,
+            admin=("127.0.0.1", 0) if admin else None, **shared)
         self.running = generation
         if generation:
             self.told = replace(self.told, raw=settings)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,10 +1,37 @@
-"""Two processes of one node."""
+"""Two processes of one node, in one loop: what each takes, runs and answers while one follows the other."""
 
 import asyncio
+import os
 import socket
+import struct
+import tempfile
+from collections.abc import Iterator
+from dataclasses import replace
+from pathlib import Path
 
 import pytest
-from play import Stand, run
+from play import Stand, until
+from play import run as run_one
+from test_admin import ASKED
+
+from beechrock.handover import wire
+from beechrock.handover.life import After, Before
+
+UP = 'g = accept agent\ng < "subscribe 0\\r\\n"\ng > "greeting LOADED 5\\r\\n"\ncounter agent.links 1\n'
+LAUNCH = 'g < "launch %016d submit 1\\r\\nx\\r\\n"\n'
+OK = 'a < {02 %08d 00 01 06"advice" 0006"0.0000" "ok"}\n'
+FAILED = 'a < {02 %08d 0d 01 06"advice" 0006"0.0000"}\n'
+
+
+REFUSAL = 'g > "refusal launch %016d\\r\\n"\n'
+DOUBT = 'a < {02 %08d 08 02 06"advice" 0006"0.0000" 05"pause" 0003"300"}\n'
+PASS = 'g > "outcome %d %016d PASS 5 2\\r\\nok\\r\\n"\n'
+CHECK = 'a > {04 %08d 00}\na < {05 %08d 00 01 06"advice" 0006"0.0000"}\n'
+WORD = 's = connect admin\ns > "POST /healthcheck/%s HTTP/1.0\\r\\n\\r\\n"\ns ... "%s\\n"\n'
+
+
+def asked(stream: int, trace: int, key: int) -> str:
+    return ASKED % ("a", stream, 7, trace, "24.5", key, "x")
 
 
 @pytest.mark.parametrize("turns", range(8))
@@ -29,4 +56,363 @@
             except BlockingIOError:
                 assert len(frames.peers) == 1
 
-    run(work)
+    run_one(work)
+
+
+@pytest.fixture
+def folder() -> Iterator[Path]:
+    """With a short name: the kernel takes few bytes for the path of a socket."""
+    with tempfile.TemporaryDirectory() as name:
+        yield Path(name)
+
+
+class Pair:
+    """A shared socket, a shared folder, and the processes that are started one beside the other."""
+
+    def __init__(self, folder: Path, shared: socket.socket) -> None:
+        self.folder, self.shared = folder, shared
+        self.stands: list[Stand] = []
+
+    async def start(self, up: bool = True, admin: bool = False) -> Stand:
+        stand = Stand()
+        self.stands.append(stand)
+        await stand.open(admin=admin, listen=self.shared.getsockname(), listen_fd=self.shared.fileno(),
+                         handover=self.folder)
+        if up:
+            await stand.play(UP + "beat BEAT n1 ready\n")
+        return stand
+
+    async def serving(self, stand: Stand) -> None:
+        handover = stand.program.handover
+        assert handover is not None
+        await until(lambda: handover.life.accepting and stand.program.frames.server is not None,   # type: ignore
+                    lambda: f"{handover.life.before}, {handover.life.after}")
+
+    async def following(self, old: Stand, new: Stand) -> None:
+        await self.serving(new)
+        await until(lambda: old.program.handover.life.after is After.READY, lambda: "not ready")    # type: ignore
+
+    async def end(self, stand: Stand) -> None:
+        """The process is gone: the kernel closes what it had."""
+        await stand.close()
+        assert stand.program.handover is not None
+        stand.program.handover.close()
+        for peer in list(stand.program.frames.peers):   # type: ignore[union-attr]
+            peer.drop()
+
+    async def caller(self, stand: Stand, others: list[Stand]) -> None:
+        """A connection named ``a`` that this process takes: the others do not look for one meanwhile."""
+        for other in others:
+            assert other.program.frames is not None
+            other.program.frames.pause()
+        had = stand.program.counters["intake.frames_connections"]
+        await stand.step(["a", "=", "connect", "frames"], "")
+        await until(lambda: stand.program.counters["intake.frames_connections"] > had, lambda: "not taken")
+        for other in others:
+            await other.program._take_connections()
+
+
+def run(work, folder: Path) -> None:  # type: ignore[no-untyped-def]
+    async def whole() -> None:
+        with socket.create_server(("127.0.0.1", 0), backlog=64) as shared:
+            pair = Pair(folder, shared)
+            try:
+                await work(pair)
+            finally:
+                for stand in pair.stands:
+                    await pair.end(stand)
+
+    asyncio.run(whole())
+
+
+def test_a_key_that_the_old_process_ran_is_answered_from_there_by_the_new_one(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        await old.play("a = connect frames\n" + asked(1, 1, 1) + LAUNCH % 1
+                       + PASS % (1, 1) + OK % 1
+                       + asked(2, 2, 2) + LAUNCH % 2 + asked(3, 3, 3) + LAUNCH % 3)
+        new = await pair.start()
+        await pair.following(old, new)
+        await pair.caller(new, [old])
+        # 1 ran before, 2 and 3 run there still; 2 ends while both are there.
+        await new.play(asked(1, 11, 1) + OK % 1 + asked(2, 12, 2) + asked(3, 13, 3)
+                       + "counter handover.repeats 3\n")
+        await old.play(PASS % (2, 2) + OK % 2)
+        await new.play(OK % 2)
+        # Killed with 3 on its way: it may have run, so it is not run again, now or later.
+        await pair.end(old)
+        await new.play(FAILED % 3 + asked(4, 14, 3) + FAILED % 4 + asked(5, 15, 1) + OK % 5)
+        assert new.program.counters["sent.launches"] == 0
+        # What nobody ran is the new one's now, without a question.
+        await new.play(asked(6, 16, 6) + LAUNCH % 16)
+        assert os.listdir(pair.folder) == [new.program.handover.channel.name]   # type: ignore[union-attr]
+
+    run(work, folder)
+
+
+def test_a_key_of_the_new_process_is_granted_once_and_answered_by_the_old_one(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        new = await pair.start()
+        await pair.following(old, new)
+        await pair.caller(new, [old])
+        await pair.caller(old, [new])
+        await new.play(asked(1, 1, 1) + LAUNCH % 1)
+        assert new.program.handover.claims.mine and not new.program.handover.claims.theirs  # type: ignore
+        await old.play(asked(1, 2, 1) + "counter handover.repeats 1\n")
+        await new.play(PASS % (1, 1) + OK % 1)
+        await old.play(OK % 1)
+        assert old.program.counters["sent.launches"] == 0
+        # One that the agent would not run is given back, and is the old one's to run.
+        await new.play(asked(2, 3, 2) + LAUNCH % 3 + REFUSAL % 3
+                       + FAILED % 2)
+        await until(lambda: len(old.program.handover.claims.theirs) == 1, lambda: "not released")   # type: ignore
+        await old.play(asked(2, 4, 2) + LAUNCH % 4)
+        # The new one dies: what it held may have run, and the old one goes on alone.
+        await new.play(asked(3, 5, 3) + LAUNCH % 5)
+        await pair.end(new)
+        await old.play(asked(3, 6, 3) + FAILED % 3 + asked(4, 7, 4) + LAUNCH % 7)
+        assert old.program.handover.life.after is After.NONE    # type: ignore[union-attr]
+
+    run(work, folder)
+
+
+def test_a_predecessor_that_does_not_answer_costs_a_refusal_with_a_time_to_come_back(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        new = await pair.start()
+        await pair.following(old, new)
+        await pair.caller(new, [old])
+        old.program.handover.heard = lambda peer, message: None     # type: ignore  # stopped, as far as can be seen
+        await new.play(asked(1, 1, 1))
+        await until(lambda: new.program.handover.claims.waiting == 1, lambda: "not asked")  # type: ignore
+        await new.play("clock 0.35\n" + DOUBT % 1 + asked(2, 2, 1) + DOUBT % 2)
+        assert new.program.counters["sent.launches"] == 0
+        await pair.end(old)
+        await until(lambda: new.program.handover.life.before is Before.GONE, lambda: "not seen")    # type: ignore
+        await new.play(asked(3, 3, 1) + LAUNCH % 3)
+
+    run(work, folder)
+
+
+def test_the_old_process_leaves_the_socket_to_a_successor_that_is_ready_alone(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        new = await pair.start(up=False)        # no agent: it can serve nothing yet
+        await until(lambda: old.program.handover.life.after is After.JOINING, lambda: "not seen")   # type: ignore
+        await old.play("a = connect frames\n" + asked(1, 1, 1) + LAUNCH % 1)
+        old.program.leave()
+        assert old.program.frames.server is not None and not old.program.replaced   # type: ignore[union-attr]
+        await old.play("a < {06 00000000}\nbeat BEAT n1 draining\n")
+        await new.play(UP)
+        await pair.following(old, new)
+        assert old.program.frames.server is None    # type: ignore[union-attr]
+        assert not old.program.handover.may_go()    # type: ignore[union-attr]
+        # It dies after its yes: who still stands takes connections again.
+        await pair.end(new)
+        await pair.serving(old)
+        await old.play(PASS % (1, 1) + OK % 1)
+        # Its own way out is no successor's end.
+        old.program.close()
+        assert old.program.frames.server is None    # type: ignore[union-attr]
+
+    run(work, folder)
+
+
+def test_a_replaced_process_stays_good_and_goes_when_nothing_is_owed(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        new = await pair.start()
+        await pair.following(old, new)
+        await pair.caller(old, [new])
+        await old.play(CHECK % (9, 9) + asked(1, 1, 1) + LAUNCH % 1)
+        old.program.leave()
+        handover = old.program.handover
+        assert old.program.replaced and handover is not None and old.program.frames is not None
+        await old.play("a < {06 00000000}\n" + CHECK % (10, 10))
+        assert "BEAT n1 draining" not in old.beats
+        await old.play(PASS % (1, 1) + OK % 1)
+        assert not handover.may_go()
+        await old.play("a end\na closed\n")
+        await until(handover.may_go, lambda: "still there")
+        old.program.close()
+        handover.close()
+        await asyncio.sleep(0.05)       # seen on a day of upgrades: here it took connections again
+        assert old.program.frames.server is None and old.program.replaced is not False
+
+    run(work, folder)
+
+
+def test_an_operators_word_holds_for_both_and_passes_to_the_successor(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old = await pair.start(admin=True)
+        await pair.serving(old)
+        await old.play(WORD % ("fail", "failed"))
+        new = await pair.start(admin=True)
+        await pair.following(old, new)
+        await until(lambda: new.program.serving.failed, lambda: "not passed on")    # type: ignore
+        await new.play(WORD % ("ok", "ready"))
+        await until(lambda: not old.program.serving.failed, lambda: "not passed back")  # type: ignore[union-attr]
+
+    run(work, folder)
+
+
+def test_a_third_process_waits_until_the_second_can_vouch_for_all(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        first = await pair.start()
+        await pair.serving(first)
+        await first.play("a = connect frames\n" + asked(1, 1, 1) + LAUNCH % 1)
+        second = await pair.start()
+        await pair.following(first, second)
+        third = await pair.start()
+        life = third.program.handover.life      # type: ignore[union-attr]
+        await until(lambda: life.before is Before.DEFERRED, lambda: f"{life.before}")
+        third.now += 60
+        await asyncio.sleep(0.05)
+        assert not life.serves
+        third.now -= 60
+        await pair.end(first)
+        await pair.following(second, third)
+        await pair.caller(third, [second])
+        await third.play(asked(1, 2, 1) + FAILED % 1)   # it was the first's, which died with it on its way
+
+    run(work, folder)
+
+
+@pytest.mark.parametrize("says", ["nothing", "another version", "noise", "half a greeting"])
+def test_beside_a_predecessor_that_cannot_be_understood_no_key_runs_and_all_else_does(
+    folder: Path, says: str,
+) -> None:
+    async def work(pair: Pair) -> None:
+        host, port = pair.shared.getsockname()
+        path = folder / f"beechrock-{host}_{port}-{0:020d}-1.sock"
+        told = {"nothing": b"", "another version": wire.encode(wire.Hello(99)) + b"\xff" * 4000,
+                "noise": b"\xff" * 64, "half a greeting": wire.encode(wire.Hello())[:9]}[says]
+        ends: list[asyncio.StreamWriter] = []
+
+        async def accepted(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            ends.append(writer)
+            writer.write(told)
+
+        server = await asyncio.start_unix_server(accepted, path)
+        new = await pair.start()
+        life = new.program.handover.life        # type: ignore[union-attr]
+        await until(lambda: bool(ends), lambda: "no channel")
+        for _ in range(40):
+            if life.serves:
+                break
+            new.now += 0.1
+            await asyncio.sleep(0.02)
+        await pair.serving(new)
+        await new.play("a = connect frames\n" + asked(1, 1, 1)
+                       + DOUBT % 1)
+        assert new.program.counters["sent.launches"] == 0
+        server.close()
+        for end in ends:
+            end.transport.abort()
+        await until(lambda: life.before is Before.GONE, lambda: f"{life.before}")
+        await new.play(asked(2, 2, 1) + DOUBT % 2)
+        new.now += 30   # its longest window is over
+        text = asked(3, 3, 1).replace("1700000000000", str(int(1000 * new.now)))
+        await new.play(text + LAUNCH % 3)
+
+    run(work, folder)
+
+
+def test_what_else_lies_in_the_folder_is_passed_over_and_stale_sockets_are_removed(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        host, port = pair.shared.getsockname()
+        names = [f"beechrock-{host}_{port}-{n:020d}-1.sock" for n in range(4)]
+        (folder / names[0]).write_text("no socket")
+        (folder / names[1]).mkdir()
+        (folder / names[2]).symlink_to("/dev/null")
+        stale = socket.socket(socket.AF_UNIX)
+        stale.bind(str(folder / names[3]))
+        stale.close()
+        node = await pair.start()
+        await pair.serving(node)
+        assert sorted(os.listdir(folder))[:3] == names[:3] and names[3] not in os.listdir(folder)
+
+    run(work, folder)
+
+
+def test_without_a_folder_a_process_serves_alone_and_leaves_as_one(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        pair.folder = None      # type: ignore[assignment]
+        node = await pair.start()
+        await pair.serving(node)
+        pair.folder = folder / "nowhere"
+        other = await pair.start()
+        await pair.serving(other)
+        await node.play("a = connect frames\n")
+        node.program.leave()
+        assert node.program.frames.server is not None   # type: ignore[union-attr]
+
+    run(work, folder)
+
+
+def test_a_folder_with_a_long_name_takes_the_socket_too(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        pair.folder = folder / ("x" * 120)
+        pair.folder.mkdir()
+        old = await pair.start()
+        await pair.serving(old)
+        new = await pair.start()
+        await pair.following(old, new)
+
+    run(work, folder)
+
+
+def test_a_busy_partner_lets_the_module_start_fewer_and_its_end_frees_the_rest(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        new = await pair.start()
+        await pair.following(old, new)
+        alone = new.program.module.node._run_limit()
+        await pair.caller(old, [new])
+        await old.play("".join(asked(n, n, n) for n in range(1, 4))
+                       + 'counter sent.launches 3\ng ... "\\r\\n"\n')
+        node = new.program.module.node
+        await until(lambda: node.other.runs > 0, lambda: f"{node.other}")
+        assert node._run_limit() < alone and node.other.kb > 0
+        await pair.end(old)
+        await until(lambda: not node.other.runs, lambda: f"{node.other}")
+        assert node._run_limit() == alone
+
+    run(work, folder)
+
+
+def test_a_stranger_at_the_channel_learns_nothing_and_ends_nothing(folder: Path) -> None:
+    """Noise, lengths out of bounds, a greeting cut at each byte: the next one is heard all the same."""
+    async def work(pair: Pair) -> None:
+        node = await pair.start()
+        await pair.serving(node)
+        path = str(folder / node.program.handover.channel.name)   # type: ignore[union-attr]
+        hello = wire.encode(wire.Hello())
+        for told in (b"\0" * 50, b"\xff" * 50, struct.pack(">IB", 2**31, 3), hello + b"\0\0\0\x02\x63x",
+                     *(hello[:n] for n in range(len(hello)))):
+            reader, writer = await asyncio.open_unix_connection(path)
+            writer.write(told)
+            writer.write_eof()
+            while await reader.read(1000):
+                pass
+            writer.close()
+        new = await pair.start()
+        await pair.following(node, new)
+
+    run(work, folder)
+
+
+def test_the_settings_of_a_pair_halve_what_each_keeps(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        one = await pair.start()
+        assert one.program.module.most_open == 3072     # 24 MB of 192 at 4 KB each, and half of that
+        assert replace(one.told, listen_fd=None).memory_mb == 192.0
+
+    run(work, folder)
