Keep a claim to the run that it stands for, past its window and over several tries

Change: want asks anew once the window of a grant is over; an ended claim gives way to a younger one; kept tells the authority of a later end.

--- a/beechrock/handover/claims.py
+++ b/beechrock/handover/claims.py
@@ -67,6 +67,7 @@
 @dataclass(slots=True)
 class Asked(Generic[T]):
     due: float
+    until: float
     tries: list[T] = field(default_factory=list)
 
 
@@ -98,14 +99,19 @@
             return Answer.BACK
         if self.side is not Side.PREDECESSOR:
             return Answer.GO
-        if key in self.mine:
-            self.mine[key].uses += 1
+        mine = self.mine.get(key)
+        if mine is not None and not (mine.kept and born > mine.until + SLACK_S):
+            mine.uses += 1      # granted, and the window in which it ran, if it did, is not over
             return Answer.GO
+        if mine is not None and mine.uses > 0:
+            return Answer.BACK      # the run before outlives its window
+        # Seen in random histories: a grant of before, still there, was taken for the answer to a new one.
+        self.mine.pop(key, None)
         if self.waiting >= MOST_ASKED or len(self.mine) >= MOST_GRANTED:
             return Answer.BACK
         asked = self.asked.get(key)
         if asked is None:
-            asked = self.asked[key] = Asked(now + ASK_S)
+            asked = self.asked[key] = Asked(now + ASK_S, until)
             self.out.append(wire.Ask(key, digest, born, until))
         elif now >= asked.due:
             return Answer.BACK
@@ -115,8 +121,12 @@
 
     def kept(self, key: bytes, digest: bytes, until: float) -> None:
         """A try here is about to run."""
-        if key in self.mine:
-            self.mine[key].kept, self.mine[key].until = True, until
+        mine = self.mine.get(key)
+        if mine is not None:
+            # The question was for the first try that came; the one that runs may be a little younger.
+            if until > mine.until and not mine.kept:
+                self.out.append(wire.Claimed(key, digest, until))
+            mine.kept, mine.until = True, max(until, mine.until)
         elif self.side is Side.SUCCESSOR:
             self.out.append(wire.Claimed(key, digest, until))
 
@@ -163,11 +173,12 @@
             case wire.Ask():
                 self._asked(message, held)
             case wire.Granted(key):
+                until = self.asked[key].until if key in self.asked else 0.0
                 tries = self._answered(key)
                 if not tries:       # all were turned away meanwhile, or have gone
                     self.out.append(wire.Released(key))
                     return [], []
-                self.mine[key] = Mine(len(tries))
+                self.mine[key] = Mine(len(tries), until=until)
                 return tries, []
             case wire.Denied(key):
                 return self._answered(key), []
@@ -194,8 +205,12 @@
     def _theirs(self, claim: Claim) -> None:
         old = self.theirs.get(claim.key)
         if old is not None:
-            old.until = max(old.until, claim.until)
-            return
+            if not old.over or claim.until <= old.until:    # the same one, said again
+                old.until = max(old.until, claim.until)
+                return
+            # Seen in random histories: a key that ran again after its window was taken for the run before.
+            self.result_bytes -= len(old.result)
+            del self.theirs[claim.key]
         if len(self.theirs) >= self.most:   # what there is no room for may run: in doubt until it is over
             self.doubt_until = max(self.doubt_until, claim.until + SLACK_S + self.linger_s)
             return
@@ -235,7 +250,8 @@
 
     def sweep(self, now: float) -> None:
         """Drop what no try can repeat any more."""
-        for key in [k for k, m in self.mine.items() if m.kept and m.until + self.linger_s < now]:
+        for key in [k for k, m in self.mine.items() if m.kept and m.uses <= 0 and (
+                m.until + self.linger_s < now)]:
             del self.mine[key]
         for key in [k for k, c in self.theirs.items() if c.until + SLACK_S + self.linger_s < now]:
             self.result_bytes -= len(self.theirs.pop(key).result)
--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -42,7 +42,8 @@
         self.before: ChannelPeer | None = None      # towards the predecessor
         self.after: ChannelPeer | None = None       # towards the successor
         self.waiting: list[ChannelPeer] = []        # successors that are still to be heard
-        self.firsts: dict[bytes, Request] = {}      # the other's requests that tries here repeat
+        # The other's requests that tries here repeat, each with the claim that it stands for.
+        self.firsts: dict[bytes, tuple[Claim, Request]] = {}
         self.ours: dict[bytes, float] = {}          # our claims and their ends, while a successor is there
         self.failed: Callable[[], bool] = lambda: False         # whether an operator drains this node
         self.word: Callable[[bool], None] = lambda _: None      # told of an operator's word at the other
@@ -265,8 +266,8 @@
 
     def _settle(self, over: list[Claim]) -> None:
         for claim in over:
-            first = self.firsts.get(claim.key)
-            if first is not None:
+            of, first = self.firsts.get(claim.key, (None, None))
+            if of is claim and first is not None:
                 self._end(first, claim)
                 self.module.shared_out(first)
 
@@ -303,12 +304,13 @@
         claim = self.claims.find(key, request.born)
         if claim is None:
             return None
-        first = self.firsts.get(key)
-        if first is None:
+        of, first = self.firsts.get(key, (None, None))
+        if of is not claim or first is None:
             self.module.last_id += 1
-            first = self.firsts[key] = Request(
+            first = Request(
                 trace="", klass=request.klass, route=request.route, born=request.born, body=b"",
                 answer=lambda _: None, id=self.module.last_id, digest=claim.digest)
+            self.firsts[key] = claim, first
         if claim.over and not first.over:
             self._end(first, claim)
         self.counters.add("handover.repeats")
@@ -387,7 +389,7 @@
     def sweep(self, now: float) -> None:
         self._swept_at = now
         self.claims.sweep(now)
-        self.firsts = {key: first for key, first in self.firsts.items() if key in self.claims.theirs}
+        self.firsts = {key: held for key, held in self.firsts.items() if key in self.claims.theirs}
         linger_s = self.claims.linger_s
         self.ours = {key: until for key, until in self.ours.items() if until + linger_s > now}
 
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,280 @@
+"""Claims, stages and messages of a handover, without I/O: random histories, invariants after each step."""
+
+import random
+from collections import deque
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from beechrock.core.keys import SLACK_S
+from beechrock.handover import wire
+from beechrock.handover.claims import ASK_S, Answer, Claim, Claims, Side
+from beechrock.handover.life import COPY_S, GREET_S, JOINED, After, Before, Life
+
+WINDOW_S, LINGER_S = 2.0, 0.5
+KEYS = [bytes([n]) * 16 for n in range(5)]
+BODY = b"d" * 16
+
+
+class Process:
+    """What stands round ``Claims`` in a process: its own kept keys, and the runs that it begins."""
+
+    def __init__(self, world: "World") -> None:
+        self.world = world
+        self.claims: Claims[float] = Claims(WINDOW_S, LINGER_S, 100, 10_000)
+        self.ours: dict[bytes, float] = {}
+        self.granted: dict[bytes, int] = {}
+        self.running: set[bytes] = set()
+        self.inbox: deque[wire.Message] = deque()
+        self.other: Process | None = None
+
+    def flush(self) -> None:
+        if self.other is not None:
+            self.other.inbox.extend(self.claims.out)
+        self.claims.out.clear()
+
+    def attempt(self, key: bytes, born: float) -> None:
+        if born <= self.ours.get(key, 0.0) + SLACK_S:
+            return      # a repeat, answered here
+        answer = self.claims.want(key, BODY, born, born + WINDOW_S, born, self.world.now)
+        if answer is Answer.GO and self.claims.find(key, born) is None:
+            self.take(key, born, key in self.claims.mine)
+        self.flush()
+
+    def take(self, key: bytes, born: float, granted: bool) -> None:
+        """Run it, or turn it away; a try that waited may find that another one ran meanwhile."""
+        if born > self.ours.get(key, 0.0) + SLACK_S and self.world.draw.random() < 0.6:
+            self.ours[key] = born + WINDOW_S
+            self.claims.kept(key, BODY, born + WINDOW_S)
+            self.world.begin(key, born)
+            self.running.add(key)
+        if granted:
+            self.claims.done(key)
+
+    def hear(self) -> None:
+        message = self.inbox.popleft()
+        held = isinstance(message, wire.Ask) and message.born <= self.ours.get(message.key, 0.0) + SLACK_S
+        for born in self.claims.heard(message, held)[0]:
+            key = message.key       # type: ignore[union-attr]
+            if key in self.claims.mine:
+                self.take(key, born, True)
+        self.flush()
+
+    def end_one(self) -> None:
+        if self.running:
+            key = min(self.running)
+            self.running.discard(key)
+            if self.world.draw.random() < 0.3:      # the agent would not run it: it never ran
+                self.world.never_ran(key)
+                self.ours.pop(key, None)
+                self.claims.forgotten(key)
+            else:
+                self.claims.ended(key, True, "", b"r")
+            self.flush()
+
+    def copy_to(self, new: "Process") -> None:
+        self.claims.side, new.claims.side = Side.SUCCESSOR, Side.PREDECESSOR
+        self.other, new.other = new, self
+        told: list[wire.Message] = [wire.Claimed(k, BODY, until) for k, until in self.ours.items()]
+        told += [wire.Claimed(c.key, c.digest, c.until) for c in self.claims.theirs.values()]
+        for message in told:
+            new.claims.heard(message, False)
+
+    def lost(self) -> None:
+        """The other is dead: what it had written is read, and then this one decides alone."""
+        while self.inbox:
+            self.hear()
+        self.other = None
+        for _ in self.claims.lost(self.world.now)[0]:
+            pass        # turned away here: what they may do is what any new try may
+
+
+class World:
+    def __init__(self, seed: int) -> None:
+        self.draw, self.now = random.Random(seed), 100.0
+        self.runs: dict[bytes, list[float]] = {}
+
+    def begin(self, key: bytes, born: float) -> None:
+        for other in self.runs.get(key, ()):
+            assert abs(born - other) > WINDOW_S, f"{key[0]} runs twice, born {other} and {born}"
+        self.runs.setdefault(key, []).append(born)
+
+    def never_ran(self, key: bytes) -> None:
+        self.runs[key].pop()
+
+
+@pytest.mark.parametrize("seed", range(150))
+def test_no_key_runs_twice_whatever_comes_between(seed: int) -> None:
+    world = World(seed)
+    draw = world.draw
+    old = Process(world)
+    new: Process | None = None
+    for _ in range(400):
+        world.now += draw.random() * 0.05
+        there = [p for p in (old, new) if p is not None]
+        process = draw.choice(there)
+        match draw.choice(["try", "try", "try", "hear", "hear", "hear", "end", "time", "turn"]):
+            case "try":
+                process.attempt(draw.choice(KEYS), world.now - draw.random() * 0.05)
+            case "hear" if process.inbox:
+                process.hear()
+            case "end":
+                process.end_one()
+            case "time":
+                process.claims.late(world.now)
+                process.claims.sweep(world.now)
+            case "turn" if draw.random() < 0.15:
+                if new is None:
+                    new = Process(world)
+                    old.copy_to(new)
+                elif draw.random() < 0.7:   # killed, or gone in peace, with words on their way to it
+                    new.lost()
+                    old, new = new, None
+                else:
+                    old.lost()
+                    new = None
+        for p in (old, new):
+            if p is not None:
+                assert not p.claims.out and p.claims.waiting == sum(
+                    len(a.tries) for a in p.claims.asked.values())
+                assert p.claims.side is (Side.ALONE if new is None else
+                                         Side.SUCCESSOR if p is old else Side.PREDECESSOR)
+    assert sum(map(len, world.runs.values())) > 5
+
+
+def test_a_question_without_an_answer_turns_back_and_a_late_grant_is_given_back() -> None:
+    claims: Claims[str] = Claims(WINDOW_S, LINGER_S, 100, 1000)
+    claims.side = Side.PREDECESSOR
+    assert claims.want(KEYS[0], BODY, 1.0, 3.0, "a", 1.0) is Answer.WAIT
+    assert claims.want(KEYS[0], BODY, 1.0, 3.0, "b", 1.1) is Answer.WAIT
+    assert claims.out == [wire.Ask(KEYS[0], BODY, 1.0, 3.0)]    # once for both
+    assert claims.late(1.0 + ASK_S) == ["a", "b"] and claims.waiting == 0
+    assert claims.want(KEYS[0], BODY, 1.0, 3.0, "c", 1.0 + ASK_S) is Answer.BACK    # at once
+    claims.out.clear()
+    assert claims.heard(wire.Granted(KEYS[0]), False) == ([], [])
+    assert claims.out == [wire.Released(KEYS[0])] and not claims.mine
+
+
+def test_what_a_stranger_held_is_in_doubt_for_the_longest_window() -> None:
+    claims: Claims[str] = Claims(WINDOW_S, LINGER_S, 100, 1000)
+    claims.side = Side.STRANGER
+    assert claims.want(KEYS[0], BODY, 1.0, 3.0, "a", 1.0) is Answer.BACK
+    claims.lost(5.0)
+    over = 5.0 + WINDOW_S + SLACK_S + LINGER_S
+    assert claims.want(KEYS[0], BODY, over - 0.01, 9.0, "a", over - 0.01) is Answer.BACK
+    assert claims.want(KEYS[0], BODY, over, 9.0, "a", over) is Answer.GO
+
+
+def test_claims_beyond_the_bound_are_in_doubt_and_the_oldest_results_go_first() -> None:
+    claims: Claims[str] = Claims(WINDOW_S, LINGER_S, 2, 10)
+    claims.side = Side.PREDECESSOR
+    for key in KEYS[:2]:
+        claims.heard(wire.Claimed(key, BODY, 3.0), False)
+        claims.heard(wire.Ended(key, True, "", b"x" * 8), False)
+    first, second = (claims.theirs[key] for key in KEYS[:2])
+    assert (first.good, first.result) == (False, b"") and (second.good, len(second.result)) == (True, 8)
+    claims.heard(wire.Claimed(KEYS[2], BODY, 3.0), False)
+    assert claims.want(KEYS[3], BODY, 1.0, 3.0, "a", 1.0) is Answer.BACK
+    claims.sweep(10.0)
+    assert not claims.theirs and claims.result_bytes == 0
+    assert claims.want(KEYS[3], BODY, 10.0, 12.0, "a", 10.0) is Answer.WAIT
+
+
+def test_the_authority_answers_a_successor_that_no_longer_knows_its_own_run() -> None:
+    claims: Claims[str] = Claims(WINDOW_S, LINGER_S, 100, 1000)
+    claims.side = Side.SUCCESSOR
+    claims.theirs[KEYS[0]] = Claim(KEYS[0], BODY, 3.0, over=True, good=True, result=b"r")
+    claims.heard(wire.Ask(KEYS[0], BODY, 2.0, 4.0), False)
+    assert claims.out == [wire.Claimed(KEYS[0], BODY, 3.0), wire.Ended(KEYS[0], True, "", b"r"),
+                          wire.Denied(KEYS[0])]
+    claims.out.clear()
+    claims.heard(wire.Ask(KEYS[0], BODY, 3.2, 5.2), False)      # its window is over
+    assert claims.out == [wire.Granted(KEYS[0])]
+
+
+@pytest.mark.parametrize("seed", range(150))
+def test_the_stages_keep_their_invariants_over_any_history(seed: int) -> None:
+    draw, life, now = random.Random(seed), Life(), 0.0
+    began = joined = None
+    deferred = False
+    for _ in range(80):
+        now += draw.random() * 0.4
+        served = life.serves
+        event = draw.choice(["found", "nobody", "greeted", "strange", "deferred", "copied", "cut", "able",
+                             "time", "time", "joined", "ready", "alone", "leave", "end"])
+        match event:
+            case "found" if life.before is Before.SOUGHT:
+                began = now if began is None else began
+                life.found(now)
+            case "nobody" if life.before is Before.SOUGHT:
+                life.nobody()
+            case "greeted" | "strange":
+                life.greeted(now, event == "greeted")
+            case "deferred":
+                life.deferred()
+                deferred = deferred or life.before is Before.DEFERRED
+            case "copied":
+                life.copied()
+            case "cut" if life.before is not Before.GONE:
+                life.cut()
+            case "able":
+                life.able()
+            case "joined" if life.authority:
+                life.joined()
+            case "ready" if life.after is After.JOINING:
+                life.ready()
+            case "alone":
+                life.alone()
+            case "leave" if draw.random() < 0.1:
+                life.leave()
+            case "end" if draw.random() < 0.02:
+                life.end()
+        life.time(now)
+        joined = joined or life.before in JOINED
+        if life.accepting:                                                      # 1
+            assert joined and (life.fit or served or life.before is Before.GONE), seed
+        assert life.serves >= served                                            # 2
+        assert life.accepting is (life.serves and not life.over and not (
+            life.leaving and life.after is After.READY)), seed
+        assert life.authority is (life.before is Before.GONE)                   # 3
+        if began is not None and not deferred and now > began + GREET_S + COPY_S and life.fit:
+            assert life.serves, seed                                            # 4
+
+
+MESSAGES = st.one_of(
+    st.builds(wire.Hello, st.integers(0, 65_535)),
+    st.sampled_from([wire.Wait(), wire.Synced(), wire.Ready()]),
+    st.builds(wire.Claimed, *[st.binary(min_size=16, max_size=16)] * 2, st.floats(allow_nan=False)),
+    st.builds(wire.Ask, *[st.binary(min_size=16, max_size=16)] * 2, *[st.floats(allow_nan=False)] * 2),
+    *(st.builds(made, st.binary(min_size=16, max_size=16)) for made in (wire.Granted, wire.Denied,
+                                                                        wire.Released)),
+    st.builds(wire.Ended, st.binary(min_size=16, max_size=16), st.booleans(), st.text(max_size=50),
+              st.binary(max_size=3000)),
+    st.builds(wire.Load, st.integers(0, 2**32 - 1), st.floats(allow_nan=False), st.integers(0, 2**32 - 1),
+              st.integers(0, 2**32 - 1)),
+    st.builds(wire.Word, st.booleans()),
+)
+
+
+@given(MESSAGES)
+def test_every_message_comes_back_as_it_was(message: wire.Message) -> None:
+    data = wire.encode(message)
+    assert wire.length(data) == len(data) - 4
+    assert wire.decode(data[4], data[5:]) == message
+
+
+@given(st.integers(0, 255), st.binary(max_size=200))
+def test_bytes_that_are_no_message_end_in_one_error(number: int, payload: bytes) -> None:
+    try:
+        wire.decode(number, payload)
+    except wire.WireError:
+        return
+    assert number in (wire.HELLO, wire.ENDED) or number in wire.LAYOUTS
+
+
+def test_a_result_that_is_too_long_is_not_passed_on() -> None:
+    data = wire.encode(wire.Ended(KEYS[0], True, "", b"x" * (wire.MOST_RESULT + 1)))
+    assert wire.decode(data[4], data[5:]) == wire.Ended(KEYS[0], False)
+    with pytest.raises(wire.WireError):
+        wire.length((wire.MOST + 1).to_bytes(4, "big"))
