Take connections again once a successor of another version is gone

Found by a test of a successor that cannot be understood: after it had died the old process, told to leave, left the shared socket to nobody. Change: its end is noticed; one that comes after the notice to leave counts as well. Tests for both, for a successor that dies before its yes, and for a reload of both processes during an overlap.

--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -126,6 +126,9 @@
         await peer.serve(reader, writer)
         if peer in self.waiting:
             self.waiting.remove(peer)
+            if peer.strange and self.after is None and not self._stranger_there():
+                self.life.alone()
+                self.changed()
         # Seen on a day of upgrades: the channel that a process closes on its way out was taken for its
         # successor's end; it took connections again for its last 80 ms, and ran a key that nobody knew of.
         if peer is self.after and not self.life.over:
@@ -226,6 +229,9 @@
             else:   # it will ask nothing; that it stands here says that it has come
                 peer.strange = True
                 log.warning("handover: a successor of another version")
+                if self.life.leaving:
+                    self.leave()
+                    self.changed()
             return
         self.life.greeted(self.module.clock(), understood)
         if not understood:
@@ -408,10 +414,14 @@
     def leave(self) -> bool:
         """The notice to leave; whether another process goes on as this node."""
         self.life.leave()
-        if any(peer.strange for peer in self.waiting):
+        if self._stranger_there():
             self.life.ready()
         return self.life.replaced
 
+    def _stranger_there(self) -> bool:
+        """A successor that cannot be understood: that it has come has to do for a yes."""
+        return any(peer.strange for peer in self.waiting)
+
     def may_go(self) -> bool:
         """Nothing is owed here any more, and what comes is the successor's."""
         return (self.life.replaced and not self.connections() and not self.module.book
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -248,6 +248,47 @@
     run(work, folder)
 
 
+def test_a_successor_that_dies_before_its_yes_and_a_reload_beside_one_change_nothing(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        await old.play("a = connect frames\n" + asked(1, 1, 1) + LAUNCH % 1)
+        early = await pair.start(up=False)
+        await until(lambda: old.program.handover.life.after is After.JOINING, lambda: "not seen")   # type: ignore
+        await pair.end(early)
+        await until(lambda: old.program.handover.life.after is After.NONE, lambda: "still there")   # type: ignore
+        new = await pair.start()
+        await pair.following(old, new)
+        for stand in (old, new):    # the agent's address moves for both, each to its own new one
+            await stand.play("move agent\nreload\ng = accept agent\n")
+        greeted = UP.partition("\n")[2].replace("links 1", "links 2")
+        await old.play(greeted + LAUNCH % 1 + PASS % (1, 1) + OK % 1)
+        await new.play(greeted)
+        await pair.caller(new, [old])
+        await new.play(asked(1, 2, 1) + OK % 1)
+        assert new.program.counters["sent.launches"] == 0
+
+    run(work, folder)
+
+
+def test_a_successor_of_another_version_is_left_the_socket(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        handover = old.program.handover
+        assert handover is not None and handover.channel is not None and old.program.frames is not None
+        reader, writer = await asyncio.open_unix_connection(str(folder / handover.channel.name))
+        writer.write(wire.encode(wire.Hello(99)) + b"\xff" * 100)
+        await until(lambda: any(peer.strange for peer in handover.waiting), lambda: "not seen")
+        assert (await reader.read(100)) == wire.encode(wire.Hello())
+        old.program.leave()
+        assert old.program.replaced and old.program.frames.server is None
+        writer.close()      # it is gone: nobody else stands for this node
+        await pair.serving(old)
+
+    run(work, folder)
+
+
 def test_an_operators_word_holds_for_both_and_passes_to_the_successor(folder: Path) -> None:
     async def work(pair: Pair) -> None:
         old = await pair.start(admin=True)
