Say once what another process holds, and start pairs in one place

Need: the same data class stood in the core and in the module's interface; five tests began alike. Change: the module's actor passes the interface's event on. Measured: the suite passes, no change of behaviour.

--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -16,7 +16,6 @@
     CallDone,
     Calls,
     CallWanted,
-    Elsewhere,
     Gone,
     Leave,
     Message,
@@ -263,8 +262,8 @@
                 elif self.replaced and not replaced:    # the successor is gone: this node leaves after all
                     self.replaced = False
                     events.append(api.Leaving(self.leaving_until - now))
-            case Elsewhere(runs, kb, calls):
-                events.append(api.Elsewhere(runs, kb, calls))
+            case api.Elsewhere():
+                events.append(message)
 
     def _cleared(self, request: Request) -> bool:
         """Whether the other process of this node has no say in a try, or has said it."""
@@ -492,9 +491,9 @@
         if self.partner is not None and request.nonce is not None:
             self.partner.forgotten(request)
 
-    def load(self) -> Elsewhere:
-        """What this process has on the cores, holds and has in calls, in the words of the other's module."""
-        return Elsewhere(*self.node.load())
+    def load(self) -> api.Elsewhere:
+        """What this process has on the cores, holds and has in calls, as the other's module is told it."""
+        return api.Elsewhere(*self.node.load())
 
     def _answer(self, request: Request, answer: Answer, now: float) -> None:
         if not request.answered and not request.gone:
--- a/beechrock/core/requests.py
+++ b/beechrock/core/requests.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from beechrock.core.wheel import Timer
-from beechrock.interface import Action, Event, Gauges, Outcome, Settings
+from beechrock.interface import Action, Elsewhere, Event, Gauges, Outcome, Settings
 
 
 class Verdict(Enum):
@@ -175,15 +175,6 @@
     replaced: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Elsewhere:
-    """What the other process of this node has on the cores, holds, and has in calls."""
-
-    runs: int = 0
-    kb: float = 0.0
-    calls: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class Renew:
     """Other classes and tenants for what is read from now on; those of before keep their places."""
--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -8,12 +8,12 @@
 
 from beechrock.core.keys import SLACK_S
 from beechrock.core.module import ModuleActor
-from beechrock.core.requests import Elsewhere, Request, Taken
+from beechrock.core.requests import Request, Taken
 from beechrock.handover import wire
 from beechrock.handover.channel import Channel, ChannelPeer, same_user
 from beechrock.handover.claims import ASK_S, Answer, Claim, Claims, Side
 from beechrock.handover.life import Before, Life
-from beechrock.interface import Effect
+from beechrock.interface import Effect, Elsewhere
 
 log = logging.getLogger("beechrock")
 PULSE_S = 0.01          # the other hears of our load so often; its own batches come no closer than 4 ms
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -82,6 +82,14 @@
             await stand.play(UP + "beat BEAT n1 ready\n")
         return stand
 
+    async def both(self) -> tuple[Stand, Stand]:
+        """One that serves, and its successor, ready."""
+        old = await self.start()
+        await self.serving(old)
+        new = await self.start()
+        await self.following(old, new)
+        return old, new
+
     async def serving(self, stand: Stand) -> None:
         handover = stand.program.handover
         assert handover is not None
@@ -153,10 +161,7 @@
 
 def test_a_key_of_the_new_process_is_granted_once_and_answered_by_the_old_one(folder: Path) -> None:
     async def work(pair: Pair) -> None:
-        old = await pair.start()
-        await pair.serving(old)
-        new = await pair.start()
-        await pair.following(old, new)
+        old, new = await pair.both()
         await pair.caller(new, [old])
         await pair.caller(old, [new])
         await new.play(asked(1, 1, 1) + LAUNCH % 1)
@@ -181,10 +186,7 @@
 
 def test_a_predecessor_that_does_not_answer_costs_a_refusal_with_a_time_to_come_back(folder: Path) -> None:
     async def work(pair: Pair) -> None:
-        old = await pair.start()
-        await pair.serving(old)
-        new = await pair.start()
-        await pair.following(old, new)
+        old, new = await pair.both()
         await pair.caller(new, [old])
         old.program.handover.heard = lambda peer, message: None     # type: ignore  # stopped, as far as can be seen
         await new.play(asked(1, 1, 1))
@@ -225,10 +227,7 @@
 
 def test_a_replaced_process_stays_good_and_goes_when_nothing_is_owed(folder: Path) -> None:
     async def work(pair: Pair) -> None:
-        old = await pair.start()
-        await pair.serving(old)
-        new = await pair.start()
-        await pair.following(old, new)
+        old, new = await pair.both()
         await pair.caller(old, [new])
         await old.play(CHECK % (9, 9) + asked(1, 1, 1) + LAUNCH % 1)
         old.program.leave()
@@ -401,20 +400,14 @@
     async def work(pair: Pair) -> None:
         pair.folder = folder / ("x" * 120)
         pair.folder.mkdir()
-        old = await pair.start()
-        await pair.serving(old)
-        new = await pair.start()
-        await pair.following(old, new)
+        await pair.both()
 
     run(work, folder)
 
 
 def test_a_busy_partner_lets_the_module_start_fewer_and_its_end_frees_the_rest(folder: Path) -> None:
     async def work(pair: Pair) -> None:
-        old = await pair.start()
-        await pair.serving(old)
-        new = await pair.start()
-        await pair.following(old, new)
+        old, new = await pair.both()
         alone = new.program.module.node._run_limit()
         await pair.caller(old, [new])
         await old.play("".join(asked(n, n, n) for n in range(1, 4))
