Serve beside a stopped predecessor; count runs at SCGI servers as dispatches

Found by a test: a predecessor that is stopped, its queue full, gives channels that end at once; the newcomer serves in doubt after 3 s, as it should. The pulse now outlives an error, and the log says once that a predecessor is unreachable. Found by trying the broker: svc_dispatches stayed 0 where runs go to SCGI servers; they count now.

--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -140,14 +140,15 @@
         from beechrock.admin.http import MOST_CONNECTIONS, AdminFront, Calls
         from beechrock.admin.serving import Serving
 
-        agent, handover = self.agent, self.handover
+        agent, handover = (self.agent if self.servers is None else None), self.handover
         self.serving = serving = Serving(
             lambda: self.module.able() and (handover is None or handover.life.serves))
         if handover is not None:
             serving.told, handover.word = handover.operator, serving.hear
             handover.failed = lambda: serving.failed
         self.module.offered = lambda: serving.offered
-        calls = Calls(self.module, serving, lambda: agent.dispatches if agent is not None else 0)
+        calls = Calls(self.module, serving, lambda: (   # with servers of its own a node hands runs to those too
+            agent.dispatches if agent is not None else int(self.counters["sent.launches"])))
         self.admin = AdminFront(self.module, calls, min(MOST_CONNECTIONS, self.told.sockets // 8))
 
     def _record(self, told: config.Trace, clock: Callable[[], float]) -> None:
--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -73,9 +73,10 @@
         while True:
             try:
                 found = await self.channel.connect()
-            except OSError as error:    # it may be there, and cannot be reached
+            except OSError as error:    # it may be there, and cannot be reached, for as long as it is stopped
+                if not self.counters["handover.unreachable"]:
+                    log.warning("handover: predecessor: %s", error)
                 self.counters.add("handover.unreachable")
-                log.warning("handover: predecessor: %s", error)
                 self.life.found(self.module.clock())
                 self._pulse_on()
                 await asyncio.sleep(AGAIN_S)
@@ -362,7 +363,10 @@
 
     async def _pulses(self) -> None:
         while self.peer is not None or self.life.before is not Before.GONE:
-            self.pulse()
+            try:
+                self.pulse()
+            except Exception as error:  # without pulses no successor would ever be ready
+                self.counters.trouble("handover.pulse", error)
             await asyncio.sleep(PULSE_S)
 
     def pulse(self) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,6 +1,7 @@
 """Two processes of one node, in one loop: what each takes, runs and answers while one follows the other."""
 
 import asyncio
+import contextlib
 import os
 import socket
 import struct
@@ -15,7 +16,7 @@
 from test_admin import ASKED
 
 from beechrock.handover import wire
-from beechrock.handover.life import After, Before
+from beechrock.handover.life import COPY_S, GREET_S, After, Before
 
 UP = 'g = accept agent\ng < "subscribe 0\\r\\n"\ng > "greeting LOADED 5\\r\\n"\ncounter agent.links 1\n'
 LAUNCH = 'g < "launch %016d submit 1\\r\\nx\\r\\n"\n'
@@ -364,6 +365,26 @@
     run(work, folder)
 
 
+def test_beside_a_stopped_predecessor_whose_queue_is_full_a_process_serves_in_doubt(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        host, port = pair.shared.getsockname()
+        with contextlib.ExitStack() as held:
+            stopped = held.enter_context(socket.socket(socket.AF_UNIX))
+            stopped.bind(str(folder / f"beechrock-{host}_{port}-{0:020d}-1.sock"))
+            stopped.listen(0)
+            filler = held.enter_context(socket.socket(socket.AF_UNIX))
+            filler.connect(stopped.getsockname())
+            new = await pair.start()
+            await until(lambda: new.program.counters["handover.channels_ended"] > 0, lambda: "not tried")
+            new.now += GREET_S + COPY_S + 0.1
+            await pair.serving(new)
+            await new.play("a = connect frames\n" + asked(1, 1, 1).replace(
+                "1700000000000", str(int(1000 * new.now))) + DOUBT % 1)
+        assert new.program.counters["sent.launches"] == 0
+
+    run(work, folder)
+
+
 def test_what_else_lies_in_the_folder_is_passed_over_and_stale_sockets_are_removed(folder: Path) -> None:
     async def work(pair: Pair) -> None:
         host, port = pair.shared.getsockname()
