--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -147,7 +147,8 @@
             serving.told, handover.word = handover.operator, serving.hear
             handover.failed = lambda: serving.failed
         self.module.offered = lambda: serving.offered
-        calls = Calls(self.module, serving, lambda: (   # with servers of its own a node hands runs to those too
+        # With SCGI servers a node hands runs to those too, and each launch is one.
+        calls = Calls(self.module, serving, lambda: (
             agent.dispatches if agent is not None else int(self.counters["sent.launches"])))
         self.admin = AdminFront(self.module, calls, min(MOST_CONNECTIONS, self.told.sockets // 8))
 
