Take a clock's jumps out of a record where a trace tool is asked to

Need: a jump back was marked in the file and no further: windows held rows of two times, a request over a jump took minus a minute. Measured: 60 drawn records with up to four jumps of -90 s to an hour come back as they were, to a microsecond; doing it twice is doing it once.

--- a/beechrock/cli/trace.py
+++ b/beechrock/cli/trace.py
@@ -88,6 +88,11 @@
     return command
 
 
+def steadily(command: F) -> F:
+    told = "Take jumps of the clock out: go by the one that the record begins with."
+    return click.option("--steady", is_flag=True, help=told)(command)
+
+
 def begin_of(files: list[Path]) -> float:
     from beechrock.trace.format import Reader
 
@@ -183,8 +188,9 @@
 @click.option("--team")
 @click.option("--subject")
 @click.option("--outcome", type=click.Choice(["served", "refused", "failed"]))
+@steadily
 def cut(paths: tuple[Path, ...], out: Path, since: Any, until: Any, route: str | None, team: str | None,
-        subject: str | None, outcome: str | None) -> None:
+        subject: str | None, outcome: str | None, steady: bool) -> None:
     """Keep a window of one node's record, or what is about some requests."""
     from beechrock.trace import tools
 
@@ -200,8 +206,8 @@
             tools.of_one_node(files)
         with progress(files * (2 if wanted.by_request else 1)) as done:
             kept = tools.chosen(tools.rows_of(files, done), wanted) if wanted.by_request else None
-            count = tools.write(out, tools.cut(tools.rows_of(files, done), wanted, kept),
-                                {"node": next(iter(nodes)), "cut": True})
+            count = tools.write(out, tools.cut(tools.rows_of(files, done, steady), wanted, kept),
+                                {"node": next(iter(nodes)), "cut": True, "steady": steady})
     click.echo(f"{out}: {count} rows" + (f" about {len(kept)} requests" if kept is not None else ""))
 
 
@@ -210,7 +216,8 @@
 @click.option("--out", type=OUT, required=True)
 @click.option("--clocks", type=click.Choice(["estimate", "trust"]), default="trust", show_default=True,
               help="estimate: bring all to the first node's clock, by requests seen in both.")
-def merge(paths: tuple[Path, ...], out: Path, clocks: str) -> None:
+@steadily
+def merge(paths: tuple[Path, ...], out: Path, clocks: str, steady: bool) -> None:
     """Bring the records of several nodes into one, by time."""
     from beechrock.trace import clocks as apart
     from beechrock.trace import tools
@@ -221,14 +228,14 @@
         shifts: list[Callable[[float], float]] | None = None
         with progress(files * (2 if clocks == "estimate" else 1)) as done:
             if clocks == "estimate":
-                sights = [apart.Sights(tools.rows_of(held, done)) for held in nodes.values()]
+                sights = [apart.Sights(tools.rows_of(held, done, steady)) for held in nodes.values()]
                 shifts = [lambda told: told]
                 for name, other in list(zip(nodes, sights, strict=True))[1:]:
                     estimate = apart.estimate(sights[0], other)
                     click.echo(f"{name}: {estimate}", err=True)
                     shifts.append(estimate.to_first)
-            streams = [tools.rows_of(held, done) for held in nodes.values()]
-            meta = {"node": "+".join(nodes), "merged": True}
+            streams = [tools.rows_of(held, done, steady) for held in nodes.values()]
+            meta = {"node": "+".join(nodes), "merged": True, "steady": steady}
             count = tools.write(out, tools.merge(list(streams), shifts, list(nodes)), meta)
     click.echo(f"{out}: {count} rows of {len(nodes)} nodes")
 
@@ -258,7 +265,9 @@
 @window
 @click.option("--window", "window_s", type=float, default=0.0, help="Seconds of a line; 0 for the whole.")
 @click.option("--format", "form", type=FORM, default="text")
-def summary(paths: tuple[Path, ...], since: Any, until: Any, window_s: float, form: str) -> None:
+@steadily
+def summary(paths: tuple[Path, ...], since: Any, until: Any, window_s: float, form: str,
+            steady: bool) -> None:
     """Service by class, team and window; with --format json the counts beside it."""
     from beechrock.trace import tools
     from beechrock.trace.summary import Summary
@@ -269,7 +278,7 @@
         wanted = tools.Wanted(at(since, begins, float("-inf")), at(until, begins, float("inf")))
         with progress(files) as done:
             for name, held in by_node(files).items():
-                found.take(tools.cut(tools.rows_of(held, done), wanted), name)
+                found.take(tools.cut(tools.rows_of(held, done, steady), wanted), name)
     if form == "json":
         click.echo(ujson.dumps({
             "groups": found.table(), "counters": dict(sorted(found.counters.items())), "rows": found.rows,
@@ -290,7 +299,7 @@
                    f"{told['served']:8} {told['refused']:8} {told['failed']:7} {part:>6} {times}")
     if found.dropped or found.jumps:
         click.echo(f"{found.dropped} rows are missing in {found.gaps} gaps; "
-                   f"the clock jumped {found.jumps} times")
+                   f"the clock jumped {found.jumps} times (see --steady)")
 
 
 def _told(row: "Row") -> dict[str, Any]:
@@ -376,6 +385,7 @@
         tools.of_one_node(files)
         make = _node_of(policy)
         if exact:
+            tools.as_recorded(files)
             with progress(files) as done:
                 found = again.exactly(tools.rows_of(files, done), make)
             click.echo(f"{found.batches} batches, {found.events} events, {found.actions} actions, "
@@ -386,7 +396,7 @@
                 click.echo(f"  replayed {[row[0::2] for row in found.first.replayed]}")
             sys.exit(1 if found.differing else 0)
         with progress(files) as done:
-            told = whatif.recorded(tools.rows_of(files, done))
+            told = whatif.recorded(tools.rows_of(files, done, even=True))
         model = whatif.fit(told)
         settings = _other_settings(told.settings, settings_file, inventory_path)
         answers = whatif.play(told, model, settings, make)
--- a/beechrock/trace/tools.py
+++ b/beechrock/trace/tools.py
@@ -9,6 +9,7 @@
 from beechrock.trace.codec import FormatError
 from beechrock.trace.format import SUFFIX, Facts, Reader, Writer
 from beechrock.trace.records import ABOUT_ONE, FIELDS, Row, value
+from beechrock.trace.steady import steady
 
 MOST_FILES = 10_000
 MOST_CHOSEN = 5_000_000     # requests that a cut by class, team, subject or outcome can keep in mind
@@ -36,8 +37,26 @@
                 raise FormatError(f"{path}: holds several nodes; do this to each node's record, then merge")
 
 
-def rows_of(paths: Iterable[Path], progress: Progress = lambda _: None) -> Iterator[Row]:
-    """The rows of one node's files, one after the other; damaged blocks are passed over and stand as gaps."""
+def as_recorded(paths: list[Path]) -> None:
+    """FormatError where a jump was taken out: the module saw it, and decided by it."""
+    for path in paths:
+        with Reader(path) as reader:
+            if reader.meta.get("steady"):
+                raise FormatError(f"{path}: brought to an even clock; play the record that it was made of")
+
+
+def rows_of(
+    paths: Iterable[Path], progress: Progress = lambda _: None, even: bool = False,
+) -> Iterator[Row]:
+    """The rows of one node's files, one after the other; damaged blocks are passed over and stand as gaps.
+
+    ``even``: on the clock of the first, with its jumps taken out.
+    """
+    rows = _rows_of(paths, progress)
+    return steady(rows) if even else rows
+
+
+def _rows_of(paths: Iterable[Path], progress: Progress) -> Iterator[Row]:
     for path in paths:
         with Reader(path) as reader:
             for entry in reader.blocks:
--- a/tests/test_trace_tools.py
+++ b/tests/test_trace_tools.py
@@ -22,6 +22,7 @@
 from beechrock.trace.codec import FormatError
 from beechrock.trace.recorder import keyed_hash
 from beechrock.trace.records import FIELDS, Row, value
+from beechrock.trace.steady import steady
 from beechrock.trace.summary import Summary
 
 __all__ = ["recorded"]
@@ -259,6 +260,74 @@
     assert call("anonymise", source, tmp_path / "o", "--key-file", tmp_path / "short").exit_code == 2
 
 
+# --- a clock that jumped
+
+
+def jumping(rows: list[Row], jumps: list[tuple[float, float]]) -> list[Row]:
+    """The rows as a node would have recorded them whose clock jumps at these times by so much."""
+    found: list[Row] = []
+    shift, left = 0.0, sorted(jumps)
+    for row in rows:
+        while left and left[0][0] <= row[1]:
+            at, by = left.pop(0)
+            shift += by
+            found.append(("jump", at + shift, by))
+        told = [row[0], row[1] + shift, *row[2:]]
+        if row[0] == "taken":
+            told[-1] += shift
+        if row[0] == "answered":    # its ``born`` was read before the jumps that came since
+            taken_at = next(r[1] for r in rows if r[0] == "taken" and r[2] == row[2])
+            told[7] += sum(by for at, by in jumps if taken_at < at <= row[1])
+        found.append(tuple(told))
+    return found
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.floats(1000, 1040), st.sampled_from([-90.0, -0.25, 0.5, 3600.0])), max_size=4,
+                unique_by=lambda jump: jump[0]), st.integers(0, 2**32))
+def test_jumps_come_out_of_a_record_and_leave_the_rest_as_it_was(
+    jumps: list[tuple[float, float]], seed: int
+) -> None:
+    draw = random.Random(seed)
+    rows: list[Row] = []
+    for n in range(1, 30):
+        at = 1000.0 + draw.random() * 40
+        took = draw.random() * 8
+        rows += [taken(at, n), answered(at + took, n, took_s=took + 0.01), ("run", at + took / 2, n)]
+    rows.sort(key=lambda row: row[1])
+    found = [row for row in steady(jumping(rows, jumps)) if row[0] != "jump"]
+    for was, now in zip(rows, found, strict=True):
+        assert all(a == (pytest.approx(b, abs=1e-6) if isinstance(b, float) else b)
+                   for a, b in zip(now, was, strict=True))
+    again = list(steady(steady(jumping(rows, jumps))))      # twice is once
+    assert again == list(steady(jumping(rows, jumps)))
+
+
+def test_the_tools_go_by_an_even_clock_when_asked_and_each_node_by_its_own(tmp_path: Path) -> None:
+    rows = [row for n in range(1, 9)
+            for row in (taken(1000.0 + n, n), answered(1000.5 + n, n, took_s=0.51))]
+    source = wrote(tmp_path / "n.btrace", [jumping(rows, [(1004.2, -60.0)])])
+    told = ujson.loads(call("summary", source, "--window", 100, "--format", "json").stdout)
+    assert [group["asked"] for group in told["groups"]] == [4, 4] and told["jumps"] == 1
+    assert told["groups"][1]["p99_s"] == pytest.approx(0.51, abs=0.01)
+    told = ujson.loads(call("summary", source, "--window", 100, "--steady", "--format", "json").stdout)
+    [group] = told["groups"]
+    assert group["asked"] == 8 and group["p99_s"] == pytest.approx(0.51, abs=0.01)
+    out = tmp_path / "out.btrace"
+    assert call("cut", source, "--out", out, "--since", 1004, "--until", 1007, "--steady").exit_code == 0
+    with files.Reader(out) as reader:
+        assert [row[2] for row in reader.rows() if row[0] == "taken"] == [4, 5, 6]
+    result = call("replay", out, "--exact")
+    assert result.exit_code == 2 and "even clock" in result.output
+    writer = files.Writer(tmp_path / "m.btrace", {"node": "n2"})
+    writer.write(rows)
+    writer.close()
+    assert call("merge", source, tmp_path / "m.btrace", "--out", tmp_path / "all.btrace", "--steady").exit_code == 0
+    with files.Reader(tmp_path / "all.btrace") as reader:
+        times = [row[1] for row in reader.rows() if row[0] != "node"]
+    assert times == sorted(times)
+
+
 # --- what if
 
 
