--- a/tests/test_trace_tools.py
+++ b/tests/test_trace_tools.py
@@ -322,7 +322,8 @@
     writer = files.Writer(tmp_path / "m.btrace", {"node": "n2"})
     writer.write(rows)
     writer.close()
-    assert call("merge", source, tmp_path / "m.btrace", "--out", tmp_path / "all.btrace", "--steady").exit_code == 0
+    merged = call("merge", source, tmp_path / "m.btrace", "--out", tmp_path / "all.btrace", "--steady")
+    assert merged.exit_code == 0
     with files.Reader(tmp_path / "all.btrace") as reader:
         times = [row[1] for row in reader.rows() if row[0] != "node"]
     assert times == sorted(times)
