Take a successor's yes also after the notice to leave, and say yes only once it is told

Found by reading the change again: the yes at the second address went out up to 10 ms before the predecessor was told, and SIGTERM may come in between; it then left as a node that goes for good: bad checks, 'draining', advice to keep away. Tests for both orders.

--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -124,9 +124,10 @@
                 self.counters.spawn(self._take_connections(), "listen")
             else:
                 self.frames.pause()
+        # A successor's yes may be read after the notice to leave; or it is gone, and this node leaves.
         life = self.handover.life
-        if self.replaced and not life.replaced and not life.over:   # the successor is gone: this node leaves
-            self.replaced = False
+        if self.leaving.is_set() and self.replaced is not life.replaced and not life.over:
+            self.replaced = life.replaced
             self._tell_leave()
 
     async def _take_connections(self) -> None:
@@ -142,7 +143,7 @@
 
         agent, handover = (self.agent if self.servers is None else None), self.handover
         self.serving = serving = Serving(
-            lambda: self.module.able() and (handover is None or handover.life.serves))
+            lambda: self.module.able() and (handover is None or handover.serving))
         if handover is not None:
             serving.told, handover.word = handover.operator, serving.hear
             handover.failed = lambda: serving.failed
@@ -208,8 +209,8 @@
     def _tell_leave(self) -> None:
         """The module, and unless another process goes on as this node, the registry."""
         self.module.post(Leave(self.told.stop_s, self.replaced))
-        if self.registry is not None and not self.replaced:
-            self.registry.mailbox.put("draining")
+        if self.registry is not None:
+            self.registry.mailbox.put("ready" if self.replaced else "draining")
 
     def reload(self) -> None:
         """Go on under a new configuration: those we talk to may have moved; all that is open goes on.
--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -259,9 +259,9 @@
                 if self.leaving_until is None:
                     self.leaving_until, self.replaced = now + left, replaced
                     events.append(api.Leaving(left, replaced))
-                elif self.replaced and not replaced:    # the successor is gone: this node leaves after all
-                    self.replaced = False
-                    events.append(api.Leaving(self.leaving_until - now))
+                elif self.replaced is not replaced:     # a successor came after the notice, or is gone
+                    self.replaced = replaced
+                    events.append(api.Leaving(self.leaving_until - now, replaced))
             case api.Elsewhere():
                 events.append(message)
 
--- a/beechrock/decide.py
+++ b/beechrock/decide.py
@@ -148,11 +148,12 @@
             case api.Elsewhere():
                 self.other = event
             case api.Leaving(left, replaced):   # what comes before the grace ends may still run
-                self.leave_at, self.kill_at = self.now, self.now + left * (1 - DRAIN_MARGIN)
-                if not replaced:    # checks fail at once, and callers are sent elsewhere in time
-                    self.full_at = min(self.now + DRAIN_OPEN * (self.s.drain_grace_s or 0.0),
-                                       self.kill_at - self.mean_aim)
-                    self.out.append(api.Health(False))
+                self.leave_at = min(self.leave_at, self.now)
+                self.kill_at = self.now + left * (1 - DRAIN_MARGIN)
+                full_at = min(self.leave_at + DRAIN_OPEN * (self.s.drain_grace_s or 0.0),
+                              self.kill_at - self.mean_aim)
+                self.full_at = math.inf if replaced else full_at    # callers are sent elsewhere in time
+                self.out.append(api.Health(replaced and self.healthy))
             case _ if event.id in self.jobs:
                 self._progress(self.jobs[event.id], event)
 
--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -59,6 +59,11 @@
         """The other process, as far as claims go."""
         return self.before if self.before is not None else self.after
 
+    @property
+    def serving(self) -> bool:
+        """Whether to say yes: SIGTERM may then come to the predecessor at once, so that is told before."""
+        return self.life.serves and (self._said_ready or self.life.before is not Before.TOGETHER)
+
     # --- the way in
 
     async def run(self) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -211,9 +211,13 @@
         old.program.leave()
         assert old.program.frames.server is not None and not old.program.replaced   # type: ignore[union-attr]
         await old.play("a < {06 00000000}\nbeat BEAT n1 draining\n")
+        assert not new.program.handover.serving     # type: ignore[union-attr]
         await new.play(UP)
         await pair.following(old, new)
+        assert new.program.handover.serving and old.program.replaced    # type: ignore[union-attr]
         assert old.program.frames.server is None    # type: ignore[union-attr]
+        old.beats.clear()
+        await old.play(CHECK % (9, 9) + "beat BEAT n1 ready\n")     # the node stays: it is well, and listed
         assert not old.program.handover.may_go()    # type: ignore[union-attr]
         # It dies after its yes: who still stands takes connections again.
         await pair.end(new)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -185,12 +185,14 @@
     said = driver.tell(api.Leaving(5.0, replaced=True))
     early, more = driver.arrive()
     driver.tell(after=2.0)      # at 0.8 of the grace who leaves for good asks for nothing more
-    assert not of(api.Health, said + more) and early in ids(api.Run, driver.said)
+    assert of(api.Health, said + more) == [api.Health(True)] and early in ids(api.Run, driver.said)
     assert all(a.value < 1 for a in of(api.Advertise, driver.said))
     driver.tell(after=2.6)
     assert all(job.answered for job in driver.node.jobs.values())
-    # Its successor is gone: it leaves for good after all.
+    # Its successor is gone: it leaves for good after all; and another one comes.
     assert of(api.Health, driver.tell(api.Leaving(0.4))) == [api.Health(False)]
+    assert of(api.Health, driver.tell(api.Leaving(0.3, replaced=True))) == [api.Health(True)]
+    assert driver.node.full_at == float("inf") and driver.node.leave_at < driver.now - 4
 
 
 # Another process of this node, on the same cores.
