--- a/beechrock/handover/life.py
+++ b/beechrock/handover/life.py
@@ -3,7 +3,7 @@
 Of the predecessor (``Before``): SOUGHT, at the start; GREETED, a channel stands, and its first word is
 waited for; DEFERRED, it waits for one of its own; COPIED, its claims are being read; TOGETHER, all are known;
 STRANGE, it is there and cannot be understood, or says nothing; GONE, or never was there.
-Of the successor (``After``): NONE; JOINING; READY, it takes connections.
+Of the successor (``After``): NONE; JOINING; READY, it takes connections. Of either, whether it leaves too.
 
 Events: what the channel tells (found, nobody, greeted, ...), ``able`` once runs can be started here,
 ``leave``, ``end``, and time.
@@ -11,8 +11,8 @@
 Invariants:
 1. This process has taken a connection only once it knew its predecessor's claims, knew that there is none,
    or was in doubt (STRANGE), in which it runs no key; and beside another one only once it can start runs.
-2. Once it serves, it takes connections until its end, but for one case: it leaves, and its successor is
-   READY. After its end it takes none, whatever becomes of the channels that it closes itself.
+2. Once it serves, it takes connections until its end, but for one case: it leaves, and the other process
+   takes them and stays. After its end it takes none, whatever becomes of the channels that it closes itself.
 3. It vouches for keys to a successor only while it has no predecessor itself.
 4. From the first channel it takes at most GREET_S + COPY_S until it may serve, unless it is deferred.
 """
@@ -49,6 +49,7 @@
     def __init__(self) -> None:
         self.before, self.after = Before.SOUGHT, After.NONE
         self.due = self.limit = math.inf    # ``limit``: of all attempts to join, until this process serves
+        self.other_leaves = False
         self.fit = self.serves = self.leaving = self.over = False
 
     @property
@@ -58,8 +59,9 @@
 
     @property
     def replaced(self) -> bool:
-        """Whether what comes from now on is the successor's."""
-        return self.leaving and self.after is After.READY
+        """Whether what comes from now on is the other process's: a successor's, or the old one's."""
+        there = self.after is After.READY or self.before is Before.TOGETHER
+        return self.leaving and there and not self.other_leaves
 
     @property
     def authority(self) -> bool:
@@ -99,6 +101,7 @@
 
     def cut(self) -> None:
         """The channel ended: only a new attempt can tell whether the process did too."""
+        self.other_leaves = False
         self._go(Before.SOUGHT)
 
     def time(self, now: float) -> None:
@@ -121,6 +124,7 @@
 
     def alone(self) -> None:
         """The successor is gone."""
+        self.other_leaves = False
         self.after = After.NONE
 
     def leave(self) -> None:
--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -224,6 +224,9 @@
                     self._elsewhere(message)
             case wire.Word(failed):
                 self.word(failed)
+            case wire.Leaving() if peer is self.peer:
+                self.life.other_leaves = True
+                self.changed()
             case _ if peer is self.peer:
                 self._claims_heard(message)
 
@@ -421,8 +424,10 @@
             self.peer.tell(wire.Word(failed))
 
     def leave(self) -> bool:
-        """The notice to leave; whether another process goes on as this node."""
+        """The notice to leave; gives whether another process goes on as this node."""
         self.life.leave()
+        if self.peer is not None:
+            self.peer.tell(wire.Leaving())
         if self._stranger_there():
             self.life.ready()
         return self.life.replaced
@@ -435,7 +440,7 @@
         """Nothing is owed here any more, and what comes is the successor's."""
         return (self.life.replaced and not self.connections() and not self.module.book
                 and not self.module.mailbox and not self.claims.waiting
-                and (self.after is None or self.after.flushed))
+                and (self.peer is None or self.peer.flushed))
 
     def end(self) -> None:
         """Take no more connections; what is still done here is still said to the other."""
--- a/beechrock/handover/wire.py
+++ b/beechrock/handover/wire.py
@@ -107,7 +107,15 @@
     failed: bool
 
 
-Message = (Hello | Wait | Claimed | Synced | Ready | Ask | Granted | Denied | Released | Ended | Load | Word)
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """The sender has had the notice to leave."""
+
+
+Message = (
+    Hello | Wait | Claimed | Synced | Ready | Ask | Granted | Denied | Released | Ended | Load | Word
+    | Leaving
+)
 
 # By type number: the class, and the layout of its fields.
 LAYOUTS: dict[int, tuple[Callable[..., Message], struct.Struct]] = {
@@ -121,6 +129,7 @@
     9: (Released, struct.Struct(">16s")),
     11: (Load, struct.Struct(">IdII")),
     12: (Word, struct.Struct(">?")),
+    13: (Leaving, struct.Struct(">")),
 }
 NUMBERS = {made: number for number, (made, _) in LAYOUTS.items()}
 HELLO, ENDED = 1, 10
