Take the told share of calls only where what lies below is shared by all

Cause: the settings of a site with a tier below hold depShare 0, which the protocol gives a meaning only for one_for_all. decide.py took it as 'no call survives' (most_calls 0): every call was given up, and checkout and all other classes that must call with it. Settings with a shared dependency are read as before.

--- a/beechrock/interface.py
+++ b/beechrock/interface.py
@@ -120,7 +120,7 @@
     retry_after: bool = True
     max_retry_after_s: float | None = None
     downstream: Downstream = Downstream.NONE
-    calls_share: float | None = None
+    calls_share: float | None = None    # in hand, in the mean; of what all nodes share below
     calls_over_s: float | None = None
     linger_s: float | None = None
     fresh_s: float | None = None
--- a/beechrock/settings.py
+++ b/beechrock/settings.py
@@ -122,7 +122,11 @@
     tenants = told.get("tenants") or []
     if not isinstance(tenants, list):
         raise api.SettingsError("settings: tenants is not a list")
-    below = extra.get("downstream")
+    word = extra.get("downstream")
+    below = _word(api.Downstream, DOWNSTREAM.get(str(word), word), api.Downstream.NONE)
+    # A tier protects itself with the same decisions: the figure is 0 there and means nothing. Seen at a site
+    # with a tier: taken as 'no call survives', every call was given up, and so was each class that must call.
+    shared = below is api.Downstream.SHARED
     settings = api.Settings(
         cores=int(_need(extra, "cpus")),
         memory_kb=_need(extra, "memLimitKb"),
@@ -151,8 +155,8 @@
         heard_for_s=_num(extra, "heardForS"),
         retry_after=limits.get("retryAfter") is not False,
         max_retry_after_s=_num(limits, "maxRetryAfterS"),
-        downstream=_word(api.Downstream, DOWNSTREAM.get(str(below), below), api.Downstream.NONE),
-        calls_share=_num(extra, "depShare"),
+        downstream=below,
+        calls_share=_num(extra, "depShare") if shared else None,
         calls_over_s=_num(extra, "callsOverS"),
         linger_s=_num(extra, "lingerS"),
         fresh_s=_num(extra, "freshS"),
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -54,6 +54,17 @@
     assert gauges == ("runnable", "novel", "cpu_busy")
 
 
+@pytest.mark.parametrize(("below", "told", "share"), [
+    ("one_for_all", 6.25, 6.25), ("one_for_all", 0.0, 0.0), ("one_for_all", None, None),
+    ("tier", 0.0, None), ("tier", 6.25, None), ("none", 0.0, None),
+])
+def test_a_share_of_calls_is_told_only_where_all_share_what_lies_below(
+        below: str, told: float | None, share: float | None) -> None:
+    extra = {**SETTINGS["extra"], "downstream": below, "depShare": told}
+    settings, _ = settings_from_json(json.dumps({**SETTINGS, "extra": extra}).encode())
+    assert settings.calls_share == share
+
+
 @pytest.mark.parametrize("text", [
     b"not json", b"[]", b"{}", b'{"grades": [{"promiseS": 1, "giveUpS": 2}]}',
     b'{"grades": [], "extra": {"cpus": 1, "memLimitKb": 1}}',
