--- a/beechrock/cli/inventory.py
+++ b/beechrock/cli/inventory.py
@@ -24,7 +24,7 @@
     """
 
 
-def _fail(lines: list[str], code: int) -> NoReturn:
+def fail(lines: list[str], code: int) -> NoReturn:
     for line in lines:
         click.echo(line, err=True)
     sys.exit(code)
@@ -36,17 +36,17 @@
     from beechrock.inventory.problems import Problems
 
     if not path.exists():
-        _fail([f"{path}: No such file or directory"], 2)
+        fail([f"{path}: No such file or directory"], 2)
     if path.name == snapshot.NAME:
         try:
             found = snapshot.load(path.parent)
         except generation.DamagedError as error:
-            _fail([str(error)], 1)
+            fail([str(error)], 1)
         return found.entries(), found
     problems = Problems()
     read = model.read(path, problems)
     if read is None:
-        _fail(problems.lines(), 1)
+        fail(problems.lines(), 1)
     return read[0], generation.from_checked(1, *read)
 
 
@@ -59,7 +59,7 @@
     from beechrock.inventory.problems import Problems
 
     if not path.exists():
-        _fail([f"{path}: No such file or directory"], 2)
+        fail([f"{path}: No such file or directory"], 2)
     problems = Problems()
     found = model.read(path, problems)
     counts = found[1].counts if found is not None else {}
@@ -89,7 +89,7 @@
     if host is not None:
         checked = export.only(checked, host)
         if not any(checked.kinds.values()):
-            _fail([f"{path}: {host}: no entry of this name"], 1)
+            fail([f"{path}: {host}: no entry of this name"], 1)
     click.echo(export.WRITERS[form](checked), nl=False)
 
 
--- a/beechrock/cli/main.py
+++ b/beechrock/cli/main.py
@@ -5,6 +5,7 @@
 from beechrock import __version__
 from beechrock.cli.inventory import inventory
 from beechrock.cli.requests import ask
+from beechrock.cli.settings import settings
 from beechrock.cli.trace import trace
 
 
@@ -25,4 +26,5 @@
 
 main.add_command(inventory)
 main.add_command(ask)
+main.add_command(settings)
 main.add_command(trace)
--- /dev/null
+++ b/tests/test_deployments.py
@@ -0,0 +1,214 @@
+"""Deployments drawn over the ranges that the operators' pages give, played against the module on model cores.
+
+The model is plain: cores shared evenly by what runs on them, runs that stop for calls, calls that take
+a while. It measures no service under overload; it shows that no told value starves a class or breaks a rule.
+"""
+
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from hypothesis import given
+from hypothesis import settings as options
+from hypothesis import strategies as st
+
+from beechrock import Node
+from beechrock import interface as api
+from beechrock.settings import settings_from
+
+STEP_S = 0.01
+# What lies below, and the share of calls that is told: 0 means nothing over a tier.
+BELOW = [("none", 0.0), ("tier", 0.0), ("tier", None), ("one_for_all", 0.8), ("one_for_all", 6.0),
+         ("one_for_all", None)]
+
+
+@dataclass
+class Work:
+    klass: int
+    due: float
+    parts: list[float]          # seconds on a core between calls
+    state: str = "held"
+    ends_at: float = 0.0        # of its call
+    ran: bool = False
+
+
+@st.composite
+def deployments(draw: Any) -> dict[str, Any]:
+    """Settings as a deployment hands them out; beside them, under ``model``, what they do not tell."""
+    below, share = draw(st.sampled_from(BELOW))
+    count = draw(st.integers(2, 4))
+    works = [draw(st.floats(0.12, 0.5)) for _ in range(count)]
+    aims = [max(draw(st.floats(0.72, 2.9)), 4.0 * work + 0.1) for work in works]
+    calls = [below != "none" and draw(st.booleans()) for _ in range(count)]
+    grades = [{"name": f"c{n}", "promiseS": aim, "giveUpS": aim * draw(st.floats(2.0, 4.0)),
+               "worth": draw(st.sampled_from([1, 2, 5])), "lateShare": draw(st.sampled_from([0.0, 0.2])),
+               "effect": draw(st.sampled_from(["safe", "keyed"])), "windowS": draw(st.floats(10.0, 22.0))}
+              for n, aim in enumerate(aims)]
+    extra: dict[str, Any] = {
+        "cpus": 6, "memLimitKb": 6 * draw(st.floats(8.7, 22)) * 8 * 40.0,
+        "runFactor": draw(st.sampled_from([8, 16])),
+        "keyKb": draw(st.floats(1.0, 60.0)), "downstream": below, "depShare": share, "callsOverS": 5.0,
+        "classCalls": calls, "classSkipWorth": [draw(st.sampled_from([0.0, 0.3, 0.5])) for _ in grades],
+        "lingerS": 0.2, "say": draw(st.sampled_from(["none", "floor", "weight", "allowance"])), "callers": 5,
+        "stopMode": draw(st.sampled_from(["none", "discard", "freeze"])), "idleS": 30.0}
+    return {"grades": grades, "extra": extra, "tickS": 0.005, "fleetSize": 12,
+            "guarantees": {"fallMultiple": draw(st.sampled_from([5.0, 8.0])), "overloadForS": 3.0,
+                           "answerSlackS": 0.08, "drainGraceS": 2.0, "coldFrom": 0.2, "rampTimeS": 17.0},
+            "limits": {"maxRetryAfterS": draw(st.sampled_from([1.0, 3.0])),
+                       "retryAfter": draw(st.booleans())},
+            "model": {"works": works, "calls": calls, "speed": draw(st.floats(0.6, 1.3)),
+                      "per_request": draw(st.integers(1, 2))}}
+
+
+@dataclass
+class Day:
+    """One node, its cores and what it calls; every rule is checked at every step."""
+
+    told: dict[str, Any]
+    seed: int
+    load: float                 # of what the cores can do
+    refusing_below: bool = False
+    first_class: int = 0        # those before it are gone
+    now: float = 100.0
+    jobs: dict[int, Work] = field(default_factory=dict)
+    served: dict[int, int] = field(default_factory=dict)
+    asked: dict[int, int] = field(default_factory=dict)
+    calls: int = 0
+    skipped: int = 0
+
+    def __post_init__(self) -> None:
+        self.random, self.model = random.Random(self.seed), self.told["model"]
+        self.settings, _ = settings_from(self.told)
+        self.node, self.ids = Node(self.settings, self.seed, self.now), 0
+        works = [w * (1 + 0.1 * c) for w, c in zip(self.model["works"], self.model["calls"], strict=True)]
+        self.rate = self.load * 6 * self.model["speed"] / (sum(works) / len(works))
+        self.timer = float("inf")
+
+    def arrive(self) -> api.Event:
+        self.ids, klass = self.ids + 1, self.random.randrange(self.first_class, len(self.told["grades"]))
+        calls = self.model["per_request"] if self.model["calls"][klass] else 0
+        work = self.model["works"][klass] * self.random.uniform(0.5, 1.5)
+        parts = [work / (calls + 1)] * (calls + 1)
+        self.jobs[self.ids] = Work(klass, self.now + self.settings.classes[klass].give_up_s, parts)
+        self.asked[klass] = self.asked.get(klass, 0) + 1
+        return api.Arrived(api.Request(id=self.ids, klass=klass, kb=40.0))
+
+    def progress(self) -> list[api.Event]:
+        events: list[api.Event] = []
+        on_cores = [i for i, job in self.jobs.items() if job.state == "running"]
+        speed = self.model["speed"] * min(1.0, 6 / len(on_cores)) if on_cores else 0.0
+        for ident in on_cores:
+            job = self.jobs[ident]
+            job.parts[0] -= speed * STEP_S
+            if job.parts[0] > 0:
+                continue
+            job.parts.pop(0)
+            if job.parts:
+                job.state = "at call"
+                events.append(api.CallNeeded(ident))
+            else:
+                events.append(api.Finished(ident, api.Outcome.OK, 0.1))
+                self.served[job.klass] = self.served.get(job.klass, 0) + (self.now <= job.due)
+                del self.jobs[ident]
+        for ident, job in list(self.jobs.items()):
+            if job.state == "in call" and job.ends_at <= self.now:
+                outcome = api.Outcome.REJECTED if self.refusing_below else api.Outcome.OK
+                job.state = "at call" if self.refusing_below else "running"
+                events.append(api.CallEnded(ident, outcome, 0.05))
+        return events
+
+    def act(self, action: api.Action) -> None:
+        match action:
+            case api.Run(ident):
+                job = self.jobs[ident]
+                assert job.state == "held" and not job.ran
+                job.ran, job.state = True, "running"
+            case api.Refuse(ident) | api.Fail(ident):
+                job = self.jobs[ident]
+                keyed = self.settings.classes[job.klass].effect is not api.Effect.SAFE
+                assert not (isinstance(action, api.Refuse) and job.ran and keyed)
+                del self.jobs[ident]    # what still runs of it is stopped, as no one waits
+            case api.Call(ident, _):
+                assert self.jobs[ident].state == "at call"
+                self.jobs[ident].state, self.jobs[ident].ends_at = "in call", self.now + 0.05
+                self.calls += 1
+            case api.Skip(ident):
+                assert self.settings.classes[self.jobs[ident].klass].skip_worth
+                self.jobs[ident].state = "running"
+                self.skipped += 1
+            case api.SetTimer(_, delay):
+                self.timer = self.now + delay
+
+    def play(self, seconds: float, to_the_end: bool = True) -> "Day":
+        end = self.now + seconds
+        while self.now < end or (to_the_end and self.jobs):
+            self.now += STEP_S
+            gone = [i for i, job in self.jobs.items() if job.state == "running"]
+            events = self.progress()
+            if self.now < end:
+                events += [self.arrive() for _ in range(int(self.rate * STEP_S + self.random.random()))]
+            if self.timer <= self.now:
+                self.timer = float("inf")
+                events.append(api.TimerFired(0, api.Gauges(min(1.0, len(gone) / 6), float(len(gone)))))
+            if events:
+                before = set(self.jobs)
+                for action in self.node.decide(self.now, events):
+                    if isinstance(action, api.SetTimer) or getattr(action, "id", None) in self.jobs:
+                        self.act(action)
+                for ident in before - set(self.jobs):       # an answer given early ends its run in this model
+                    if ident in self.node.jobs:
+                        self.node.decide(self.now, [api.Finished(ident, api.Outcome.STOPPED, 0.1)])
+            self.check()
+        return self
+
+    def check(self) -> None:
+        for ident, job in self.jobs.items():
+            assert self.now <= job.due + 0.08, f"{ident} lost in {job.state}"
+        running = sum(job.state == "running" for job in self.jobs.values())
+        assert running <= 6 * self.settings.crowd_multiple      # type: ignore[operator]
+        held = sum(40.0 * (1.0 if job.state == "held" else self.settings.run_factor or 1.0)
+                   for job in self.jobs.values())
+        assert held <= self.settings.memory_kb
+
+
+@options(max_examples=40, deadline=None, derandomize=True)
+@given(deployments(), st.integers(0, 9999))
+def test_under_light_load_every_class_is_served_and_calls_are_made(told: dict[str, Any], seed: int) -> None:
+    """Seen: a share of calls told as 0 over a tier, and no request that must call was ever served."""
+    day = Day(told, seed, 0.25).play(12.0)
+    for klass, asked in day.asked.items():
+        assert day.served.get(klass, 0) >= 0.99 * asked - 1, f"class {klass}: {day.served} of {day.asked}"
+    callers = [n for n, calls in enumerate(told["model"]["calls"]) if calls]
+    assert (day.calls > 0) is any(day.asked.get(n) for n in callers)
+    assert day.skipped <= 0.1 * day.calls + 1
+
+
+@options(max_examples=25, deadline=None, derandomize=True)
+@given(deployments(), st.integers(0, 9999), st.booleans())
+def test_under_twice_the_load_no_rule_breaks(told: dict[str, Any], seed: int, refusing: bool) -> None:
+    """Below all is well, or everything is refused there."""
+    day = Day(told, seed, 2.0, refusing_below=refusing).play(8.0)
+    assert sum(day.asked.values()) > 20 and not day.jobs
+
+
+@options(max_examples=15, deadline=None, derandomize=True)
+@given(deployments(), deployments(), st.integers(0, 9999))
+def test_one_deployments_settings_after_anothers_lose_nothing(
+        first: dict[str, Any], second: dict[str, Any], seed: int) -> None:
+    """As taken by SIGHUP: classes that go stay on their places for what was read under them."""
+    day = Day(first, seed, 1.5).play(3.0, to_the_end=False)
+    both = {**second, "extra": {**second["extra"]}, "model": {**second["model"]},
+            "guarantees": first["guarantees"], "grades": [{**g, "gone": True} for g in first["grades"]]}
+    both["grades"] += second["grades"]
+    for name in ("classCalls", "classSkipWorth"):
+        both["extra"][name] = first["extra"][name] + second["extra"][name]
+    for name in ("works", "calls"):
+        both["model"][name] = first["model"][name] + second["model"][name]
+    for name in ("memLimitKb", "runFactor"):    # what the machine has does not change
+        both["extra"][name] = first["extra"][name]
+    day.told, day.model, day.first_class = both, both["model"], len(first["grades"])
+    day.settings, _ = settings_from(both)
+    asked_then = sum(day.asked.values())
+    day.node.decide(day.now, [api.Renewed(day.settings)])
+    day.play(3.0)
+    assert not day.jobs and sum(day.asked.values()) > asked_then
