--- /dev/null
+++ b/beechrock/members/state.py
@@ -0,0 +1,388 @@
+"""Membership by SWIM with local health, sans I/O: ``tick`` and ``hear`` give what to send and what changed.
+
+States of another member: ALIVE, SUSPECT, DEAD, LEFT, in this order; a word is (life, incarnation, state).
+Events: a tick with the time, a message with its sender. Times are seconds of a clock that does not go back.
+
+Invariants, whatever is lost, doubled, delayed or reordered:
+- what is known of a member only ever grows by (life, incarnation, state), until the dead are forgotten;
+- only a process itself raises its incarnation, and only a greater life replaces a process;
+- the own word is ALIVE, or LEFT once it has left, at a life that never changes;
+- a message carries at most ``MOST_NEWS`` words; at most one question is open.
+"""
+
+import math
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+MOST_NEWS = 8           # words a message: with names of 64 bytes they fit a datagram of 1,200
+NEWS_FACTOR = 4.0       # a word is passed on this many times log2(n + 2): then all have it, but for luck
+HELPERS = 3             # asked to ask a member that did not answer
+MOST_HEALTH = 7         # local health: waits are up to 1 + this many times as long
+SHORTEST, LONGEST = 4.0, 6.0    # suspicion: periods times log10(n), confirmed; and times this, without
+LATE = 0.5              # of a period by which a tick may come late before it counts as a pause of one's own
+REVISIT = 5             # every so many periods one of the dead is asked as well
+FORGET_PERIODS = 300    # for which the dead and those that left are kept
+
+
+class State(IntEnum):
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Word:
+    """What is said of a member. The greater one wins."""
+
+    life: int
+    incarnation: int
+    state: State
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    name: str
+    address: str
+    word: Word
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """A question. ``of``: asked on behalf of that member, which gets the answer's ``Ack``."""
+
+    number: int
+    of: str = ""
+    news: tuple[News, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Ask ``member``, at ``address``, for me; say at once that this was heard (``Heard``)."""
+
+    number: int
+    member: str
+    address: str
+    news: tuple[News, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Ack:
+    number: int
+    of: str = ""
+    news: tuple[News, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A helper lives, so that silence from the member asked is not the asker's own."""
+
+    number: int
+    news: tuple[News, ...] = ()
+
+
+Message = Ping | Ask | Ack | Heard
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    address: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """Another member's state, or the own one, is now this; ``reason`` is for people."""
+
+    news: News
+    before: State | None
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Displaced:
+    """A newer process has this one's name: it is silent as a member from now on."""
+
+    life: int
+    address: str
+
+
+Action = Send | Changed | Displaced
+
+
+@dataclass(slots=True)
+class _Known:
+    news: News
+    since: float
+    left_to_tell: int = 0
+    accusers: set[str] = field(default_factory=set)
+    ends_at: float = math.inf       # of its suspicion, or when it is forgotten
+
+
+@dataclass(slots=True)
+class _Question:
+    number: int
+    name: str
+    helpers_at: float
+    ends_at: float
+    helpers: int = 0
+    heard: int = 0
+    helped: bool = False
+
+
+class Members:
+    """One member's view. ``life``: greater for each new process of the name."""
+
+    def __init__(
+        self, name: str, address: str, life: int, now: float, seed: int, seeds: Iterable[str] = (),
+        period_s: float = 1.0, timeout_s: float = 0.3,
+    ) -> None:
+        self.name, self.period_s, self.timeout_s = name, period_s, timeout_s
+        self.me = News(name, address, Word(life, 0, State.ALIVE))
+        self.seeds = [seed for seed in seeds if seed != address]
+        self.known: dict[str, _Known] = {}
+        self.health = self.generation = self.rounds = self.numbers = 0
+        self.displaced = False
+        self.random = random.Random(seed)
+        self.ticked, self.next_at = now, now
+        self.question: _Question | None = None
+        self.relayed: dict[int, tuple[str, int, float]] = {}    # own number -> whom to tell, theirs, until
+        self.turn: list[str] = []
+        self.me_to_tell = 0
+        self.out: list[Action] = []
+
+    # --- what happens
+
+    def tick(self, now: float) -> list[Action]:
+        """Call at least ten times a period."""
+        if self.displaced:
+            return []
+        late = now - self.ticked - LATE * self.period_s
+        if late > 0 and self.ticked < now:
+            self._paused(now - self.ticked)
+        self.ticked = now
+        for name in [name for name, known in self.known.items() if known.ends_at <= now]:
+            known = self.known[name]
+            if known.news.word.state is State.SUSPECT:
+                word = Word(known.news.word.life, known.news.word.incarnation, State.DEAD)
+                self._take(News(name, known.news.address, word), now,
+                           f"no answer, and no refutation; accused by {', '.join(sorted(known.accusers))}")
+            else:
+                del self.known[name]
+        self.relayed = {n: told for n, told in self.relayed.items() if told[2] > now}
+        self._ask_helpers(now)
+        if now >= self.next_at:
+            self._end_question(now)
+            self._begin_question(now)
+        return self._done()
+
+    def hear(self, sender: str, address: str, message: Message, now: float) -> list[Action]:
+        """A message from ``sender`` at ``address``; who sends is who it says, as the codec proves."""
+        if self.displaced or sender == self.name:
+            return []
+        for news in message.news:
+            self._take(news, now, f"told by {sender}", sender)
+        if self.displaced:
+            return self._done()
+        match message:
+            case Ping(number, of):
+                self._send(address, Ack(number, of))
+            case Ask(number, member, at):
+                self._send(address, Heard(number))
+                mine = self._number()
+                self.relayed[mine] = (address, number, now + self.period_s * (1 + self.health))
+                self._send(at, Ping(mine, of=member))
+            case Ack(number):
+                if number in self.relayed:
+                    to, theirs, _ = self.relayed.pop(number)
+                    self._send(to, Ack(theirs, of=sender))
+                elif self.question is not None and self.question.number == number:
+                    self.question = None
+                    self.health = max(0, self.health - 1)
+            case Heard(number):
+                if self.question is not None and self.question.number == number:
+                    self.question.heard += 1
+        return self._done()
+
+    def leave(self, now: float) -> list[Action]:
+        """Say good-bye to some; they pass it on."""
+        word = self.me.word
+        self.me = News(self.name, self.me.address, Word(word.life, word.incarnation, State.LEFT))
+        self.me_to_tell = self._tellings()
+        for name in self._some(self._living(), HELPERS, ()):
+            self._send(self.known[name].news.address, Ping(self._number()))
+        return self._done()
+
+    def join(self) -> list[Action]:
+        """Ask the seeds; again as long as nobody is known. All of them may be down."""
+        self._ask_seeds()
+        return self._done()
+
+    def view(self) -> dict[str, Word]:
+        return {self.name: self.me.word, **{name: known.news.word for name, known in self.known.items()}}
+
+    # --- questions
+
+    def _begin_question(self, now: float) -> None:
+        self.rounds += 1
+        self.next_at = now + self.period_s * (1 + self.health)
+        if not self._living():
+            self._ask_seeds()
+        if self.rounds % REVISIT == 0 and (dead := self._in_state(State.DEAD)):
+            name = self.random.choice(dead)     # after a split nobody else brings the two sides together
+            self._send(self.known[name].news.address, Ping(self._number(), news=(self.known[name].news,)))
+        while self.turn and self.turn[-1] not in self._living():
+            self.turn.pop()
+        if not self.turn:
+            self.turn = self._living()
+            self.random.shuffle(self.turn)
+        if not self.turn:
+            return
+        name, wait = self.turn.pop(), self.timeout_s * (1 + self.health)
+        self.question = _Question(self._number(), name, now + wait, self.next_at)
+        self._send(self.known[name].news.address, Ping(self.question.number, news=self._of(name)))
+
+    def _ask_seeds(self) -> None:
+        for address in self.seeds:
+            self._send(address, Ping(self._number()))
+
+    def _of(self, name: str) -> tuple[News, ...]:
+        """A member that is suspected hears of it in the question itself, so that it can refute at once."""
+        news = self.known[name].news
+        return (news,) if news.word.state is State.SUSPECT else ()
+
+    def _ask_helpers(self, now: float) -> None:
+        asked = self.question
+        if asked is None or asked.helped or now < asked.helpers_at or asked.name not in self.known:
+            return
+        asked.helped = True
+        at = self.known[asked.name].news.address
+        for name in self._some(self._living(), HELPERS, (asked.name,)):
+            asked.helpers += 1
+            self._send(self.known[name].news.address, Ask(asked.number, asked.name, at))
+
+    def _end_question(self, now: float) -> None:
+        asked, self.question = self.question, None
+        if asked is None or asked.name not in self.known:
+            return
+        # Helpers that stay silent too show that the fault may be this member's own.
+        self.health = min(MOST_HEALTH, self.health + (asked.helpers - asked.heard if asked.helpers else 1))
+        if asked.helpers and not asked.heard:
+            return
+        word = self.known[asked.name].news.word
+        if word.state is State.ALIVE:
+            news = News(asked.name, self.known[asked.name].news.address,
+                        Word(word.life, word.incarnation, State.SUSPECT))
+            self._take(news, now, f"no answer to {self.name}, nor through {asked.heard} others", self.name)
+        elif word.state is State.SUSPECT:
+            self._confirm(self.known[asked.name], self.name, now)
+
+    def _paused(self, gap: float) -> None:
+        """Own time was lost, not the others': what came due meanwhile proves nothing."""
+        self.question = None
+        self.health = min(MOST_HEALTH, self.health + 1)
+        self.next_at = max(self.next_at, self.ticked + gap)
+        for known in self.known.values():
+            known.ends_at += gap
+
+    # --- news
+
+    def _take(self, news: News, now: float, reason: str, accuser: str = "") -> None:
+        if news.name == self.name:
+            return self._of_me(news)
+        known, word = self.known.get(news.name), news.word
+        if known is not None and word <= known.news.word:
+            if word == known.news.word and word.state is State.SUSPECT and accuser:
+                self._confirm(known, accuser, now)
+            return
+        if known is None and word.state >= State.DEAD:
+            reason = f"{reason}, never met alive"
+        before = known.news.word.state if known is not None else None
+        fresh = _Known(news, now, self._tellings())
+        if word.state is State.SUSPECT:
+            fresh.accusers.add(accuser or self.name)
+            fresh.ends_at = now + self._suspicion_s(1)
+        elif word.state >= State.DEAD:
+            fresh.ends_at = now + FORGET_PERIODS * self.period_s
+        self.known[news.name] = fresh
+        self.generation += 1
+        if self.question is not None and self.question.name == news.name and word.state is not State.SUSPECT:
+            self.question = None
+        self.out.append(Changed(news, before, reason))
+        # Some of all who hear of it tell the suspect. Seen at a tenth lost and pauses: with questions alone
+        # it heard of its suspicion, or the accuser of its refutation, too late.
+        if word.state is State.SUSPECT and self.random.random() < HELPERS / max(1, len(self._living())):
+            self._send(news.address, Ping(self._number(), news=(news,)))
+
+    def _of_me(self, news: News) -> None:
+        mine, theirs = self.me.word, news.word
+        if theirs.life > mine.life:
+            self.displaced = True
+            self.out.append(Displaced(theirs.life, news.address))
+        elif theirs.life == mine.life and theirs > mine and mine.state is State.ALIVE:
+            self.me = News(self.name, self.me.address, Word(mine.life, theirs.incarnation + 1, State.ALIVE))
+            self.me_to_tell = self._tellings()
+            self.health = min(MOST_HEALTH, self.health + 1)
+            self.generation += 1
+
+    def _confirm(self, known: _Known, accuser: str, now: float) -> None:
+        if accuser not in known.accusers and len(known.accusers) <= HELPERS:
+            known.accusers.add(accuser)
+            known.left_to_tell = max(known.left_to_tell, 1)
+            known.ends_at = min(known.ends_at, known.since + self._suspicion_s(len(known.accusers)))
+
+    def _suspicion_s(self, accusers: int) -> float:
+        """Longest with one accuser, shortest once as many confirm as are asked; longer for who is late."""
+        least = SHORTEST * max(1.0, math.log10(len(self.known) + 1)) * self.period_s * (1 + self.health)
+        part = math.log(accusers) / math.log(HELPERS + 1)
+        return max(least, LONGEST * least - (LONGEST - 1) * least * part)
+
+    def _tellings(self) -> int:
+        return math.ceil(NEWS_FACTOR * math.log2(len(self.known) + 2))
+
+    def _gossip(self, first: tuple[News, ...]) -> tuple[News, ...]:
+        """The own word always, so that a restart is known at once; then what was told least often."""
+        told = [news for news in first if news.name != self.name]
+        names = {news.name for news in told}
+        fresh = [known for known in self.known.values()
+                 if known.left_to_tell > 0 and known.news.name not in names]
+        fresh.sort(key=lambda known: -known.left_to_tell)
+        for known in fresh[:MOST_NEWS - 1 - len(told)]:
+            known.left_to_tell -= 1
+            told.append(known.news)
+        return (self.me, *told)
+
+    # --- small things
+
+    def _send(self, address: str, message: Message) -> None:
+        news = self._gossip(message.news)
+        match message:
+            case Ping(number, of):
+                message = Ping(number, of, news)
+            case Ask(number, member, at):
+                message = Ask(number, member, at, news)
+            case Ack(number, of):
+                message = Ack(number, of, news)
+            case Heard(number):
+                message = Heard(number, news)
+        self.out.append(Send(address, message))
+
+    def _number(self) -> int:
+        self.numbers += 1
+        return self.numbers
+
+    def _in_state(self, *states: State) -> list[str]:
+        return [name for name, known in self.known.items() if known.news.word.state in states]
+
+    def _living(self) -> list[str]:
+        return self._in_state(State.ALIVE, State.SUSPECT)
+
+    def _some(self, names: list[str], most: int, but: tuple[str, ...]) -> list[str]:
+        others = [name for name in names if name not in but]
+        return self.random.sample(others, min(most, len(others)))
+
+    def _done(self) -> list[Action]:
+        out, self.out = self.out, []
+        return out
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,290 @@
+"""The membership's state machine, many of them under a driven clock with faults between them.
+
+What is asserted holds over the whole history, checked after every step; a failure prints its seed.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+from itertools import pairwise
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as options
+from hypothesis import strategies as st
+
+from beechrock.members import state
+from beechrock.members.state import Changed, Displaced, Members, Message, News, Ping, Send, State, Word
+
+STEP_S = 0.1
+Cut = Callable[[str, str], float]       # from, to: the part that is lost
+
+
+class Fleet:
+    """Members, the network between them, and a watcher that took no part."""
+
+    def __init__(self, count: int, seed: int = 1, loss: float = 0.0, most_delay_s: float = 0.05) -> None:
+        self.random, self.now, self.order = random.Random(seed), 100.0, 0
+        self.seed, self.loss, self.most_delay_s = seed, loss, most_delay_s
+        self.cut: Cut = lambda source, target: 0.0
+        self.members: dict[str, Members] = {}
+        self.asleep: dict[str, float] = {}      # until when it stands still
+        self.inboxes: dict[str, list[tuple[str, Message]]] = {}
+        self.flying: list[tuple[float, int, str, str, Message]] = []
+        self.history: list[tuple[float, str, Changed | Displaced]] = []
+        self.seen: dict[tuple[str, str], Word] = {}
+        for n in range(count):
+            self.start(f"n{n}")
+
+    def start(self, name: str, life: int = 1, seeds: tuple[str, ...] = ("n0", "n1")) -> None:
+        self.members[name] = Members(name, name, life, self.now, self.random.getrandbits(32), seeds)
+        self.seen = {pair: word for pair, word in self.seen.items() if pair[0] != name}
+        self.carry(name, self.members[name].join())
+
+    def kill(self, name: str) -> None:
+        del self.members[name]
+        self.inboxes.pop(name, None)
+
+    def pause(self, name: str, seconds: float) -> None:
+        self.asleep[name] = self.now + seconds
+
+    def carry(self, name: str, actions: list[state.Action]) -> None:
+        for action in actions:
+            if not isinstance(action, Send):
+                self.history.append((self.now, name, action))
+                continue
+            assert len(action.message.news) <= state.MOST_NEWS
+            lost = max(self.loss, self.cut(name, action.address))
+            if self.random.random() >= lost:
+                at = self.now + self.random.uniform(0.0, self.most_delay_s)
+                self.order += 1
+                heapq.heappush(self.flying, (at, self.order, action.address, name, action.message))
+
+    def run(self, seconds: float) -> "Fleet":
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_S
+            while self.flying and self.flying[0][0] <= self.now:
+                _, _, target, source, message = heapq.heappop(self.flying)
+                if target in self.members:
+                    self.inboxes.setdefault(target, []).append((source, message))
+            for name, member in list(self.members.items()):
+                if self.asleep.get(name, 0.0) > self.now:
+                    continue
+                self.carry(name, member.tick(self.now))
+                for source, message in self.inboxes.pop(name, []):
+                    self.carry(name, member.hear(source, source, message, self.now))
+                self.check(name, member)
+        return self
+
+    def check(self, name: str, member: Members) -> None:
+        """No word ever shrinks, nobody speaks for another's incarnation, and the own word is of this life."""
+        view = member.view()
+        for other, word in view.items():
+            before = self.seen.get((name, other))
+            assert before is None or word >= before, f"seed {self.seed}: {name} on {other}: {before}, {word}"
+            self.seen[name, other] = word
+            if other in self.members and word.life == self.members[other].me.word.life:
+                own = self.members[other].me.word
+                assert word.incarnation <= own.incarnation, f"seed {self.seed}: {name} made up {other}'s"
+        for pair in [pair for pair in self.seen if pair[0] == name and pair[1] not in view]:
+            del self.seen[pair]
+        assert member.me.word.state in (State.ALIVE, State.LEFT)
+
+    def deaths(self) -> list[tuple[str, str]]:
+        """Who declared whom dead, or heard it, over the whole history."""
+        return [(name, change.news.name) for _, name, change in self.history
+                if isinstance(change, Changed) and change.news.word.state is State.DEAD]
+
+    def agree(self, alive: set[str] | None = None) -> bool:
+        names = alive or set(self.members)
+        return all({n for n, word in member.view().items() if word.state is State.ALIVE} == names
+                   for member in self.members.values())
+
+    def within(self, seconds: float, wanted: Callable[[], bool]) -> bool:
+        """Whether it comes true, at the latest after ten times the stated bound."""
+        end = self.now + 10 * seconds
+        while self.now < end and not wanted():
+            self.run(STEP_S)
+        return wanted()
+
+
+def whole(count: int, seed: int = 1, loss: float = 0.0) -> Fleet:
+    fleet = Fleet(count, seed, loss)
+    assert fleet.within(10.0, fleet.agree), f"seed {seed}: never joined"
+    return fleet
+
+
+@pytest.mark.parametrize("count", [2, 5, 9, 40])
+def test_all_learn_of_all_through_one_seed_and_nobody_is_accused_in_calm(count: int) -> None:
+    fleet = whole(count).run(60.0)
+    assert fleet.agree()
+    assert {c.news.word.state for _, _, c in fleet.history if isinstance(c, Changed)} == {State.ALIVE}
+
+
+def test_seeds_may_all_be_down_at_the_start() -> None:
+    fleet = Fleet(0)
+    for n in (2, 3, 4):
+        fleet.start(f"n{n}")
+    fleet.run(20.0)
+    fleet.start("n0")
+    assert fleet.within(10.0, fleet.agree)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_dead_one_is_found_by_all_and_no_other(seed: int) -> None:
+    fleet = whole(9, seed)
+    fleet.kill("n4")
+    assert fleet.within(20.0, lambda: all(m.view()["n4"].state is State.DEAD for m in fleet.members.values()))
+    assert {who for _, who in fleet.deaths()} == {"n4"}
+
+
+@pytest.mark.parametrize("seconds", [0.5, 2.0, 5.0, 10.0])
+@pytest.mark.parametrize("who", [["n1"], ["n1", "n2", "n3"], [f"n{n}" for n in range(1, 9)]])
+def test_who_stood_still_declares_nobody_dead_and_all_are_back(seconds: float, who: list[str]) -> None:
+    """A process that is stopped and goes on finds all that it waited for overdue; that proves nothing."""
+    fleet = whole(9, seed=3)
+    for name in who:
+        fleet.pause(name, seconds)
+    fleet.run(seconds + 0.5)
+    assert not [pair for pair in fleet.deaths() if pair[0] in who and pair[1] not in who]
+    assert fleet.within(20.0, fleet.agree)
+    assert not [pair for pair in fleet.deaths() if pair[0] in who and pair[1] not in who]
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_tenth_lost_and_pauses_to_a_second_in_a_third_kill_nobody(seed: int) -> None:
+    fleet = whole(9, seed, loss=0.1)
+    for _ in range(60):
+        for name in fleet.random.sample(sorted(fleet.members), 3):
+            fleet.pause(name, fleet.random.uniform(0.0, 1.0))
+        fleet.run(5.0)
+    assert fleet.deaths() == []
+
+
+def test_a_cut_between_two_or_one_way_between_them_is_bridged_by_the_others() -> None:
+    for pairs in ({("n1", "n2"), ("n2", "n1")}, {("n1", "n2")}):
+        fleet = whole(7)
+        fleet.cut = lambda source, target, lost=pairs: float((source, target) in lost)     # type: ignore[misc]
+        fleet.run(120.0)
+        assert fleet.deaths() == []
+
+
+@pytest.mark.parametrize("parts", [2, 3])
+def test_a_split_heals_without_seeds_and_without_a_restart(parts: int) -> None:
+    fleet = whole(9)
+    for member in fleet.members.values():
+        member.seeds = []
+    side = {name: n % parts for n, name in enumerate(sorted(fleet.members))}
+    fleet.cut = lambda source, target: float(side.get(source) != side.get(target))
+    fleet.run(90.0)
+    for name, member in fleet.members.items():
+        living = {n for n, word in member.view().items() if word.state is State.ALIVE}
+        assert living == {n for n in side if side[n] == side[name]}
+    fleet.start("late", seeds=("n0",))      # who joins while the split lasts is known to all after it
+    side["late"] = 0
+    fleet.run(5.0)
+    fleet.cut = lambda source, target: 0.0
+    assert fleet.within(30.0, fleet.agree)
+
+
+def test_a_restart_within_one_question_is_a_new_life_and_the_old_ones_word_does_not_count() -> None:
+    fleet = whole(5)
+    fleet.kill("n3")
+    fleet.start("n3", life=2)
+    assert fleet.within(10.0, fleet.agree)
+    fleet.run(30.0)
+    stale = News("n3", "n3", Word(1, 99, State.DEAD))
+    for name, member in fleet.members.items():
+        fleet.carry(name, member.hear("n9", "n9", Ping(1, news=(stale,)), fleet.now))
+    fleet.run(5.0)
+    assert fleet.agree() and not fleet.deaths()
+    assert all(member.view()["n3"].life == 2 for member in fleet.members.values())
+
+
+def test_leaving_is_told_apart_from_death() -> None:
+    fleet = whole(6)
+    fleet.carry("n2", fleet.members["n2"].leave(fleet.now))
+    fleet.run(5.0)
+    fleet.kill("n2")
+    fleet.run(60.0)
+    assert not fleet.deaths()
+    assert all(member.view()["n2"].state is State.LEFT for member in fleet.members.values())
+
+
+def test_of_two_with_one_name_the_older_is_told_and_falls_silent() -> None:
+    fleet = whole(5)
+    old = fleet.members["n1"]
+    twin = News("n1", "elsewhere", Word(2, 0, State.ALIVE))
+    said = old.hear("n0", "n0", Ping(1, news=(twin,)), fleet.now)
+    assert [a for a in said if isinstance(a, Displaced)] == [Displaced(2, "elsewhere")]
+    assert old.tick(fleet.now + 9) == old.hear("n0", "n0", Ping(2), fleet.now + 9) == []
+
+
+def test_a_suspect_that_lives_refutes_with_a_greater_incarnation_and_only_it_does() -> None:
+    fleet = whole(3)
+    accused = fleet.members["n1"]
+    fleet.carry("n1", accused.hear("n0", "n0", Ping(1, news=(News("n1", "n1", Word(1, 0, State.SUSPECT)),)),
+                                   fleet.now))
+    assert accused.me.word == Word(1, 1, State.ALIVE)
+    fleet.run(30.0)
+    assert all(member.view()["n1"] == Word(1, 1, State.ALIVE) for member in fleet.members.values())
+
+
+def test_the_dead_are_forgotten_in_the_end_and_old_news_does_not_raise_them_before() -> None:
+    fleet = whole(4)
+    fleet.kill("n3")
+    fleet.run(60.0)
+    ghost = News("n3", "n3", Word(1, 0, State.ALIVE))
+    fleet.carry("n0", fleet.members["n0"].hear("n1", "n1", Ping(1, news=(ghost,)), fleet.now))
+    assert fleet.members["n0"].view()["n3"].state is State.DEAD
+    fleet.run(state.FORGET_PERIODS + 60.0)
+    assert all("n3" not in member.view() for member in fleet.members.values())
+
+
+def test_more_accusers_shorten_a_suspicion_and_none_more_than_the_least() -> None:
+    member = whole(12).members["n0"]
+    waits = [member._suspicion_s(n) for n in range(1, 7)]
+    assert all(a >= b for a, b in pairwise(waits)) and waits[0] > 4 * waits[-1] >= state.SHORTEST
+
+
+words = st.builds(Word, st.integers(1, 3), st.integers(0, 3), st.sampled_from(State))
+
+
+@options(max_examples=300, deadline=None, derandomize=True)
+@given(st.lists(st.builds(News, st.sampled_from(["n1", "n2", "n3"]), st.just("x"), words), max_size=12),
+       st.data())
+def test_the_same_news_in_any_order_leads_to_one_view(news: list[News], data: st.DataObject) -> None:
+    views = []
+    for told in (news, data.draw(st.permutations(news + news))):
+        member = Members("n0", "n0", 1, 0.0, 1)
+        for one in told:
+            member.hear("n9", "n9", Ping(1, news=(one,)), 0.0)
+        views.append(member.view())
+    assert views[0] == views[1]
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_random_histories_keep_the_invariants_and_end_in_agreement(seed: int) -> None:
+    """Loss, pauses, deaths, returns and cuts at random moments; the invariants are checked at each step."""
+    fleet = Fleet(7, seed, loss=0.05, most_delay_s=0.4)
+    lives = dict.fromkeys(fleet.members, 1)
+    for _ in range(25):
+        name = fleet.random.choice(sorted(lives))
+        match fleet.random.randrange(5):
+            case 0:
+                fleet.pause(name, fleet.random.uniform(0.1, 8.0))
+            case 1 if name in fleet.members and len(fleet.members) > 3:
+                fleet.kill(name)
+            case 2 if name not in fleet.members:
+                lives[name] += 1
+                fleet.start(name, lives[name])
+            case 3:
+                other = fleet.random.choice(sorted(lives))
+                fleet.cut = lambda a, b, cut=(name, other): float((a, b) == cut)    # type: ignore[misc]
+            case 4:
+                half = set(fleet.random.sample(sorted(lives), 3))
+                fleet.cut = lambda a, b, half=half: float((a in half) != (b in half))   # type: ignore[misc]
+        fleet.run(fleet.random.uniform(0.5, 12.0))
+    fleet.cut, fleet.loss = (lambda a, b: 0.0), 0.0
+    assert fleet.within(60.0, lambda: fleet.agree(set(fleet.members))), f"seed {seed}"
