--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -36,6 +36,7 @@
     from beechrock.handover.node import Handover
     from beechrock.inventory.generation import Generation
     from beechrock.inventory.keeper import Keeper
+    from beechrock.members.actor import MembersActor
     from beechrock.trace.recorder import Recorder
 
 log = logging.getLogger("beechrock")
@@ -45,7 +46,8 @@
 LOOK_S, IDLE_LOOKS = 0.05, 3
 
 # What a reload does not change; ``seed`` is new with each start, and means nothing later.
-FIXED = ("name", "listen", "admin", "stop_s", "memory_mb", "sockets", "settings", "gauges", "scgi", "trace")
+FIXED = ("name", "listen", "admin", "stop_s", "memory_mb", "sockets", "settings", "gauges", "scgi", "trace",
+         "members")
 
 
 def _address_of(server: asyncio.Server | None) -> str:
@@ -99,6 +101,9 @@
             self._follow()
         self.serving: Serving | None = None
         self.admin: AdminFront | None = None
+        self.members: MembersActor | None = None
+        if told.members is not None:
+            self._join(told.members)
         if told.admin is not None:
             self._open_to_operators()
 
@@ -151,8 +156,19 @@
         # With SCGI servers a node hands runs to those too, and each launch is one.
         calls = Calls(self.module, serving, lambda: (
             agent.dispatches if agent is not None else int(self.counters["sent.launches"])))
+        if self.members is not None:
+            calls.offer("/members", self.members.view)
         self.admin = AdminFront(self.module, calls, min(MOST_CONNECTIONS, self.told.sockets // 8))
 
+    def _join(self, told: config.Members) -> None:
+        from beechrock.members import actor, life
+
+        try:
+            number = life.begin(told.state, time.time())
+        except (OSError, ValueError) as error:
+            raise config.ConfigError(f"members: state: {error}") from None
+        self.members = actor.MembersActor(told, self.told.name, number, self.counters, self.told.seed)
+
     def _record(self, told: config.Trace, clock: Callable[[], float]) -> None:
         from beechrock.trace.flow import Rules
         from beechrock.trace.recorder import Recorder
@@ -203,6 +219,8 @@
         self._tell_leave()
         if self.frames is not None:
             self.frames.leave()
+        if self.members is not None:
+            self.members.leave()
         if self.handover is not None:
             self._steer()
 
@@ -256,6 +274,11 @@
             except OSError as error:
                 raise config.ConfigError(f"{self.told.admin_at}: {error.strerror or error}") from None
             log.info("%s: second address %s", self.told.name, _address_of(self.admin.server))
+        if self.members is not None:
+            try:
+                await self.members.listen()
+            except OSError as error:
+                raise config.ConfigError(f"members: listen: {error.strerror or error}") from None
         if self.frames is not None and self.told.listen is not None and self.handover is None:
             await self.frames.start(*self.told.listen, self.told.listen_fd)
             log.info("%s: frames on %s", self.told.name, _address_of(self.frames.server))
@@ -267,7 +290,7 @@
         """Listen, and let the actors run."""
         await self.listen()
         actors = {"module": self.module, "registry": self.registry, "inventory": self.keeper,
-                  "trace": self.recorder, "handover": self.handover}
+                  "trace": self.recorder, "handover": self.handover, "members": self.members}
         self.tasks = [self.counters.spawn(a.run(), name) for name, a in actors.items() if a is not None]
         if self.agent is not None:
             self.agent.begin()
--- a/beechrock/admin/http.py
+++ b/beechrock/admin/http.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 
 import h11
+import ujson
 
 from beechrock.admin import figures
 from beechrock.admin.serving import Serving
@@ -45,6 +46,10 @@
             "/healthcheck/ok": ("POST", lambda: self._word(self.serving.ok())),
         }
 
+    def offer(self, path: str, view: Callable[[], object]) -> None:
+        """One more thing to read, as JSON; ``view`` gives it at once."""
+        self.table[path] = ("GET", lambda: Said(200, ujson.dumps(view()) + "\n", b"application/json"))
+
     def answer(self, method: str, target: str) -> Said:
         path = target.partition("?")[0]
         if path not in self.table:
--- a/beechrock/config.py
+++ b/beechrock/config.py
@@ -22,8 +22,9 @@
 STOP_MS, MEMORY_MB, SOCKETS = 3000.0, 192.0, 1024.0
 ROOT = Path(__file__).parent.parent
 TRACE_KEYS = {"enabled", "folder", "sample", "key_file", "segment_mb", "segment_s", "most_mb", "flush_s"}
-SCGI_KEYS = {"trace", "enabled", "listen", "inventory", "state", "log", "watch_s", "settle_s", "confirm_s",
-             "most_removed"}
+MEMBERS_KEYS = {"enabled", "listen", "fleet", "key_file", "seeds", "period_s", "state"}
+SCGI_KEYS = {"trace", "members", "enabled", "listen", "inventory", "state", "log", "watch_s", "settle_s",
+             "confirm_s", "most_removed"}
 LOG_FORMS = ("text", "json")
 WATCH_S, SETTLE_S, CONFIRM_S, MOST_REMOVED = 0.5, 0.5, 10.0, 0.25
 
@@ -61,6 +62,18 @@
     flush_s: float = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class Members:
+    """This node as one of a fleet whose nodes talk, where the operator's file turns that on."""
+
+    listen: Address             # datagrams; the others hear of it from us
+    fleet: str
+    key: bytes                  # made of the fleet's key file
+    seeds: tuple[str, ...] = ()     # HOST:PORT of some others; all may be down at the start
+    period_s: float = 1.0
+    state: Path | None = None   # folder of the number that tells this process from its former lives
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that a node is told; without LB_CONFIG there is no ``listen`` and no ``agent``."""
@@ -78,6 +91,7 @@
     gauges: tuple[str, ...]
     scgi: Scgi | None
     trace: Trace | None = None
+    members: Members | None = None
     admin: Address | None = None        # the operators' second address
     admin_at: str = field(default="", compare=False)    # where that was told
     listen_fd: int | None = None        # the listening socket that the platform holds for us
@@ -133,6 +147,7 @@
         memory_mb=_number(limits, "memory_mb", MEMORY_MB, f"{where}: limits"),
         sockets=int(_number(limits, "sockets", SOCKETS, f"{where}: limits")),
         settings=settings, gauges=gauges, scgi=scgi, trace=_trace(mine, told_by_operator, root),
+        members=_members(mine, told_by_operator, root),
         admin=_address(admin, admin_at, 0) if admin is not None else None, admin_at=admin_at,
         listen_fd=_inherited(fd, listen_to) if fd and listen_to is not None else None,
         handover=Path(environ["TMPDIR"]) if fd and environ.get("TMPDIR") else None,
@@ -209,6 +224,38 @@
     return Trace(root / told["folder"], sample, key, **numbers)
 
 
+def _members(path: Path, operators: dict[str, Any], root: Path) -> Members | None:
+    told = operators.get("members", {})
+    where = f"{path}: members"
+    if not isinstance(told, dict):
+        raise ConfigError(f"{where}: not a table")
+    if not _known(told, MEMBERS_KEYS, where):
+        return None
+    try:
+        from beechrock.members.codec import MOST_NAME, key_from
+    except ImportError as error:
+        raise ConfigError(f"{where}: enabled: needs {error.name}: pip install 'beechrock[members]'") from None
+    fleet, seeds, state = told.get("fleet"), told.get("seeds", []), told.get("state")
+    if not isinstance(fleet, str) or not 0 < len(fleet.encode()) <= MOST_NAME:
+        raise ConfigError(f"{where}: fleet: a name of at most {MOST_NAME} bytes is needed")
+    if not isinstance(seeds, list):
+        raise ConfigError(f"{where}: seeds: not a list")
+    found = tuple("{}:{}".format(*_address(seed, f"{where}: seeds[{n}]")) for n, seed in enumerate(seeds))
+    if state is not None and (not isinstance(state, str) or not state):
+        raise ConfigError(f"{where}: state: the path of a folder is needed")
+    file = told.get("key_file")
+    if not isinstance(file, str) or not file:
+        raise ConfigError(f"{where}: key_file: the path of the fleet's key is needed")
+    try:
+        key = key_from((root / file).read_bytes().strip())
+    except OSError as error:
+        raise ConfigError(f"{where}: key_file: {file}: {error.strerror}") from None
+    except ValueError:
+        raise ConfigError(f"{where}: key_file: {file}: at least 16 bytes are needed") from None
+    return Members(_address(told.get("listen"), f"{where}: listen", 0), fleet, key, found,
+                   _number(told, "period_s", 1.0, where), root / state if state else None)
+
+
 def _scgi(path: Path, told: dict[str, Any], root: Path, running: "Generation | None") -> Scgi | None:
     """The SCGI front; no file, like ``enabled = false``, keeps it off."""
     if not _known(told, SCGI_KEYS, str(path)):
--- /dev/null
+++ b/beechrock/members/actor.py
@@ -0,0 +1,120 @@
+"""The thin actor round the membership: a datagram endpoint, ticks, and the view for the program."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+from beechrock import logs
+from beechrock.config import Members as Told
+from beechrock.core.counters import Counters
+from beechrock.members.codec import Codec, DroppedError
+from beechrock.members.state import Action, Changed, Displaced, Members, Send
+
+TICKS = 10              # a period
+MOST_WAITING = 512      # datagrams read and not yet taken in; beyond it they are dropped, as a network may
+
+
+class MembersActor(asyncio.DatagramProtocol):
+    """Owns this node's membership; a slow reader of the view holds nothing up, as it gets a copy."""
+
+    def __init__(
+        self, told: Told, name: str, life: int, counters: Counters, seed: int,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.told, self.counters, self.clock = told, counters, clock
+        self.codec = Codec(told.key, told.fleet, name, life)
+        self.life, self.name, self.seed = life, name, seed
+        self.members: Members | None = None
+        self.since: dict[str, tuple[float, str]] = {}
+        self.waiting: asyncio.Queue[tuple[bytes, str]] = asyncio.Queue(MOST_WAITING)
+        self.transport: asyncio.DatagramTransport | None = None
+
+    async def listen(self) -> None:
+        """OSError where the address cannot be had."""
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self.told.listen)
+        address = "{}:{}".format(*self.transport.get_extra_info("sockname")[:2])
+        self.members = Members(self.name, address, self.life, self.clock(), self.seed, self.told.seeds,
+                               self.told.period_s, 0.3 * self.told.period_s)
+        logs.event("members", member=self.name, address=address, life=self.life, fleet=self.told.fleet)
+
+    async def run(self) -> None:
+        assert self.members is not None
+        self._do(self.members.join())
+        next_at = self.clock()
+        while True:
+            # What waits is taken in before a tick judges silence: after a pause the answers are there.
+            while not self.waiting.empty():
+                self._take(*self.waiting.get_nowait())
+            now = self.clock()
+            if now >= next_at:
+                next_at = now + self.told.period_s / TICKS
+                self._do(self.members.tick(now))
+            try:
+                data, address = await asyncio.wait_for(self.waiting.get(), max(0.0, next_at - self.clock()))
+            except TimeoutError:
+                continue
+            self._take(data, address)
+
+    def leave(self) -> None:
+        if self.members is not None:
+            self._do(self.members.leave(self.clock()))
+
+    def view(self) -> dict[str, Any]:
+        """For operators: each member's state, life, incarnation, since when (seconds ago) and who said so."""
+        if self.members is None:
+            return {"members": []}
+        mine, now = self.members, self.clock()
+        rows: list[dict[str, Any]] = []
+        for name, word in sorted(mine.view().items()):
+            at, reason = self.since.get(name, (now, "itself" if name == self.name else ""))
+            rows.append({"name": name, "state": word.state.name.lower(), "life": word.life,
+                         "incarnation": word.incarnation, "since_s": round(now - at, 1), "reason": reason})
+        return {"name": self.name, "fleet": self.told.fleet, "generation": mine.generation,
+                "local_health": mine.health, "displaced": mine.displaced, "members": rows}
+
+    # --- the wire
+
+    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        try:
+            self.waiting.put_nowait((data, f"{addr[0]}:{addr[1]}"))
+        except asyncio.QueueFull:
+            self.counters.add("members.dropped_full")
+
+    def error_received(self, exc: Exception) -> None:
+        self.counters.add("members.unreachable")
+
+    def _take(self, data: bytes, address: str) -> None:
+        assert self.members is not None
+        try:
+            sender, message = self.codec.decode(data)
+        except DroppedError as error:
+            self.counters.add(f"members.dropped_{error.why.value}")
+            return
+        self.counters.add("members.heard")
+        self._do(self.members.hear(sender, address, message, self.clock()))
+
+    def _do(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Send(address, message):
+                    host, _, port = address.rpartition(":")
+                    # One that is none can only come from who has the key; it must not end the actor.
+                    if self.transport is None or not port.isdigit():
+                        self.counters.add("members.no_address")
+                        continue
+                    self.counters.add("members.sent")
+                    self.transport.sendto(self.codec.encode(message), (host.strip("[]"), int(port)))
+                case Changed(news, before, reason):
+                    self.since[news.name] = self.clock(), reason
+                    self.counters.add(f"members.{news.word.state.name.lower()}")
+                    logs.event("member", member=news.name, state=news.word.state.name.lower(),
+                               life=news.word.life, incarnation=news.word.incarnation, reason=reason,
+                               before=before.name.lower() if before is not None else "unknown")
+                case Displaced(life, address):
+                    self.counters.add("members.displaced")
+                    logs.event("member displaced", "error", member=self.name, by_life=life, at=address,
+                               reason="a newer process has this name; this one is silent as a member")
+        if self.members is not None and len(self.since) > 2 * len(self.members.known) + 64:
+            self.since = {name: told for name, told in self.since.items() if name in self.members.known}
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -207,3 +207,41 @@
     with pytest.raises(inventory.InventoryError) as caught:
         inventory.load(path)
     assert words in str(caught.value)
+
+
+MEMBERS = '[members]\nenabled = true\nlisten = "127.0.0.1:0"\nfleet = "east"\nkey_file = "key"\n'
+
+
+def members(tmp_path: Path, text: str) -> config.Members | None:
+    (tmp_path / "key").write_text("a secret of sixteen bytes and more")
+    (tmp_path / "short").write_text("short")
+    (tmp_path / "scgi.toml").write_text(text)
+    path = tmp_path / "config.json"
+    path.write_text(ujson.dumps(TOLD))
+    return config.load({"LB_SCGI": str(tmp_path / "scgi.toml"), "LB_CONFIG": str(path)}, tmp_path).members
+
+
+def test_the_membership_is_off_unless_the_operators_file_says_so(tmp_path: Path) -> None:
+    assert members(tmp_path, "") is None
+    assert members(tmp_path, MEMBERS.replace("true", "false")) is None
+    told = members(tmp_path, MEMBERS + 'seeds = ["127.0.0.1:9"]\nperiod_s = 0.5\nstate = "s"\n')
+    assert told is not None and len(told.key) == 32
+    assert (told.seeds, told.period_s, told.state) == (("127.0.0.1:9",), 0.5, tmp_path / "s")
+
+
+@pytest.mark.parametrize(("change", "words"), [
+    (("listen =", "lisen ="), "lisen: unknown key"),
+    (('"127.0.0.1:0"', '"nowhere"'), "listen: 'nowhere' is not HOST:PORT"),
+    (('"east"', '""'), "fleet: a name of at most 64 bytes is needed"),
+    (('"east"', f'"{"e" * 65}"'), "fleet: a name of at most 64 bytes is needed"),
+    (('"key"', '"none"'), "key_file: none: No such file or directory"),
+    (('"key"', '"short"'), "key_file: short: at least 16 bytes are needed"),
+    (("enabled = true", 'enabled = true\nseeds = ["127.0.0.1:9", "x"]'), "seeds[1]: 'x' is not HOST:PORT"),
+    (("enabled = true", "enabled = true\nseeds = 3"), "seeds: not a list"),
+    (("enabled = true", "enabled = true\nperiod_s = 0"), "period_s: 0 is not a number above 0"),
+    (("enabled = true", "enabled = true\nstate = 7"), "state: the path of a folder is needed"),
+])
+def test_a_faulty_key_of_the_membership_is_named(tmp_path: Path, change: tuple[str, str], words: str) -> None:
+    with pytest.raises(config.ConfigError, match=r"scgi\.toml: members") as caught:
+        members(tmp_path, MEMBERS.replace(*change))
+    assert words in str(caught.value)
--- a/tests/test_members_codec.py
+++ b/tests/test_members_codec.py
@@ -1,5 +1,7 @@
 """Datagrams of the membership: round trips, strangers, replays, cuts at every byte."""
 
+from pathlib import Path
+
 import msgpack
 import pytest
 from hypothesis import given
@@ -8,6 +10,7 @@
 
 from beechrock.members import codec
 from beechrock.members.codec import Codec, Dropped, DroppedError, key_from
+from beechrock.members.life import NAME, begin
 from beechrock.members.state import MOST_NEWS, Ack, Ask, Heard, Message, News, Ping, State, Word
 
 KEY = key_from(b"a secret of the fleet's own")
@@ -119,3 +122,26 @@
 def test_a_short_secret_is_no_key() -> None:
     with pytest.raises(ValueError, match="16 bytes"):
         key_from(b"short")
+
+
+# The life number.
+
+
+def test_each_life_is_greater_than_the_one_before_though_the_clock_goes_back(tmp_path: Path) -> None:
+    lives = [begin(tmp_path, now) for now in (1000.0, 2000.0, 500.0, 500.0)]
+    assert lives == [1_000_000, 2_000_000, 2_000_001, 2_000_002]
+    assert begin(None, 7.5) == 7500
+
+
+@pytest.mark.parametrize("text", ["", "x", "-4", "1.5", "٣"])
+def test_a_life_file_that_is_no_number_is_not_passed_over(tmp_path: Path, text: str) -> None:
+    (tmp_path / NAME).write_text(text)
+    with pytest.raises(ValueError, match=NAME):
+        begin(tmp_path, 1000.0)
+    assert (tmp_path / NAME).read_text() == text
+
+
+def test_a_start_cut_before_the_file_is_whole_leaves_the_old_number(tmp_path: Path) -> None:
+    first = begin(tmp_path, 1000.0)
+    (tmp_path / NAME).with_suffix(".new").write_text("9")       # cut in the middle of the write
+    assert begin(tmp_path, 10.0) == first + 1
--- /dev/null
+++ b/tests/test_members_processes.py
@@ -0,0 +1,167 @@
+"""Real processes of the program as members of one fleet: stopped, killed, started again, asked to leave.
+
+Safety is asserted over the whole of each process's own record; times are only waited for, ten times as long
+as they take.
+"""
+
+import asyncio
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from beechrock.cli.main import main
+
+ROOT = Path(__file__).parent.parent
+INVENTORY = """
+teams: {hosts: {a: {}}}
+services: {hosts: {s: {upstreams: ["127.0.0.1:9"]}}}
+contracts: {hosts: {a-s: {team: a, service: s, share: 1, rate: 9, aim_ms: 500, due_ms: 2000, effect: safe}}}
+all: {vars: {cores: 1, memory_mb: 8}}
+"""
+
+
+class Process:
+    """One node with the membership on, at ports of its own choice."""
+
+    def __init__(self, folder: Path, name: str, seeds: list[str]) -> None:
+        self.name, self.folder = name, folder / name
+        self.folder.mkdir(exist_ok=True)
+        (self.folder / "inventory.yaml").write_text(INVENTORY)
+        (self.folder / "key").write_text("a secret of sixteen bytes and more")
+        (self.folder / "scgi.toml").write_text(
+            f'enabled = true\nlisten = "127.0.0.1:0"\nlog = "json"\n'
+            f'inventory = "{self.folder}/inventory.yaml"\n'
+            f'[members]\nenabled = true\nlisten = "127.0.0.1:0"\nfleet = "east"\n'
+            f'key_file = "{self.folder}/key"\nseeds = {json.dumps(seeds)}\nperiod_s = 0.2\n'
+            f'state = "{self.folder}/state"\n')
+        self.log = self.folder / f"log-{time.monotonic_ns()}"
+        told = {**os.environ, "LB_SCGI": str(self.folder / "scgi.toml"), "LB_CONFIG": "", "LB_NAME": name,
+                "LB_ADMIN_ADDR": "127.0.0.1:0"}
+        with self.log.open("wb") as out:
+            self.popen = subprocess.Popen([sys.executable, "-m", "beechrock"], stderr=out, env=told, cwd=ROOT)
+        self.address = self.admin = ""
+
+    async def up(self) -> "Process":
+        await until(lambda: self.log.read_text().count('"members"') > 0 or self.popen.poll() is not None)
+        text = self.log.read_text()
+        assert self.popen.poll() is None, text
+        self.address = next(e["address"] for e in self.events("members"))
+        self.admin = re.findall(r"second address (127\.0\.0\.1:\d+)", text)[0]
+        return self
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        found = [json.loads(line) for line in self.log.read_text().splitlines() if line.startswith("{")]
+        return [event for event in found if event["event"] == name]
+
+    def states(self) -> dict[str, str]:
+        run = CliRunner().invoke(main, ["members", "--at", self.admin, "--format", "json"])
+        assert run.exit_code in (0, 1), run.output
+        return {row["name"]: row["state"] for row in json.loads(run.output)["members"]}
+
+    def dead(self) -> list[str]:
+        """Whom this process ever declared, or heard, dead."""
+        return [event["member"] for event in self.events("member") if event["state"] == "dead"]
+
+    def end(self, how: signal.Signals = signal.SIGKILL) -> None:
+        self.popen.send_signal(how)
+        if how in (signal.SIGKILL, signal.SIGTERM):
+            self.popen.wait(30.0)
+
+
+async def until(wanted: Callable[[], bool], seconds: float = 60.0) -> None:
+    end = time.monotonic() + seconds
+    while not wanted():
+        assert time.monotonic() < end, "never came"
+        await asyncio.sleep(0.05)
+
+
+def all_alive(processes: list[Process]) -> bool:
+    names = {p.name for p in processes}
+    return all({n for n, s in p.states().items() if s == "alive"} == names for p in processes)
+
+
+def fleet(tmp_path: Path, work: Callable[[list[Process]], Any]) -> None:
+    async def play() -> None:
+        processes: list[Process] = []
+        try:
+            processes.append(await Process(tmp_path, "n0", []).up())
+            for n in range(1, 5):
+                processes.append(await Process(tmp_path, f"n{n}", [processes[0].address]).up())
+            await until(lambda: all_alive(processes))
+            await work(processes)
+            for process in processes:
+                assert "Traceback" not in process.log.read_text()
+        finally:
+            for process in processes:
+                process.popen.send_signal(signal.SIGCONT)
+                process.popen.kill()
+                process.popen.wait(30.0)
+
+    asyncio.run(play())
+
+
+def test_one_killed_is_found_by_all_and_its_next_process_is_a_new_life(tmp_path: Path) -> None:
+    async def work(processes: list[Process]) -> None:
+        gone = processes[3]
+        gone.end()
+        rest = [p for p in processes if p is not gone]
+        await until(lambda: all(p.states()["n3"] == "dead" for p in rest))
+        assert all(set(p.dead()) == {"n3"} for p in rest)
+        processes[3] = await Process(tmp_path, "n3", [processes[1].address]).up()   # any of them is a seed
+        await until(lambda: all_alive(processes))
+        lives = [event["life"] for event in rest[0].events("member") if event["member"] == "n3"]
+        assert lives[-1] > lives[0] and lives == sorted(lives)
+
+    fleet(tmp_path, work)
+
+
+@pytest.mark.parametrize("who", [[1], [1, 2, 3, 4]])
+def test_who_was_stopped_and_goes_on_accuses_nobody_and_all_are_back(tmp_path: Path, who: list[int]) -> None:
+    async def work(processes: list[Process]) -> None:
+        for n in who:
+            processes[n].end(signal.SIGSTOP)
+        await asyncio.sleep(5.0)
+        for n in who:
+            processes[n].end(signal.SIGCONT)
+        await until(lambda: all_alive(processes))
+        stopped = {f"n{n}" for n in who}
+        for process in (processes[n] for n in who):
+            assert set(process.dead()) <= stopped, process.dead()
+
+    fleet(tmp_path, work)
+
+
+def test_leaving_is_told_apart_from_death(tmp_path: Path) -> None:
+    async def work(processes: list[Process]) -> None:
+        processes[2].end(signal.SIGTERM)
+        rest = [p for p in processes if p is not processes[2]]
+        await until(lambda: all(p.states()["n2"] == "left" for p in rest))
+        assert all(p.dead() == [] for p in rest)
+
+    fleet(tmp_path, work)
+
+
+def test_of_two_with_one_name_the_older_says_that_it_is_displaced(tmp_path: Path) -> None:
+    async def work(processes: list[Process]) -> None:
+        other = tmp_path / "twin"
+        other.mkdir()
+        processes.append(await Process(other, "n4", [processes[0].address]).up())
+        await until(lambda: processes[4].events("member displaced") != [])
+        newest = processes[5].events("members")[0]["life"]
+
+        def known_to(process: Process) -> int:
+            return max(int(e["life"]) for e in process.events("member") if e["member"] == "n4")
+
+        await until(lambda: all(known_to(p) == newest for p in processes[:4]))
+
+    fleet(tmp_path, work)
