Put links with faults between real members, and let who hears nobody say so

Found by the split in three: a member cut off from all asked for ever without a verdict and showed nothing of it; the rule stays (its own link is the likelier fault, so it accuses nobody), and its view and command now say 'isolated'.

--- a/beechrock/cli/members.py
+++ b/beechrock/cli/members.py
@@ -18,7 +18,8 @@
 @click.option("--format", "form", type=FORM, default="text")
 @click.option("--watch", type=float, help="Again every so many seconds, until interrupted.")
 def members(address: str, form: str, watch: float | None) -> None:
-    """Show the members that the node AT knows. Exit 1 if one is suspect or dead, 2 without an answer.
+    """Show the members that the node AT knows. Exit 1 if one is suspect or dead, or AT is cut off; 2 without
+    an answer.
 
     It is that node's word: ask the node that is said to be dead before acting on it.
     """
@@ -31,7 +32,8 @@
         if watch is None:
             break
         time.sleep(watch)
-    sys.exit(1 if any(row["state"] in ("suspect", "dead") for row in told["members"]) else 0)
+    ailing = told["isolated"] or told["displaced"]
+    sys.exit(1 if ailing or any(row["state"] in ("suspect", "dead") for row in told["members"]) else 0)
 
 
 def _ask(address: str) -> dict[str, Any]:
@@ -56,6 +58,8 @@
 def _show(told: dict[str, Any]) -> None:
     late = f", itself late (waits {1 + told['local_health']} times as long)" if told["local_health"] else ""
     gone = ", DISPLACED by a newer process of its name" if told["displaced"] else ""
+    if told["isolated"]:
+        gone += ", ISOLATED: it hears nobody, and its view stands still"
     click.echo(f"as {told['name']} of {told['fleet']} sees it, generation {told['generation']}{late}{gone}")
     rows = [COLUMNS, *(tuple(str(row[column]) for column in COLUMNS) for row in told["members"])]
     wide = [max(len(row[n]) for row in rows) for n in range(len(COLUMNS))]
--- a/beechrock/config.py
+++ b/beechrock/config.py
@@ -22,7 +22,7 @@
 STOP_MS, MEMORY_MB, SOCKETS = 3000.0, 192.0, 1024.0
 ROOT = Path(__file__).parent.parent
 TRACE_KEYS = {"enabled", "folder", "sample", "key_file", "segment_mb", "segment_s", "most_mb", "flush_s"}
-MEMBERS_KEYS = {"enabled", "listen", "fleet", "key_file", "seeds", "period_s", "state"}
+MEMBERS_KEYS = {"enabled", "listen", "advertise", "fleet", "key_file", "seeds", "period_s", "state"}
 SCGI_KEYS = {"trace", "members", "enabled", "listen", "inventory", "state", "log", "watch_s", "settle_s",
              "confirm_s", "most_removed"}
 LOG_FORMS = ("text", "json")
@@ -72,6 +72,7 @@
     seeds: tuple[str, ...] = ()     # HOST:PORT of some others; all may be down at the start
     period_s: float = 1.0
     state: Path | None = None   # folder of the number that tells this process from its former lives
+    advertise: str = ""         # where the others reach us, if not where we listen
 
 
 @dataclass(frozen=True, slots=True)
@@ -252,8 +253,11 @@
         raise ConfigError(f"{where}: key_file: {file}: {error.strerror}") from None
     except ValueError:
         raise ConfigError(f"{where}: key_file: {file}: at least 16 bytes are needed") from None
-    return Members(_address(told.get("listen"), f"{where}: listen", 0), fleet, key, found,
-                   _number(told, "period_s", 1.0, where), root / state if state else None)
+    advertise = told.get("advertise")
+    return Members(
+        _address(told.get("listen"), f"{where}: listen", 0), fleet, key, found,
+        _number(told, "period_s", 1.0, where), root / state if state else None,
+        "{}:{}".format(*_address(advertise, f"{where}: advertise")) if advertise is not None else "")
 
 
 def _scgi(path: Path, told: dict[str, Any], root: Path, running: "Generation | None") -> Scgi | None:
--- a/beechrock/members/actor.py
+++ b/beechrock/members/actor.py
@@ -35,8 +35,9 @@
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self.told.listen)
         address = "{}:{}".format(*self.transport.get_extra_info("sockname")[:2])
-        self.members = Members(self.name, address, self.life, self.clock(), self.seed, self.told.seeds,
-                               self.told.period_s, 0.3 * self.told.period_s)
+        self.members = Members(
+            self.name, self.told.advertise or address, self.life, self.clock(), self.seed, self.told.seeds,
+            self.told.period_s, 0.3 * self.told.period_s)
         logs.event("members", member=self.name, address=address, life=self.life, fleet=self.told.fleet)
 
     async def run(self) -> None:
@@ -72,7 +73,8 @@
             rows.append({"name": name, "state": word.state.name.lower(), "life": word.life,
                          "incarnation": word.incarnation, "since_s": round(now - at, 1), "reason": reason})
         return {"name": self.name, "fleet": self.told.fleet, "generation": mine.generation,
-                "local_health": mine.health, "displaced": mine.displaced, "members": rows}
+                "local_health": mine.health, "displaced": mine.displaced, "isolated": mine.isolated,
+                "members": rows}
 
     # --- the wire
 
--- a/beechrock/members/state.py
+++ b/beechrock/members/state.py
@@ -21,6 +21,7 @@
 HELPERS = 3             # asked to ask a member that did not answer
 MOST_HEALTH = 7         # local health: waits are up to 1 + this many times as long
 SHORTEST, LONGEST = 4.0, 6.0    # suspicion: periods times log10(n), confirmed; and times this, without
+ALONE = 3               # questions in a row without a sound from anybody, after which a member is cut off
 LATE = 0.5              # of a period by which a tick may come late before it counts as a pause of one's own
 REVISIT = 5             # every so many periods one of the dead is asked as well
 FORGET_PERIODS = 300    # for which the dead and those that left are kept
@@ -143,7 +144,7 @@
         self.me = News(name, address, Word(life, 0, State.ALIVE))
         self.seeds = [seed for seed in seeds if seed != address]
         self.known: dict[str, _Known] = {}
-        self.health = self.generation = self.rounds = self.numbers = 0
+        self.health = self.generation = self.rounds = self.numbers = self.unheard = 0
         self.displaced = False
         self.random = random.Random(seed)
         self.ticked, self.next_at = now, now
@@ -182,6 +183,7 @@
         """A message from ``sender`` at ``address``; who sends is who it says, as the codec proves."""
         if self.displaced or sender == self.name:
             return []
+        self.unheard = 0
         for news in message.news:
             self._take(news, now, f"told by {sender}", sender)
         if self.displaced:
@@ -220,6 +222,11 @@
         self._ask_seeds()
         return self._done()
 
+    @property
+    def isolated(self) -> bool:
+        """Nobody is heard at all: the view stands still, and proves nothing of the others."""
+        return self.unheard >= ALONE
+
     def view(self) -> dict[str, Word]:
         return {self.name: self.me.word, **{name: known.news.word for name, known in self.known.items()}}
 
@@ -270,6 +277,7 @@
         # Helpers that stay silent too show that the fault may be this member's own.
         self.health = min(MOST_HEALTH, self.health + (asked.helpers - asked.heard if asked.helpers else 1))
         if asked.helpers and not asked.heard:
+            self.unheard += 1       # the fault is rather this member's own link: it accuses nobody
             return
         word = self.known[asked.name].news.word
         if word.state is State.ALIVE:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -288,3 +288,14 @@
         fleet.run(fleet.random.uniform(0.5, 12.0))
     fleet.cut, fleet.loss = (lambda a, b: 0.0), 0.0
     assert fleet.within(60.0, lambda: fleet.agree(set(fleet.members))), f"seed {seed}"
+
+
+def test_who_hears_nobody_says_so_and_accuses_nobody() -> None:
+    fleet = whole(6)
+    fleet.cut = lambda source, target: float("n2" in (source, target))
+    fleet.run(60.0)
+    assert fleet.members["n2"].isolated
+    assert not [pair for pair in fleet.deaths() if pair[0] == "n2"]
+    assert all(m.view()["n2"].state is State.DEAD for name, m in fleet.members.items() if name != "n2")
+    fleet.cut = lambda source, target: 0.0
+    assert fleet.within(30.0, fleet.agree) and not fleet.members["n2"].isolated
--- a/tests/test_members_processes.py
+++ b/tests/test_members_processes.py
@@ -20,6 +20,7 @@
 from click.testing import CliRunner
 
 from beechrock.cli.main import main
+from beechrock.lab.links import Faults, Links
 
 ROOT = Path(__file__).parent.parent
 INVENTORY = """
@@ -33,7 +34,7 @@
 class Process:
     """One node with the membership on, at ports of its own choice."""
 
-    def __init__(self, folder: Path, name: str, seeds: list[str]) -> None:
+    def __init__(self, folder: Path, name: str, seeds: list[str], advertise: str = "") -> None:
         self.name, self.folder = name, folder / name
         self.folder.mkdir(exist_ok=True)
         (self.folder / "inventory.yaml").write_text(INVENTORY)
@@ -43,7 +44,7 @@
             f'inventory = "{self.folder}/inventory.yaml"\n'
             f'[members]\nenabled = true\nlisten = "127.0.0.1:0"\nfleet = "east"\n'
             f'key_file = "{self.folder}/key"\nseeds = {json.dumps(seeds)}\nperiod_s = 0.2\n'
-            f'state = "{self.folder}/state"\n')
+            f'state = "{self.folder}/state"\n' + (f'advertise = "{advertise}"\n' if advertise else ""))
         self.log = self.folder / f"log-{time.monotonic_ns()}"
         told = {**os.environ, "LB_SCGI": str(self.folder / "scgi.toml"), "LB_CONFIG": "", "LB_NAME": name,
                 "LB_ADMIN_ADDR": "127.0.0.1:0"}
@@ -63,10 +64,14 @@
         found = [json.loads(line) for line in self.log.read_text().splitlines() if line.startswith("{")]
         return [event for event in found if event["event"] == name]
 
-    def states(self) -> dict[str, str]:
+    def told(self) -> dict[str, Any]:
         run = CliRunner().invoke(main, ["members", "--at", self.admin, "--format", "json"])
         assert run.exit_code in (0, 1), run.output
-        return {row["name"]: row["state"] for row in json.loads(run.output)["members"]}
+        told: dict[str, Any] = json.loads(run.output)
+        return told
+
+    def states(self) -> dict[str, str]:
+        return {row["name"]: row["state"] for row in self.told()["members"]}
 
     def dead(self) -> list[str]:
         """Whom this process ever declared, or heard, dead."""
@@ -165,3 +170,102 @@
         await until(lambda: all(known_to(p) == newest for p in processes[:4]))
 
     fleet(tmp_path, work)
+
+
+# With faults on the links between the processes. What must not be is looked for in the whole record of each
+# process, what must come is waited for: no verdict hangs on a time.
+
+
+def over_links(tmp_path: Path, seed: int, work: Callable[[list[Process], Links], Any]) -> None:
+    async def play() -> None:
+        links, processes = Links(seed), []
+        try:
+            first = await links.advertised("n0")
+            for n in range(5):
+                seeds = [first] if n else []
+                process = Process(tmp_path, f"n{n}", seeds, await links.advertised(f"n{n}"))
+                processes.append(process)
+                await process.up()
+                links.attach(process.name, process.address)
+            await until(lambda: all_alive(processes))
+            await work(processes, links)
+            for process in processes:
+                assert "Traceback" not in process.log.read_text(), f"seed {seed}"
+        finally:
+            for process in processes:
+                process.popen.send_signal(signal.SIGCONT)
+                process.popen.kill()
+                process.popen.wait(30.0)
+            links.close()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("sides", [[{"n0", "n1"}, {"n2", "n3", "n4"}], [{"n0"}, {"n1", "n2"}, {"n3", "n4"}]])
+def test_a_split_in_two_and_in_three_heals_without_a_restart(tmp_path: Path, sides: list[set[str]]) -> None:
+    async def work(processes: list[Process], links: Links) -> None:
+        side = {name: names for names in sides for name in names}
+        links.split(*sides)
+        groups = [p for p in processes if len(side[p.name]) > 1]
+        await until(lambda: all(
+            {n for n, s in p.states().items() if s == "alive"} == side[p.name] for p in groups))
+        assert all(set(p.dead()).isdisjoint(side[p.name]) for p in groups)      # nobody of one's own side
+        # Seen: who is alone cannot tell its own link from the others' end. It says so, and accuses nobody.
+        for lone in (p for p in processes if p not in groups):
+            await until(lambda p=lone: bool(p.told()["isolated"]))      # type: ignore[misc]
+            assert lone.dead() == []
+        links.heal()
+        await until(lambda: all_alive(processes))
+
+    over_links(tmp_path, 1, work)
+
+
+@pytest.mark.parametrize("back", [False, True], ids=["one way", "both ways"])
+def test_a_cut_between_two_is_bridged_by_the_others(tmp_path: Path, back: bool) -> None:
+    async def work(processes: list[Process], links: Links) -> None:
+        links.cut({"n1"}, {"n2"})
+        if back:
+            links.cut({"n2"}, {"n1"})
+        await asyncio.sleep(8.0)        # forty periods: each asks each of the others some ten times
+        assert links.lost > 0
+        assert all(p.dead() == [] for p in processes), [p.dead() for p in processes]
+        links.heal()
+        await until(lambda: all_alive(processes))
+
+    over_links(tmp_path, 2, work)
+
+
+def test_datagrams_lost_doubled_cut_short_and_out_of_order_kill_nobody(tmp_path: Path) -> None:
+    async def work(processes: list[Process], links: Links) -> None:
+        links.every = Faults(loss=0.05, double=0.1, short=0.05, delay_s=0.03)
+        await asyncio.sleep(8.0)
+        assert links.lost > 0
+        assert all(p.dead() == [] for p in processes), [p.dead() for p in processes]
+        links.every = Faults()
+        await until(lambda: all_alive(processes))
+        text = "".join(p.log.read_text() for p in processes)
+        assert "Traceback" not in text
+        for process in processes:
+            process.end(signal.SIGTERM)
+        told = "".join(p.log.read_text() for p in processes)
+        for reason in ("replayed", "tag"):
+            assert re.search(rf"members\.dropped_{reason} [1-9]", told), reason
+
+    over_links(tmp_path, 3, work)
+
+
+def test_who_joins_during_a_split_is_known_to_all_after_it(tmp_path: Path) -> None:
+    async def work(processes: list[Process], links: Links) -> None:
+        links.split({"n0", "n1"}, {"n2", "n3", "n4"})
+        await until(lambda: all("dead" in p.states().values() for p in processes))
+        late = Process(tmp_path, "n5", [await links.advertised("n3")], await links.advertised("n5"))
+        processes.append(late)
+        await late.up()
+        links.attach("n5", late.address)
+        links.cut({"n5"}, {"n0", "n1"})
+        links.cut({"n0", "n1"}, {"n5"})
+        await until(lambda: processes[2].states().get("n5") == "alive")
+        links.heal()
+        await until(lambda: all_alive(processes))
+
+    over_links(tmp_path, 4, work)
