--- a/beechrock/members/state.py
+++ b/beechrock/members/state.py
@@ -242,8 +242,8 @@
         if not self._living():
             self._ask_seeds()
         # After a split nobody else brings the two sides together. Once one of the dead is back, more may be:
-        # seen in the benchmark, 40 members took 18 s to heal, 7 s now. To pass their deaths on instead took 23
-        # to 33 s, as the other side then heard, of its own, what was said here.
+        # seen in the benchmark, 40 members took 18 s to heal, 7 s now. To pass their deaths on took 23 to
+        # 33 s, as the other side then heard, of its own, what was said here.
         healing = now < self.healing_until
         if healing or self.rounds % REVISIT == 0:
             for name in self._some(self._in_state(State.DEAD), HELPERS if healing else 1, ()):
