--- a/beechrock/config.py
+++ b/beechrock/config.py
@@ -199,6 +199,19 @@
     return on
 
 
+def _secret(root: Path, file: object, where: str) -> bytes:
+    """What a key file holds, of at least 16 bytes."""
+    if not isinstance(file, str) or not file:
+        raise ConfigError(f"{where}: key_file: the path of a file is needed")
+    try:
+        key = (root / file).read_bytes().strip()
+    except OSError as error:
+        raise ConfigError(f"{where}: key_file: {file}: {error.strerror}") from None
+    if len(key) < 16:
+        raise ConfigError(f"{where}: key_file: {file}: at least 16 bytes are needed")
+    return key
+
+
 def _trace(path: Path, operators: dict[str, Any], root: Path) -> Trace | None:
     told = operators.get("trace", {})
     where = f"{path}: trace"
@@ -212,13 +225,8 @@
     if sample > 1:
         raise ConfigError(f"{where}: sample: {sample:g} is a part, and above 1")
     key = None
-    if (file := told.get("key_file")) is not None:
-        try:
-            key = (root / str(file)).read_bytes().strip()
-        except OSError as error:
-            raise ConfigError(f"{where}: key_file: {file}: {error.strerror}") from None
-        if len(key) < 16:
-            raise ConfigError(f"{where}: key_file: {file}: at least 16 bytes are needed")
+    if told.get("key_file") is not None:
+        key = _secret(root, told["key_file"], where)
     defaults = Trace(Path())
     numbers = {name: _number(told, name, getattr(defaults, name), where)
                for name in ("segment_mb", "segment_s", "most_mb", "flush_s")}
@@ -244,15 +252,7 @@
     found = tuple("{}:{}".format(*_address(seed, f"{where}: seeds[{n}]")) for n, seed in enumerate(seeds))
     if state is not None and (not isinstance(state, str) or not state):
         raise ConfigError(f"{where}: state: the path of a folder is needed")
-    file = told.get("key_file")
-    if not isinstance(file, str) or not file:
-        raise ConfigError(f"{where}: key_file: the path of the fleet's key is needed")
-    try:
-        key = key_from((root / file).read_bytes().strip())
-    except OSError as error:
-        raise ConfigError(f"{where}: key_file: {file}: {error.strerror}") from None
-    except ValueError:
-        raise ConfigError(f"{where}: key_file: {file}: at least 16 bytes are needed") from None
+    key = key_from(_secret(root, told.get("key_file"), where))
     advertise = told.get("advertise")
     return Members(
         _address(told.get("listen"), f"{where}: listen", 0), fleet, key, found,
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -235,6 +235,7 @@
     (('"east"', '""'), "fleet: a name of at most 64 bytes is needed"),
     (('"east"', f'"{"e" * 65}"'), "fleet: a name of at most 64 bytes is needed"),
     (('"key"', '"none"'), "key_file: none: No such file or directory"),
+    (('key_file = "key"', ""), "key_file: the path of a file is needed"),
     (('"key"', '"short"'), "key_file: short: at least 16 bytes are needed"),
     (("enabled = true", 'enabled = true\nseeds = ["127.0.0.1:9", "x"]'), "seeds[1]: 'x' is not HOST:PORT"),
     (("enabled = true", "enabled = true\nseeds = 3"), "seeds: not a list"),
