Show who hears whom, asked of several nodes

Each node keeps when it last heard each other itself; 'beechrock members --at A --at B ...' shows them as a matrix.

--- a/beechrock/cli/members.py
+++ b/beechrock/cli/members.py
@@ -10,30 +10,34 @@
 
 from beechrock.cli.inventory import FORM, fail
 
-COLUMNS = ("name", "state", "since_s", "life", "incarnation", "reason")
+COLUMNS = ("name", "state", "since_s", "heard_s", "life", "incarnation", "reason")
 
 
 @click.command()
-@click.option("--at", "address", default="127.0.0.1:4100", show_default=True, help="A node's second address.")
+@click.option("--at", "addresses", multiple=True, default=["127.0.0.1:4100"],
+              help="A node's second address [127.0.0.1:4100]; of several, who hears whom.")
 @click.option("--format", "form", type=FORM, default="text")
 @click.option("--watch", type=float, help="Again every so many seconds, until interrupted.")
-def members(address: str, form: str, watch: float | None) -> None:
-    """Show the members that the node AT knows. Exit 1 if one is suspect or dead, or AT is cut off; 2 without
-    an answer.
+def members(addresses: tuple[str, ...], form: str, watch: float | None) -> None:
+    """Show the members that the node AT knows; of several, a matrix of when each last heard each (seconds).
 
-    It is that node's word: ask the node that is said to be dead before acting on it.
+    Exit 1 if one is suspect or dead, or a node asked is cut off; 2 without an answer. It is those nodes' word:
+    ask the node that is said to be dead before acting on it.
     """
     while True:
-        told = _ask(address)
+        views = [_ask(address) for address in addresses]
         if form == "json":
-            click.echo(ujson.dumps(told, indent=1))
+            click.echo(ujson.dumps(views[0] if len(views) == 1 else views, indent=1))
+        elif len(views) == 1:
+            _show(views[0])
         else:
-            _show(told)
+            _matrix(views)
         if watch is None:
             break
         time.sleep(watch)
-    ailing = told["isolated"] or told["displaced"]
-    sys.exit(1 if ailing or any(row["state"] in ("suspect", "dead") for row in told["members"]) else 0)
+    ailing = any(told["isolated"] or told["displaced"] for told in views)
+    states = {row["state"] for told in views for row in told["members"]}
+    sys.exit(1 if ailing or states & {"suspect", "dead"} else 0)
 
 
 def _ask(address: str) -> dict[str, Any]:
@@ -61,7 +65,27 @@
     if told["isolated"]:
         gone += ", ISOLATED: it hears nobody, and its view stands still"
     click.echo(f"as {told['name']} of {told['fleet']} sees it, generation {told['generation']}{late}{gone}")
-    rows = [COLUMNS, *(tuple(str(row[column]) for column in COLUMNS) for row in told["members"])]
-    wide = [max(len(row[n]) for row in rows) for n in range(len(COLUMNS))]
+    _table([COLUMNS, *(tuple(_cell(row[column]) for column in COLUMNS) for row in told["members"])])
+
+
+def _matrix(views: list[dict[str, Any]]) -> None:
+    """A row a node asked, a column a member: seconds since it was heard itself, or the state if not alive."""
+    names = sorted({row["name"] for told in views for row in told["members"]})
+    rows: list[tuple[str, ...]] = [("hears", *names)]
+    for told in views:
+        known = {row["name"]: row for row in told["members"]}
+        rows.append((told["name"], *(
+            "" if name == told["name"] else "unknown" if name not in known
+            else _cell(known[name]["heard_s"]) if known[name]["state"] == "alive" else known[name]["state"]
+            for name in names)))
+    _table(rows)
+
+
+def _cell(value: Any) -> str:
+    return "-" if value is None else str(value)
+
+
+def _table(rows: list[tuple[str, ...]]) -> None:
+    wide = [max(len(row[n]) for row in rows) for n in range(len(rows[0]))]
     for row in rows:
         click.echo("  ".join(f"{cell:{wide[n]}}" for n, cell in enumerate(row)).rstrip())
--- a/beechrock/members/actor.py
+++ b/beechrock/members/actor.py
@@ -27,6 +27,7 @@
         self.life, self.name, self.seed = life, name, seed
         self.members: Members | None = None
         self.since: dict[str, tuple[float, str]] = {}
+        self.heard_at: dict[str, float] = {}    # each one itself: a row of who hears whom
         self.waiting: asyncio.Queue[tuple[bytes, str]] = asyncio.Queue(MOST_WAITING)
         self.transport: asyncio.DatagramTransport | None = None
 
@@ -71,7 +72,8 @@
         for name, word in sorted(mine.view().items()):
             at, reason = self.since.get(name, (now, "itself" if name == self.name else ""))
             rows.append({"name": name, "state": word.state.name.lower(), "life": word.life,
-                         "incarnation": word.incarnation, "since_s": round(now - at, 1), "reason": reason})
+                         "incarnation": word.incarnation, "since_s": round(now - at, 1), "reason": reason,
+                         "heard_s": round(now - self.heard_at[name], 1) if name in self.heard_at else None})
         return {"name": self.name, "fleet": self.told.fleet, "generation": mine.generation,
                 "local_health": mine.health, "displaced": mine.displaced, "isolated": mine.isolated,
                 "members": rows}
@@ -95,6 +97,7 @@
             self.counters.add(f"members.dropped_{error.why.value}")
             return
         self.counters.add("members.heard")
+        self.heard_at[sender] = self.clock()
         self._do(self.members.hear(sender, address, message, self.clock()))
 
     def _do(self, actions: list[Action]) -> None:
@@ -120,3 +123,5 @@
                                reason="a newer process has this name; this one is silent as a member")
         if self.members is not None and len(self.since) > 2 * len(self.members.known) + 64:
             self.since = {name: told for name, told in self.since.items() if name in self.members.known}
+        if self.members is not None and len(self.heard_at) > 2 * len(self.members.known) + 64:
+            self.heard_at = {name: at for name, at in self.heard_at.items() if name in self.members.known}
--- a/tests/test_members_processes.py
+++ b/tests/test_members_processes.py
@@ -73,6 +73,10 @@
     def states(self) -> dict[str, str]:
         return {row["name"]: row["state"] for row in self.told()["members"]}
 
+    def heard(self, name: str) -> float:
+        """Seconds since this process heard that one itself; 0 for itself."""
+        return next(float(row["heard_s"] or 0.0) for row in self.told()["members"] if row["name"] == name)
+
     def dead(self) -> list[str]:
         """Whom this process ever declared, or heard, dead."""
         return [event["member"] for event in self.events("member") if event["state"] == "dead"]
@@ -229,8 +233,14 @@
         await asyncio.sleep(8.0)        # forty periods: each asks each of the others some ten times
         assert links.lost > 0
         assert all(p.dead() == [] for p in processes), [p.dead() for p in processes]
+        # Who hears whom shows the cut: n2 hears n1 no more itself, though it knows it to live.
+        run = CliRunner().invoke(main, ["members", *(part for p in processes for part in ("--at", p.admin))])
+        rows = [line.split() for line in run.output.splitlines()]
+        assert rows[0] == ["hears", "n0", "n1", "n2", "n3", "n4"]
+        assert rows[3][0] == "n2" and rows[3][2] != "dead"
+        await until(lambda: processes[2].heard("n1") > processes[2].heard("n0") + 3.0)
         links.heal()
-        await until(lambda: all_alive(processes))
+        await until(lambda: all_alive(processes) and processes[2].heard("n1") < 3.0)
 
     over_links(tmp_path, 2, work)
 
