--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -166,8 +166,8 @@
     def check(self) -> None:
         for ident, job in self.jobs.items():
             assert self.now <= job.due + 0.08, f"{ident} lost in {job.state}"
-        # Many runs may give up their calls in one moment; the rule is on the mean of its span. Where all calls
-        # are refused it is not kept yet, in one of some 300 draws: docs/ROADMAP.md, "Open".
+        # Many runs may give up their calls in one moment; the rule is on the mean of its span. Where all
+        # calls are refused it is not kept yet, in one of some 300 draws: docs/ROADMAP.md, "Open".
         self.crowd.append(sum(job.state == "running" for job in self.jobs.values()))
         most = 6 * (self.settings.crowd_multiple or 0.0)
         assert self.refusing_below or sum(self.crowd) / 300 <= most
