Let runs that lose their calls back on the cores only as the crowd allows

Cause: a run that can do without its call leaves the cores while it waits and, once the call is given up, comes back at once.

Change: the call is given up only while the cores have room under the crowd (module: _run_limit without the learnt limit). Calls that succeed come back as before; they are bounded by the calls in hand.

Ruled out: bounding what waits at calls together with what runs, as a cold node's crowd would leave its cores idle over a tier.

--- a/beechrock/decide.py
+++ b/beechrock/decide.py
@@ -308,9 +308,8 @@
         # Held work starts by its aims: who has a short one overtakes. So the whole line is held to the mean
         # aim, and each request to its own by what starts before it; else all refusals hit the shorter aims.
         wait, room = self.cores.wait(self.work_ahead) + extra, share * (job.aim_at - self.now)
-        if wait > room + share * (self.mean_aim - job.c.aim_s):
-            return False
-        return wait <= room or self.cores.wait(self._work_before(job)) + extra <= room
+        return (wait <= room + share * (self.mean_aim - job.c.aim_s)
+                and (wait <= room or self.cores.wait(self._work_before(job)) + extra <= room))
 
     def _work_before(self, job: Job) -> float:
         """Held work that starts before this request, as its aims are earlier."""
@@ -356,13 +355,13 @@
             self.rare_callers = rare
             self.out.append(api.CloseIdle(min(self.mean_aim, idle_s) if rare else 0.0))
 
-    def _run_limit(self) -> int:
-        """Runs let on the cores: as many as keep them busy, under the crowd survived, less while cold."""
+    def _run_limit(self, crowding: bool = False) -> int:
+        """Rule: runs on the cores stay under the crowd survived; as many are let in as keep these busy."""
         s, cold, share = self.s, self.s.cold_from or 0.0, 1.0
         if s.cold_start and s.ramp_s:
             share = min(1.0, cold + (1 - cold) * (self.now - self.started) / s.ramp_s)
-        crowd = s.cores * (1 + ((s.crowd_multiple or math.inf) - 1) * share)
-        return max(1, int(self._rest(min(self.limit, CROWD_MARGIN * crowd), self.other.runs)))
+        crowd = CROWD_MARGIN * s.cores * (1 + ((s.crowd_multiple or 1e9) - 1) * share)
+        return max(1, int(self._rest(crowd if crowding else min(self.limit, crowd), self.other.runs)))
 
     def _rest(self, limit: float, taken: int) -> float:
         """Of a limit of the node, what the other process leaves; half of it if it takes more."""
@@ -423,9 +422,9 @@
 
     def _ask(self, job: Job, calls_left: float) -> None:
         """Stop at a call; what can do without it goes on at once where the predicted wait is too long."""
-        wait = self.calls.wait(self.count[AT_CALL])
+        late = self.calls.wait(self.count[AT_CALL]) > CALL_GATE * (self._skip_at(job) - self.now)
         self._move(job, AT_CALL, calls_left)
-        if not job.must_call and wait > CALL_GATE * (self._skip_at(job) - self.now):
+        if late and not job.must_call and self.count[RUNNING] < self._run_limit(crowding=True):
             return self._go_without(job)
         return heappush(self.asks, (job.aim_at, job.req.id))
 
@@ -437,9 +436,10 @@
         while (job := self._first(self.asks, AT_CALL)) is not None:
             end, room = job.useful_until if job.must_call else self._skip_at(job), self._call_room_s()
             # Where none is in hand one goes all the same: only a call can show that they are fast again.
-            if self.now + self.call_s > end and (self.now >= end or self.count[IN_CALL]):
-                self._go_without(job)
-            elif (self.now < self.calls_from or room < self.call_s
+            late = self.now + self.call_s > end and (self.now >= end or self.count[IN_CALL])
+            if late and (job.must_call or self.count[RUNNING] < self._run_limit(crowding=True)):
+                self._go_without(job)       # as far as there is room: else many come back in one moment
+            elif (late or self.now < self.calls_from or room < self.call_s
                   or self.load()[2] + 1 > max(1.0, self._rest(self.call_limit, self.other.calls))):
                 break
             else:
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -166,11 +166,9 @@
     def check(self) -> None:
         for ident, job in self.jobs.items():
             assert self.now <= job.due + 0.08, f"{ident} lost in {job.state}"
-        # Many runs may give up their calls in one moment; the rule is on the mean of its span. Where all
-        # calls are refused it is not kept yet, in one of some 300 draws: docs/ROADMAP.md, "Open".
         self.crowd.append(sum(job.state == "running" for job in self.jobs.values()))
         most = 6 * (self.settings.crowd_multiple or 0.0)
-        assert self.refusing_below or sum(self.crowd) / 300 <= most
+        assert sum(self.crowd) / 300 <= most
         held = sum(40.0 * (1.0 if job.state == "held" else self.settings.run_factor or 1.0)
                    for job in self.jobs.values())
         assert held <= self.settings.memory_kb
@@ -196,6 +194,23 @@
     assert sum(day.asked.values()) > 20 and not day.jobs
 
 
+def test_runs_that_lose_their_calls_together_come_back_inside_the_crowd() -> None:
+    """Seen, one draw of some 300: what waited at calls that were all refused came back in one moment."""
+    grades = [{"name": f"c{n}", "promiseS": aim, "giveUpS": give_up, "worth": 2, "effect": "safe",
+               "windowS": 13.1} for n, (aim, give_up) in enumerate([(1.57, 5.87), (2.5, 6.84)])]
+    told = {"grades": grades, "tickS": 0.005, "fleetSize": 12,
+            "extra": {"cpus": 6, "memLimitKb": 30005.0, "runFactor": 8, "keyKb": 8.6, "depShare": 6.0,
+                      "downstream": "one_for_all", "callsOverS": 5.0, "lingerS": 0.2,
+                      "classCalls": [True, True], "classSkipWorth": [0.5, 0.5], "stopMode": "discard"},
+            "guarantees": {"fallMultiple": 5.0, "overloadForS": 3.0, "answerSlackS": 0.08, "drainGraceS": 2.0,
+                           "coldFrom": 0.2, "rampTimeS": 17.0},
+            "limits": {"maxRetryAfterS": 1.0, "retryAfter": False},
+            "model": {"works": [0.368, 0.406], "calls": [True, True], "speed": 0.6, "per_request": 2}}
+    for seed in range(8):
+        day = Day(told, seed, 2.0, refusing_below=True).play(8.0)
+        assert day.skipped > 20 and not day.jobs
+
+
 @options(max_examples=15, deadline=None, derandomize=True)
 @given(deployments(), deployments(), st.integers(0, 9999))
 def test_one_deployments_settings_after_anothers_lose_nothing(
