Keep connections by what their end would cost the caller, in a pure part

Cause: a full table ended connections by age, silent ones first: a rush of clients that ask once pushed out front ends that return, a new one that had not spoken yet went before one that nobody used, a refused caller could find its connection closed as idle before the time it was told to come back at, and one with bytes in the kernel was ended all the same: on a loop that lags that is a request lost, as it had waited over the 50 ms for sending again.

Change: beechrock/connections/table.py has the states, the order and when an idle one is closed; net/front.py carries it out, and asks the kernel (FIONREAD) before it ends one. Those that are only told that there is no room are counted apart, 16 at most. An exchange (link_limits) failed beside other plays, as the next step of the driven clock came before the actor had worked off the last one; the step waits for it now.

--- a/beechrock/admin/http.py
+++ b/beechrock/admin/http.py
@@ -103,7 +103,7 @@
                 if self.body > MOST_BODY:
                     self._say(Said(413, f"a body of over {MOST_BODY} bytes\n"))
             case h11.EndOfMessage() if self.asked is not None:
-                self.spoke = True
+                self.uses = 1
                 self._say(self.front.calls.answer(self.asked.method.decode("ascii", "replace"),
                                                   self.asked.target.decode("ascii", "replace")))
             case _:     # more is to come, or nothing ever will
@@ -136,7 +136,7 @@
         return () if head_only else (h11.Data(data=body),)
 
     def settled(self) -> bool:
-        return self.said or self.asked is None or not self.spoke
+        return self.said or self.asked is None or not self.uses
 
     def input_ended(self) -> None:
         if self.said:
--- /dev/null
+++ b/beechrock/connections/table.py
@@ -0,0 +1,146 @@
+"""Who keeps a connection, who is sent away, and when an idle one is closed. Pure: it sees and decides.
+
+The state stays with each connection (``Connection``), and the front carries out what is said here.
+
+States of a connection, in the order in which a full table ends them:
+
+- ``CLOSING``: its last words are written; its caller has no more use for it.
+- ``SILENT``: has said nothing whole for longer than a request may cross a close.
+- ``ONCE``: has carried one message, and owes nothing; clients that ask once and stay look like this.
+- ``RETURNING``: has carried more, and owes nothing.
+- ``EXPECTED``: was refused and asked to come back, and that time has not passed.
+- ``FRESH``: has said nothing whole yet, and is too new for that to tell anything.
+- ``NEEDED``: owes an answer, or has bytes that nobody read yet. Never ended.
+
+Invariants, whatever the history (``tests/test_connections.py``):
+
+1. What is ``NEEDED`` is ended neither for another nor for being idle.
+2. Places taken stay within ``most``, those that are only told that there is none within ``MOST_TURNED``.
+3. A caller that was asked to come back finds its connection open at that time, unless the table is full of
+   such and needed ones, or callers close idle ones before it.
+4. What has carried one message only is ended before what returns, unless those that return have more than
+   ``KEPT_PART`` of the places: then by the time since they spoke alone, so that new callers are not shut out.
+"""
+
+from collections.abc import Iterable
+from enum import IntEnum
+from heapq import heapify, heappop
+from typing import Protocol, TypeVar
+
+CROSSING_S = 0.05   # a request that crosses a close goes again where it was written within this time
+KEPT_PART = 0.8     # of the places: a segmented LRU's protected part, the rest stays open to new callers
+MOST_TURNED = 16    # connections that are being told that there is no room: as many as one turn accepts
+LATE_PART = 0.25    # of the time a caller was asked to stay away: how much later than asked it may return
+SILENT_SWEEPS = 4   # sweeps (not seconds, as a machine may pause) without anything whole
+UNREAD_SWEEPS = 40  # and in which nothing of what waits to be sent was read
+
+
+class Connection(Protocol):
+    """What is seen of a connection; times in seconds of the front's clock."""
+
+    opened_at: float
+    spoke_at: float     # when it last said something whole; before that, when it was opened
+    uses: int           # messages that it has carried
+    back_from: float    # when its caller was last refused and asked to come back, and until when
+    back_at: float      # it was asked to stay away; 0 where it was not, or has come since
+    closing: bool
+    turned: bool        # was only told that there is no room
+
+    def owes(self) -> bool:
+        """Whether an answer, or a part of one, is still to be sent."""
+
+    def input_waits(self) -> bool:
+        """Whether bytes have arrived that were not read yet."""
+
+
+C = TypeVar("C", bound=Connection)
+
+
+class State(IntEnum):
+    CLOSING, SILENT, ONCE, RETURNING, EXPECTED, FRESH, NEEDED = range(7)
+
+
+class Room(IntEnum):
+    """For a new connection: a place, a place if the victim is ended, or a word that there is none."""
+
+    FREE, REPLACE, NONE = range(3)
+
+
+class End(IntEnum):
+    """Why a connection is ended at a sweep."""
+
+    STALE, IDLE = range(2)
+
+
+def expected_until(c: Connection) -> float:
+    """The latest moment at which its caller may be back, 0 if it was not asked to come."""
+    return c.back_at + LATE_PART * (c.back_at - c.back_from) + CROSSING_S if c.back_at else 0.0
+
+
+def state_of(c: Connection, now: float) -> State:
+    """What its end would cost its caller; bytes that wait are looked at last, as that asks the kernel."""
+    if c.owes():
+        return State.NEEDED
+    if c.closing:
+        return State.CLOSING
+    if not c.uses:
+        return State.SILENT if now - c.opened_at > CROSSING_S else State.FRESH
+    if now <= expected_until(c):
+        return State.EXPECTED
+    return State.ONCE if c.uses == 1 else State.RETURNING
+
+
+def victim(connections: Iterable[C], most: int, now: float) -> C | None:
+    """The connection that is missed least, None if each one is needed."""
+    seen = [(state_of(c, now), c) for c in connections if not c.turned]
+    kept = sum(state in (State.RETURNING, State.EXPECTED) for state, _ in seen)
+    # Beyond their part those that return lose to age alone: else no new caller would ever be kept.
+    level = State.ONCE if kept > KEPT_PART * most else None
+
+    def cost(state: State, c: C) -> tuple[int, float]:
+        if state is State.RETURNING and level is not None:
+            state = level
+        # Of those asked to come back, who comes last can be spared longest.
+        return state, -c.back_at if state is State.EXPECTED else c.spoke_at
+
+    costs = [(cost(state, c), n) for n, (state, c) in enumerate(seen) if state is not State.NEEDED]
+    heapify(costs)
+    while costs:
+        _, n = heappop(costs)
+        if not seen[n][1].input_waits():    # a request may be in it: that one is ours
+            return seen[n][1]
+    return None
+
+
+def room_for_one(connections: Iterable[C], most: int, now: float) -> tuple[Room, C | None]:
+    """Whether a new connection gets a place, and which one has to end for that.
+
+    With ``Room.NONE`` a connection may come along as well: the oldest of those that are being told so.
+    """
+    table = list(connections)
+    turned = [c for c in table if c.turned]
+    if len(table) - len(turned) < most:
+        return Room.FREE, None
+    if (least := victim(table, most, now)) is not None:
+        return Room.REPLACE, least
+    oldest = min(turned, key=lambda c: c.opened_at) if len(turned) >= MOST_TURNED else None
+    return Room.NONE, oldest
+
+
+def idle_until(c: Connection, idle_s: float, callers_idle_s: float) -> float:
+    """When a connection that carries nothing is closed; ``idle_s`` is how long the node wants to keep it.
+
+    Callers close it after ``callers_idle_s``; who was asked to come back is awaited as long as they do.
+    """
+    return max(c.spoke_at + idle_s, min(expected_until(c), c.spoke_at + max(callers_idle_s, idle_s)))
+
+
+def ends_at_sweep(c: Connection, silent: int, now: float, idle_s: float, callers_idle_s: float) -> End | None:
+    """Whether a sweep ends it; ``silent`` counts those without anything whole, idle times of 0 mean never."""
+    if c.closing:
+        return None
+    if silent > SILENT_SWEEPS:
+        return End.STALE
+    if not idle_s or c.owes() or now <= idle_until(c, idle_s, callers_idle_s) or c.input_waits():
+        return None
+    return End.IDLE
--- a/beechrock/core/wheel.py
+++ b/beechrock/core/wheel.py
@@ -57,6 +57,10 @@
                     timer.action()
         return fired
 
+    def worked_off(self, now: float) -> bool:
+        """Whether all that falls due by ``now`` has fired."""
+        return self._done >= int(now / self.tick_s)
+
     def next_due(self) -> float:
         """When the next timer may fire; at most a turn from now."""
         if self._armed:
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -4,6 +4,7 @@
 import struct
 from dataclasses import dataclass
 
+from beechrock.connections.table import End, ends_at_sweep
 from beechrock.core.module import ModuleActor
 from beechrock.core.requests import Answer, Gone, Request, Taken, Verdict
 from beechrock.interface import Effect
@@ -22,8 +23,6 @@
 MOST_ASK = 16_384       # a request with every field and the longest body is far below; more is never stored
 MOST_BAD = 16           # requests that cannot be served, after which a connection ends
 MAILBOX = 4096
-# Sweeps (not seconds, as a machine may pause) in which a connection said nothing, or nothing whole.
-MOST_STALE = 4
 MOST_GAPS = 512         # stream numbers remembered one by one above the highest that are known as a whole
 MOST_WAITING = 32       # health checks that wait for real work, over all connections
 
@@ -111,10 +110,9 @@
         super().__init__(front.module.counters, HEAD.size + MOST_ASK, MOST_OUT, MAILBOX)
         self.front, self.module = front, front.module
         self.skipping = self.bad = 0    # bytes still to come of a frame that is too long; bad requests so far
-        self.stale = 0
         self.open: dict[int, Request | None] = {}      # None: a health check that waits for work
         self.streams = Streams()
-        self.spoke_at = self.module.clock()
+        self.spoke_at, self.silent = self.module.clock(), 0     # sweeps without anything whole
 
     def parse(self) -> None:
         while not self.closing:
@@ -139,7 +137,7 @@
                 return
             self.inbox.skip(HEAD.size)
             payload = self.inbox.read(length - LEAST)
-            self.spoke, self.stale, self.spoke_at = True, 0, self.module.clock()
+            self.uses, self.silent, self.spoke_at, self.back_at = self.uses + 1, 0, self.module.clock(), 0.0
             self._frame(kind, stream, payload)
 
     def _frame(self, kind: int, stream: int, payload: bytes) -> None:
@@ -230,6 +228,8 @@
             answer = Answer(Verdict.FAILED, f"a result of {len(answer.body)} bytes".encode())
         if answer.retry_after_s:
             values += (("pause", str(max(1, round(1000 * answer.retry_after_s)))),)
+            self.back_from = self.module.clock()
+            self.back_at = max(self.back_at, self.back_from + answer.retry_after_s)
         if answer.no_retry:
             values += (("terminal", "1"),)
         if not self.post(Reply(ANSWER, stream, CODES[answer.verdict], values, answer.body)):
@@ -313,15 +313,16 @@
 
         Seen on a rough day: half a request was waited for for 10 s, and who said nothing for ever.
         """
-        idle_s = self.module.idle_s or self.module.settings.idle_s
-        peer.stale += not peer.spoke or len(peer.inbox) > 0 or peer.skipping > 0
-        if peer.stale > MOST_STALE:
-            self.module.counters.add("intake.frames_stale")
-            peer.bad_input("nothing whole came in time")
-            peer.finish()
-        elif idle_s and peer.settled() and peer.flushed and now - peer.spoke_at > idle_s:
-            self.module.counters.add("intake.frames_idle")
-            peer.finish()
+        peer.silent += not peer.uses or len(peer.inbox) > 0 or peer.skipping > 0
+        callers_s = self.module.settings.idle_s or 0.0
+        match ends_at_sweep(peer, peer.silent, now, self.module.idle_s or callers_s, callers_s):
+            case End.STALE:
+                self.module.counters.add("intake.frames_stale")
+                peer.bad_input("nothing whole came in time")
+                peer.finish()
+            case End.IDLE:
+                self.module.counters.add("intake.frames_idle")
+                peer.finish()
 
     def leave(self) -> None:
         """Ask for no new requests on any connection, those to come included; go on reading all the same."""
--- a/beechrock/net/front.py
+++ b/beechrock/net/front.py
@@ -3,13 +3,12 @@
 import asyncio
 from typing import Any, Generic, TypeVar
 
+from beechrock.connections.table import UNREAD_SWEEPS, Room, room_for_one
 from beechrock.core.module import ModuleActor
 from beechrock.net.peer import MOST_AT_ONCE, Peer, listen
 
 P = TypeVar("P", bound=Peer[Any])
 SWEEP_S = 0.5
-# Sweeps, and not seconds, as a machine may pause: in which nothing of what waits to be sent was read.
-MOST_UNREAD = 40
 
 
 class Front(Generic[P]):
@@ -73,9 +72,11 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         peer, counters = self.peer(), self.module.counters
         counters.add(f"intake.{self.where}_connections")
+        peer.opened_at = self.module.clock()
         # Descriptors are kept for the agent and the ledger.
         if len(self.peers) >= self.most and not self._make_room():
             counters.add(f"intake.{self.where}_connections_beyond_limit")
+            peer.turned = True
             self.no_room(peer)
         self.peers.add(peer)
         counters.top(f"intake.{self.where}_most_connections", len(self.peers))
@@ -86,25 +87,23 @@
             self.ended(peer)
 
     def _make_room(self) -> bool:
-        """End the connection that is missed least, if any has nothing open: silent ones first, then by age.
+        """Whether there is a place, for which the connection that is missed least may have to end.
 
         Seen on a long day: clients that ask once and stay filled the table, and front ends found it shut.
         """
-        quiet = [peer for peer in self.peers if peer.settled() and peer.flushed]
-        if not quiet:
-            return False
-        self.module.counters.add(f"intake.{self.where}_evicted")
-        least = min(quiet, key=lambda peer: (not peer.closing, peer.spoke, peer.spoke_at))
-        self.peers.discard(least)
-        least.drop()
-        return True
+        room, least = room_for_one(self.peers, self.most, self.module.clock())
+        if least is not None:
+            self.module.counters.add(f"intake.{self.where}_evicted")
+            self.peers.discard(least)
+            least.drop()
+        return room is not Room.NONE
 
     def _sweep(self) -> None:
         now = self.module.clock()
         for peer in self.peers:
             peer.unread = 0 if peer.flushed or peer.written != peer.written_then else peer.unread + 1
             peer.written_then = peer.written
-            if peer.unread > MOST_UNREAD:   # its descriptor and its answers would be held for ever
+            if peer.unread > UNREAD_SWEEPS:     # its descriptor and its answers would be held for ever
                 self.module.counters.add(f"intake.{self.where}_unread")
                 peer.drop()
             elif not peer.closing:
--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -1,8 +1,11 @@
 """The actor at one end of a connection: a mailbox, and a ring buffer a direction."""
 
 import asyncio
+import fcntl
 import os
 import socket
+import sys
+import termios
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
@@ -61,7 +64,10 @@
         self.lost = self.broken = False
         self.flushed = True     # all messages so far are written
         self.written = self.written_then = self.unread = 0  # bytes; at the last sweep; sweeps without any
-        self.spoke, self.spoke_at = False, 0.0      # said something whole, and when
+        # For ``connections/table.py``; of whole messages how many came, and when the last one did.
+        self.uses, self.opened_at, self.spoke_at, self.back_from, self.back_at = 0, 0.0, 0.0, 0.0, 0.0
+        self.turned = False
+        self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
     # What a kind of peer adds.
@@ -80,6 +86,25 @@
         """Whether nothing is owed on this connection."""
         return True
 
+    def owes(self) -> bool:
+        return not (self.settled() and self.flushed)
+
+    def input_waits(self) -> bool:
+        """Whether bytes have come that were not read, in the kernel or in the stream.
+
+        A request is ours once it is written: on a loop that lags it may wait here for longer than the 50 ms
+        in which a caller sends again what crossed a close.
+        """
+        if self._reader is None or self._writer is None or self._writer.transport.is_closing():
+            return False
+        if getattr(self._reader, "_buffer", b""):   # asyncio has no public word for it
+            return True
+        sock = self._writer.get_extra_info("socket")
+        try:
+            return int.from_bytes(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)), sys.byteorder) > 0
+        except OSError:
+            return False
+
     # The actor.
 
     def post(self, message: T) -> bool:
@@ -108,7 +133,7 @@
             self.lost = True
             writer.close()
             return
-        self._writer = writer
+        self._reader, self._writer = reader, writer
         writer.transport.set_write_buffer_limits(high=0)    # what waits to be sent waits in the ring
         sending = self.counters.spawn(self._send(writer), self.where + ".send")
         receiving = self.counters.spawn(self._receive(reader), self.where + ".receive")
@@ -124,7 +149,7 @@
         finally:
             self.lost = True
             whole = sending.done()
-            self._writer = None
+            self._reader = self._writer = None
             sending.cancel()
             receiving.cancel()
             # A close waits for what is still unsent; the other side may never read it, so the rest is cut.
--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -164,7 +164,7 @@
         if not self.module.post(Taken(request)):
             self.module.tally.by_front(request.route, Verdict.REFUSED)
             raise ScgiError(503, "too many requests")
-        self.request, self.spoke = request, True
+        self.request, self.uses = request, 1
         self.inbox.skip(len(self.inbox))    # nothing may follow the body
 
     def _request(self, told: dict[str, str], body: bytes) -> Request:
--- a/tests/play.py
+++ b/tests/play.py
@@ -232,7 +232,13 @@
         match words:
             case ["clock", seconds]:
                 self.now += float(seconds)
-                self.program.module.mailbox.wake()
+                # Seen beside full load: the next step came before the actor had worked this one off, and it
+                # took both for one pause of its own. An actor that has ended works off nothing.
+                wheel = self.program.module.wheel
+                for _ in range(500):
+                    if wheel.worked_off(self.now):
+                        break
+                    await asyncio.sleep(0.004)
                 # Two rounds of the actor: what the first said is carried out in the second.
                 await asyncio.sleep(0.02)
             case ["counter", name, value]:
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,203 @@
+"""Who keeps a connection: the pure part over random histories, and the front that carries it out."""
+
+from dataclasses import dataclass, field
+from itertools import count
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as options
+from hypothesis import strategies as st
+from play import Stand, run
+
+from beechrock.connections import table
+from beechrock.connections.table import End, Room, State
+from beechrock.net.frames import FramesPeer
+
+MOST = 5
+IDLE_S, CALLERS_IDLE_S = 1.0, 30.0
+# A check before the link to the agent is up: the answer is no.
+CHECKED = ("%(name)s = connect frames\n%(name)s > {04 0000000%(stream)s 00}\n"
+           "%(name)s < {05 0000000%(stream)s 01 00}\n")
+
+
+@dataclass(eq=False)
+class One:
+    opened_at: float
+    spoke_at: float
+    uses: int = 0
+    back_from: float = 0.0
+    back_at: float = 0.0
+    closing: bool = False
+    turned: bool = False
+    open: int = 0
+    unread: bool = False
+    silent: int = 0
+
+    def owes(self) -> bool:
+        return self.open > 0
+
+    def input_waits(self) -> bool:
+        return self.unread
+
+
+def one(uses: int, spoke_at: float = 0.0, **more: float) -> One:
+    return One(0.0, spoke_at, uses, **more)  # type: ignore[arg-type]
+
+
+@dataclass
+class History:
+    """A front as it carries out what the table says; the invariants at the table's top after each step."""
+
+    now: float = 100.0
+    connections: list[One] = field(default_factory=list)
+
+    def connect(self) -> None:
+        room, least = table.room_for_one(self.connections, MOST, self.now)
+        if least is not None:
+            assert least.turned or not (least.open or least.unread)
+            better = [c for c in self.connections if c is not least and c.uses == 1 and not c.turned
+                      and table.state_of(c, self.now) is State.ONCE and not c.unread]
+            kept = sum(table.state_of(c, self.now) in (State.RETURNING, State.EXPECTED)
+                       for c in self.connections if not c.turned)
+            assert not (better and least.uses > 1 and not least.closing and not least.turned
+                        and kept <= table.KEPT_PART * MOST), "one that returns went before one used once"
+            if least.back_at and self.now <= least.back_at and not least.turned:
+                assert all(table.state_of(c, self.now) >= State.EXPECTED or c.unread
+                           for c in self.connections if not c.turned)
+            self.connections.remove(least)
+        new = One(self.now, self.now, turned=room is Room.NONE)
+        if new.turned:
+            assert all(c.open or c.unread for c in self.connections if not c.turned), "one was to spare"
+            new.closing = True
+        self.connections.append(new)
+
+    def ask(self, c: One) -> None:
+        if not c.closing:
+            c.uses, c.open, c.spoke_at, c.back_at, c.unread, c.silent = c.uses + 1, 1, self.now, 0.0, False, 0
+
+    def refuse(self, c: One, after: float) -> None:
+        if c.open:
+            c.open, c.back_from, c.back_at = 0, self.now, self.now + after
+
+    def sweep(self) -> None:
+        for c in list(self.connections):
+            c.silent += not c.uses
+            end = table.ends_at_sweep(c, c.silent, self.now, IDLE_S, CALLERS_IDLE_S)
+            if end is End.IDLE:
+                assert not (c.open or c.unread or c.closing)
+                assert self.now > c.spoke_at + IDLE_S
+                assert not c.back_at or self.now > min(c.back_at, c.spoke_at + CALLERS_IDLE_S)
+                c.closing = True
+
+    def check(self) -> None:
+        turned = sum(c.turned for c in self.connections)
+        assert len(self.connections) - turned <= MOST and turned <= table.MOST_TURNED
+
+
+STEPS = st.lists(st.tuples(
+    st.sampled_from(["connect", "connect", "ask", "serve", "refuse", "bytes", "sweep", "end"]),
+    st.integers(0, 30), st.floats(0.0, 4.0)), max_size=120)
+
+
+@options(max_examples=600, deadline=None, derandomize=True)
+@given(STEPS)
+def test_over_random_histories_what_is_needed_is_kept_and_the_bounds_hold(
+        steps: list[tuple[str, int, float]]) -> None:
+    history = History()
+    for what, which, seconds in steps:
+        history.now += seconds / 8
+        if what == "connect":
+            history.connect()
+        elif what == "sweep":
+            history.sweep()
+        elif history.connections:
+            c = history.connections[which % len(history.connections)]
+            match what:
+                case "ask":
+                    history.ask(c)
+                case "serve":
+                    c.open = 0
+                case "refuse":
+                    history.refuse(c, seconds)
+                case "bytes":
+                    c.unread = not c.closing
+                case "end":
+                    history.connections.remove(c)
+        history.check()
+
+
+def test_a_rush_of_callers_that_ask_once_pushes_out_none_that_returns() -> None:
+    """Seen on a long day: clients that ask once and stay filled the table. By age alone front ends went."""
+    now = count(100)
+    front_ends = [one(9, 50.0 + n) for n in range(3)]
+    connections = [*front_ends]
+    for _ in range(200):
+        room, least = table.room_for_one(connections, MOST, at := float(next(now)))
+        assert room is not Room.NONE
+        connections = [c for c in connections if c is not least] + [One(at, at, 1)]
+    assert all(c in connections for c in front_ends)
+
+
+def test_where_those_that_return_hold_nearly_all_age_alone_counts() -> None:
+    returning = [one(9, 50.0 + n) for n in range(MOST - 1)]
+    newest = one(1, 99.0)
+    assert table.victim([*returning, newest], MOST, 100.0) is newest
+    returning.append(one(2, 98.0))
+    assert table.victim(returning, MOST, 100.0) is returning[0]
+    assert table.victim([*returning, newest], MOST, 100.0) is returning[0]
+
+
+@pytest.mark.parametrize(("c", "state"), [
+    (one(1, closing=True), State.CLOSING), (One(90.0, 90.0), State.SILENT), (One(99.96, 99.96), State.FRESH),
+    (one(1), State.ONCE), (one(2), State.RETURNING), (one(2, back_from=98.0, back_at=100.0), State.EXPECTED),
+    (one(2, back_from=98.0, back_at=99.4), State.RETURNING),
+    (one(2, back_from=98.0, back_at=99.6), State.EXPECTED),
+    (one(2, open=1, closing=True), State.NEEDED)])
+def test_states(c: One, state: State) -> None:
+    assert table.state_of(c, 100.0) is state
+
+
+def test_who_was_asked_to_come_back_is_awaited_but_no_longer_than_callers_keep_a_connection() -> None:
+    refused = one(1, 100.0, back_from=100.2, back_at=103.2)
+    assert table.idle_until(one(1, 100.0), 1.0, 30.0) == 101.0
+    assert table.idle_until(refused, 1.0, 30.0) == pytest.approx(103.2 + 0.75 + 0.05)
+    assert table.idle_until(refused, 1.0, 2.0) == 102.0
+    assert table.idle_until(refused, 1.0, 0.0) == 101.0
+
+
+def test_a_full_table_never_ends_a_connection_with_bytes_that_nobody_read_yet() -> None:
+    """On a loop that lags they may lie there for longer than a caller sends again what crossed a close."""
+    async def work(stand: Stand) -> None:
+        await stand.open()
+        frames = stand.program.frames
+        assert frames is not None
+        await stand.play("".join(CHECKED % {"name": name, "stream": 1} for name in "ab"))
+        frames.most = 2
+        for name in "ab":   # in one turn of the loop: written, and not read
+            stand.wires[name].writer.write(bytes.fromhex("00000006040000000300"))
+        assert not frames._make_room() and len(frames.peers) == 2
+        await stand.play("a < {05 00000003 01 00}\nb < {05 00000003 01 00}\n")
+        assert frames._make_room() and len(frames.peers) == 1
+        await stand.play("a closed\n")
+
+    run(work)
+
+
+def test_a_refused_caller_finds_its_connection_when_it_comes_back() -> None:
+    """Idle ones are closed early against a full table; its next try would have cost a new connection."""
+    async def work(stand: Stand) -> None:
+        await stand.open()
+        frames = stand.program.frames
+        assert frames is not None
+        await stand.play(CHECKED % {"name": "a", "stream": 1})
+        [peer] = frames.peers
+        assert isinstance(peer, FramesPeer)
+        stand.program.module.idle_s = 1.0
+        peer.back_from, peer.back_at = stand.now, stand.now + 3.0     # as ``_answer`` notes it
+        await stand.play("clock 2.9\n")
+        assert not peer.closing
+        await stand.play("a > {04 00000003 00}\na < {05 00000003 01 00}\n")
+        assert peer.back_at == 0.0
+        await stand.play("clock 0.9\nclock 0.6\na closed\n")
+
+    run(work)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -7,8 +7,8 @@
 import pytest
 from play import Stand, inventory_of, play, run, until
 
+from beechrock.connections.table import UNREAD_SWEEPS
 from beechrock.net.frames import CHECKED, FramesPeer, Reply
-from beechrock.net.front import MOST_UNREAD
 
 FILES = sorted((Path(__file__).parent / "exchanges").glob("*.txt"))
 
@@ -117,7 +117,8 @@
             UP + "a = connect frames\n" + ASK % ("a", 1, 1, 1)
             + "b = connect frames\nb > {04 00000001 00}\n"
             + 'b < {05 00000001 00 01 06"advice" 0006"0.0000"}\nc = connect frames\n'
-            + "counter intake.frames_connections 3\nd = connect frames\nc closed\n" + ASK % ("d", 2, 2, 2)
+            + "counter intake.frames_connections 3\nclock 0.06\n"
+            + "d = connect frames\nc closed\n" + ASK % ("d", 2, 2, 2)
             + "e = connect frames\nb closed\n" + ASK % ("e", 3, 3, 3)
             + 'f = connect frames\nf < {02 00000000 08 00 "too many connections"}\nf closed\n')
 
@@ -131,10 +132,10 @@
         assert frames is not None
         slow, stuck = (FramesPeer(frames) for _ in range(2))
         for peer in (slow, stuck):
-            peer.spoke = True
+            peer.uses = 1
             peer.post(Reply(CHECKED))
             frames.peers.add(peer)
-        for _ in range(MOST_UNREAD + 2):
+        for _ in range(UNREAD_SWEEPS + 2):
             slow.written += 1
             frames._sweep()
         assert (slow.broken, stuck.broken) == (False, True)
