Exchange whole states between members over TCP

Change: members/state.py decides when and with whom (each 30 questions one that lives, each 60 one of the dead, and once at a join); the actor carries it in the datagrams' parts under the same tag, two periods for the whole, four served at once. The dead that the receiver does not know are passed over: seen in the tests, whoever forgot them first was told of them again without end.

--- a/beechrock/lab/members_sim.py
+++ b/beechrock/lab/members_sim.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from beechrock.members import state
-from beechrock.members.state import Changed, Displaced, Members, Message, Send, State, Word
+from beechrock.members.state import Changed, Displaced, Exchange, Members, Message, Send, State, Word
 
 STEP_S = 0.1
 Cut = Callable[[str, str], float]       # from, to: the part that is lost
@@ -44,15 +44,29 @@
 
     def carry(self, name: str, actions: list[state.Action]) -> None:
         for action in actions:
+            if isinstance(action, Exchange):
+                self.exchange(name, action.address)
+                continue
             if not isinstance(action, Send):
                 self.history.append((self.now, name, action))
                 continue
             assert len(action.message.news) <= state.MOST_NEWS
             lost = max(self.loss, self.cut(name, action.address))
             if self.random.random() >= lost:
-                at = self.now + self.random.uniform(0.0, self.most_delay_s)
-                self.order += 1
-                heapq.heappush(self.flying, (at, self.order, action.address, name, action.message))
+                self.fly(name, action.address, action.message)
+
+    def fly(self, source: str, target: str, message: Message) -> None:
+        at = self.now + self.random.uniform(0.0, self.most_delay_s)
+        self.order += 1
+        heapq.heappush(self.flying, (at, self.order, target, source, message))
+
+    def exchange(self, source: str, target: str) -> None:
+        """A connection sends again what a link loses, and is none over one that lets nothing through."""
+        there = target in self.members and self.asleep.get(target, 0.0) <= self.now
+        if there and self.cut(source, target) < 1.0 and self.cut(target, source) < 1.0:
+            for one, other in ((source, target), (target, source)):
+                for part in self.members[one].whole():
+                    self.fly(one, other, part)
 
     def run(self, seconds: float) -> "Fleet":
         end = self.now + seconds
--- a/beechrock/members/actor.py
+++ b/beechrock/members/actor.py
@@ -8,10 +8,13 @@
 from beechrock import logs
 from beechrock.config import Members as Told
 from beechrock.core.counters import Counters
-from beechrock.members.codec import Codec, DroppedError
-from beechrock.members.state import Action, Changed, Displaced, Members, Send
+from beechrock.members.codec import MOST_BYTES, Codec, Dropped, DroppedError
+from beechrock.members.state import MOST_PARTS, Action, Changed, Displaced, Exchange, Members, Send, Whole
 
 TICKS = 10              # a period
+MOST_SERVED = 4         # exchanges of whole states at once, one more of its own
+PORT_TRIES = 20         # where the system chooses the port
+EXCHANGE_PERIODS = 2.0  # for a whole exchange: what stalls costs no more than that of one task
 MOST_WAITING = 512      # datagrams read and not yet taken in; beyond it they are dropped, as a network may
 
 
@@ -30,17 +33,34 @@
         self.heard_at: dict[str, float] = {}    # each one itself: a row of who hears whom
         self.waiting: asyncio.Queue[tuple[bytes, str]] = asyncio.Queue(MOST_WAITING)
         self.transport: asyncio.DatagramTransport | None = None
+        self.server: asyncio.Server | None = None
+        self.served, self.exchanging = 0, False
 
     async def listen(self) -> None:
         """OSError where the address cannot be had."""
-        loop = asyncio.get_running_loop()
-        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self.told.listen)
-        address = "{}:{}".format(*self.transport.get_extra_info("sockname")[:2])
+        tries = PORT_TRIES if not self.told.listen[1] else 1
+        while self.server is None:
+            tries -= 1
+            address = await self._listen(last=not tries)
         self.members = Members(
             self.name, self.told.advertise or address, self.life, self.clock(), self.seed, self.told.seeds,
             self.told.period_s, 0.3 * self.told.period_s)
         logs.event("members", member=self.name, address=address, life=self.life, fleet=self.told.fleet)
 
+    async def _listen(self, last: bool) -> str:
+        """Datagrams and connections at one port. Seen: a free port of the one kind is in use by the other."""
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self.told.listen)
+        host, port = self.transport.get_extra_info("sockname")[:2]
+        try:
+            self.server = await asyncio.start_server(
+                self._serve, host, port, limit=MOST_BYTES, backlog=MOST_SERVED)
+        except OSError:
+            self.transport.close()
+            if last:
+                raise
+        return f"{host}:{port}"
+
     async def run(self) -> None:
         assert self.members is not None
         self._do(self.members.join())
@@ -79,6 +99,61 @@
                 "out": mine.accused is not None, "answered_itself": [sum(mine.direct), len(mine.direct)],
                 "members": rows}
 
+    # --- whole states, over a connection
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.served >= MOST_SERVED or self.members is None:
+            self.counters.add("members.exchanges_beyond_limit")
+            writer.transport.abort()
+            return
+        self.served += 1
+        try:
+            await self._swap(reader, writer, first=False)
+        finally:
+            self.served -= 1
+
+    async def _exchange(self, host: str, port: int) -> None:
+        try:
+            async with asyncio.timeout(EXCHANGE_PERIODS * self.told.period_s):
+                reader, writer = await asyncio.open_connection(host, port, limit=MOST_BYTES)
+            await self._swap(reader, writer, first=True)
+        except (OSError, TimeoutError):
+            self.counters.add("members.exchanges_failed")
+        finally:
+            self.exchanging = False
+
+    async def _swap(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, first: bool) -> None:
+        """Both sides send all that they know, who called first; what stalls or is no message ends it."""
+        assert self.members is not None
+        try:
+            async with asyncio.timeout(EXCHANGE_PERIODS * self.told.period_s):
+                if first:
+                    await self._tell(writer)
+                for _ in range(MOST_PARTS):
+                    size = int.from_bytes(await reader.readexactly(2), "big")
+                    sender, message = self.codec.decode(await reader.readexactly(min(size, MOST_BYTES)))
+                    if not isinstance(message, Whole):
+                        raise DroppedError(Dropped.FORM)
+                    self._do(self.members.hear(sender, "", message, self.clock()))
+                    if not message.left:
+                        break
+                if not first:
+                    await self._tell(writer)
+            self.counters.add("members.exchanges")
+        except DroppedError as error:
+            self.counters.add(f"members.dropped_{error.why.value}")
+        except (OSError, EOFError, TimeoutError):
+            self.counters.add("members.exchanges_failed")
+        finally:
+            writer.transport.abort() if first else writer.close()
+
+    async def _tell(self, writer: asyncio.StreamWriter) -> None:
+        assert self.members is not None
+        for part in self.members.whole():
+            data = self.codec.encode(part)
+            writer.write(len(data).to_bytes(2, "big") + data)
+            await writer.drain()
+
     # --- the wire
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
@@ -112,6 +187,11 @@
                         continue
                     self.counters.add("members.sent")
                     self.transport.sendto(self.codec.encode(message), (host.strip("[]"), int(port)))
+                case Exchange(address):
+                    host, _, port = address.rpartition(":")
+                    if not self.exchanging and port.isdigit():
+                        self.exchanging = True
+                        self.counters.spawn(self._exchange(host.strip("[]"), int(port)), "members.exchange")
                 case Changed(news, before, reason):
                     self.since[news.name] = self.clock(), reason
                     self.counters.add(f"members.{news.word.state.name.lower()}")
--- a/beechrock/members/codec.py
+++ b/beechrock/members/codec.py
@@ -13,7 +13,19 @@
 import msgpack
 from blake3 import blake3
 
-from beechrock.members.state import MOST_NEWS, Ack, Ask, Heard, Message, News, Ping, State, Word
+from beechrock.members.state import (
+    MOST_NEWS,
+    MOST_PARTS,
+    Ack,
+    Ask,
+    Heard,
+    Message,
+    News,
+    Ping,
+    State,
+    Whole,
+    Word,
+)
 
 VERSION = 1             # of the form: another one is dropped; additions at the end do not change it
 TAG_BYTES = 16
@@ -21,7 +33,7 @@
 MOST_NAME = 64          # bytes of a name, and of an address
 MOST_SENDERS = 4096     # whose counters are kept; the one heard of longest ago goes first
 WINDOW = 256            # counters behind the greatest that may still come, each once
-KINDS = (Ping, Ask, Ack, Heard)
+KINDS = (Ping, Ask, Ack, Heard, Whole)
 KEY_CONTEXT = "beechrock members 1"
 
 
@@ -74,7 +86,7 @@
                 own: list[Any] = [number, of]
             case Ask(number, member, address):
                 own = [number, member, address]
-            case Heard(number):
+            case Heard(number) | Whole(number):
                 own = [number]
         told = [[n.name, n.address, n.word.life, n.word.incarnation, int(n.word.state), n.by] for n in news]
         kind = KINDS.index(type(message))
@@ -129,6 +141,12 @@
     return value
 
 
+def _part(value: Any) -> int:
+    if _count(value) >= MOST_PARTS:
+        raise ValueError("too many parts")
+    return int(value)
+
+
 def _name(value: Any, least: int = 1) -> str:
     if not isinstance(value, str) or not least <= len(value.encode()) <= MOST_NAME:
         raise ValueError("no name")
@@ -146,5 +164,6 @@
         Ask: lambda: Ask(_count(own[0]), _name(own[1]), _name(own[2]), news),
         Ack: lambda: Ack(_count(own[0]), _name(own[1], 0), news),
         Heard: lambda: Heard(_count(own[0]), news),
+        Whole: lambda: Whole(_part(own[0]), news),
     }
     return made[KINDS[_count(kind)]]()
--- a/beechrock/members/state.py
+++ b/beechrock/members/state.py
@@ -32,6 +32,8 @@
 FORGET_PERIODS = 300    # for which the dead and those that left are kept
 RETURN_ANSWERS, RETURN_OF = 4, 8    # half: at three tenths lost each way 0.49 of the questions are answered
 PROVING_PERIODS = 300   # after a death: as long as the others keep it
+EXCHANGE_ROUNDS = 30    # questions from one exchange of whole states to the next
+MOST_PARTS = 128        # of a whole state: 150 KB at the most, and inside the codec's window of counters
 
 
 class State(IntEnum):
@@ -94,7 +96,15 @@
     news: tuple[News, ...] = ()
 
 
-Message = Ping | Ask | Ack | Heard
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """A part of all that a member knows; ``left`` parts come after it. Only over a connection."""
+
+    left: int
+    news: tuple[News, ...] = ()
+
+
+Message = Ping | Ask | Ack | Heard | Whole
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,7 +130,14 @@
     address: str
 
 
-Action = Send | Changed | Displaced
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """Send ``Members.whole`` to this address and take in what comes back."""
+
+    address: str
+
+
+Action = Send | Changed | Displaced | Exchange
 
 
 @dataclass(slots=True)
@@ -197,7 +214,12 @@
         if self.displaced or sender == self.name:
             return []
         self.unheard = 0
+        if not self.known and not isinstance(message, Whole):   # joined: all is learnt at once
+            self.out.append(Exchange(address))
         for news in message.news:
+            # Whoever forgets the dead first would be told of them again by the others, and so without end.
+            if isinstance(message, Whole) and news.word.state >= State.DEAD and news.name not in self.known:
+                continue
             self._take(news, now, f"told by {sender}")
         if self.displaced:
             return self._done()
@@ -222,6 +244,14 @@
                     self.question.heard += 1
         return self._done()
 
+    def whole(self) -> list[Whole]:
+        """All that is known, the own word first; of more members than fit, as many as do, drawn anew."""
+        others = [known.news for known in self.known.values()]
+        most = MOST_PARTS * MOST_NEWS - 1
+        told = [self.me, *(self.random.sample(others, most) if len(others) > most else others)]
+        parts = [tuple(told[at:at + MOST_NEWS]) for at in range(0, len(told), MOST_NEWS)]
+        return [Whole(len(parts) - n, part) for n, part in enumerate(parts, 1)]
+
     def leave(self, now: float) -> list[Action]:
         """Say good-bye to some; they pass it on."""
         word = self.me.word
@@ -253,6 +283,11 @@
         self.next_at = now + self.period_s * (1 + (self.health if self.accused is None else 0))
         if not self._living():
             self._ask_seeds()
+        if self.rounds % EXCHANGE_ROUNDS == 0:
+            # The dead too, one time in two: after a split it is they who know the rest.
+            dead = self._in_state(State.DEAD) if self.rounds % (2 * EXCHANGE_ROUNDS) == 0 else []
+            for name in self._some(dead or self._living(), 1, ()):
+                self.out.append(Exchange(self.known[name].news.address))
         # After a split nobody else brings the two sides together. Once one of the dead is back, more may be:
         # seen in the benchmark, 40 members took 18 s to heal, 7 s now. To pass their deaths on took 23 to
         # 33 s, as the other side then heard, of its own, what was said here.
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -281,3 +281,30 @@
     for step in range(2500, 3500):
         member.tick(0.4 * step)
     assert "n2" not in member.view()
+
+
+def test_whole_states_teach_what_no_news_tells_any_more_but_bring_back_none_of_the_forgotten_dead() -> None:
+    knows, new = Members("n0", "n0", 1, 0.0, 1), Members("n1", "n1", 1, 0.0, 2)
+    for n in range(2, 30):
+        word = Word(1, n, State.DEAD if n % 7 == 0 else State.ALIVE)
+        knows.hear("n2", "n2", Ping(n, news=(News(f"n{n}", f"n{n}", word),)), 0.0)
+    parts = knows.whole()
+    assert [part.left for part in parts] == [3, 2, 1, 0]
+    assert all(len(part.news) <= state.MOST_NEWS for part in parts)
+    for part in reversed(parts):        # in any order
+        new.hear("n0", "", part, 0.0)
+    assert new.view() == {"n1": new.me.word,
+                          **{name: word for name, word in knows.view().items() if word.state is State.ALIVE}}
+    # A member that is known to live is learnt to be dead this way too.
+    knows.hear("n2", "n2", Ping(99, news=(News("n3", "n3", Word(1, 3, State.DEAD)),)), 0.0)
+    for part in knows.whole():
+        new.hear("n0", "", part, 0.0)
+    assert new.view()["n3"].state is State.DEAD
+
+
+def test_of_more_members_than_a_whole_state_holds_a_drawn_part_is_told() -> None:
+    member = Members("n0", "n0", 1, 0.0, 1)
+    for n in range(1, 1200):
+        member.hear("n1", "n1", Ping(n, news=(News(f"n{n}", f"n{n}", Word(1, 0, State.ALIVE)),)), 0.0)
+    first, second = member.whole(), member.whole()
+    assert len(first) == len(second) == state.MOST_PARTS and first[0].news[0] == member.me and first != second
--- a/tests/test_members_codec.py
+++ b/tests/test_members_codec.py
@@ -1,5 +1,6 @@
 """Datagrams of the membership: round trips, strangers, replays, cuts at every byte."""
 
+from dataclasses import replace
 from pathlib import Path
 
 import msgpack
@@ -11,7 +12,19 @@
 from beechrock.members import codec
 from beechrock.members.codec import Codec, Dropped, DroppedError, key_from
 from beechrock.members.life import NAME, begin
-from beechrock.members.state import MOST_NEWS, Ack, Ask, Heard, Message, News, Ping, State, Word
+from beechrock.members.state import (
+    MOST_NEWS,
+    MOST_PARTS,
+    Ack,
+    Ask,
+    Heard,
+    Message,
+    News,
+    Ping,
+    State,
+    Whole,
+    Word,
+)
 
 KEY = key_from(b"a secret of the fleet's own")
 names = st.text(st.characters(codec="ascii", min_codepoint=33), min_size=1, max_size=codec.MOST_NAME)
@@ -19,7 +32,8 @@
 news = st.lists(st.builds(News, names, names, st.builds(Word, counts, counts, st.sampled_from(State)),
                           names | st.just("")), max_size=MOST_NEWS).map(tuple)
 messages = st.one_of(st.builds(Ping, counts, names | st.just(""), news), st.builds(Ack, counts, names, news),
-                     st.builds(Ask, counts, names, names, news), st.builds(Heard, counts, news))
+                     st.builds(Ask, counts, names, names, news), st.builds(Heard, counts, news),
+                     st.builds(Whole, st.integers(0, MOST_PARTS - 1), news))
 SOME = Ask(7, "n2", "127.0.0.1:9", (News("n2", "127.0.0.1:9", Word(3, 1, State.SUSPECT)),))
 
 
@@ -41,7 +55,7 @@
     data = one.encode(message)
     assert len(data) <= codec.MOST_BYTES
     sender, heard = two.decode(data)
-    assert sender == "n1" and type(heard) is type(message) and heard.number == message.number
+    assert sender == "n1" and replace(heard, news=()) == replace(message, news=())
     assert heard.news == message.news[:len(heard.news)]
 
 
@@ -148,3 +162,9 @@
     first = begin(tmp_path, 1000.0)
     (tmp_path / NAME).with_suffix(".new").write_text("9")       # cut in the middle of the write
     assert begin(tmp_path, 10.0) == first + 1
+
+
+def test_a_whole_state_of_too_many_parts_is_dropped() -> None:
+    one, two = both()
+    assert two.decode(one.encode(Whole(MOST_PARTS - 1)))[1] == Whole(MOST_PARTS - 1)
+    assert why(two, one.encode(Whole(MOST_PARTS))) is Dropped.FORM
--- a/tests/test_members_processes.py
+++ b/tests/test_members_processes.py
@@ -296,3 +296,28 @@
         await until(lambda: all_alive(processes))
 
     over_links(tmp_path, 5, work)
+
+
+def test_whole_states_are_exchanged_and_who_stalls_or_sends_garbage_holds_nothing_up(tmp_path: Path) -> None:
+    async def work(processes: list[Process]) -> None:
+        host, _, port = processes[0].address.rpartition(":")
+        bad = []
+        for said in (b"", b"\x04", b"\x00\x10" + b"x" * 16, b"\xff\xff" + b"y" * 4000, b"\x04\xb0half", b""):
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(said)
+            bad.append(writer)
+        # With every place taken by who says nothing, the protocol goes on: a death is found by all the same.
+        processes[4].end()
+        await until(lambda: all(p.states().get("n4") == "dead" for p in processes[:4]))
+        for process in processes[:4]:
+            assert set(process.dead()) == {"n4"}
+        for writer in bad:
+            writer.close()
+        for process in processes[:4]:
+            process.end(signal.SIGTERM)
+        told = [process.log.read_text() for process in processes[:4]]
+        for counter in ("exchanges", "exchanges_failed", "dropped_tag"):
+            assert re.search(rf"members\.{counter} [1-9]", told[0]), counter
+        assert all(re.search(r"members\.exchanges [1-9]", text) for text in told[1:])
+
+    fleet(tmp_path, work)
