--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -1,11 +1,9 @@
 """The actor at one end of a connection: a mailbox, and a ring buffer a direction."""
 
 import asyncio
-import fcntl
 import os
 import socket
 import sys
-import termios
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
@@ -99,6 +97,9 @@
             return False
         if getattr(self._reader, "_buffer", b""):   # asyncio has no public word for it
             return True
+        import fcntl  # only a full table asks: the two take 0.1 MB of a started node
+        import termios
+
         sock = self._writer.get_extra_info("socket")
         try:
             return int.from_bytes(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)), sys.byteorder) > 0
