The core runs on a monotonic clock; births are turned from Unix time where a frame is read

Seen by reading: Program gave the core time.time. A wall clock stepped forward by an hour expired every request, key and timer; stepped back, Wheel.advance never fired until the hour had passed again, and born_far_off refused every request stamped on the other side of the step.

Change: clocks.steady() is the monotonic clock, shifted once at the start so that it then shows Unix time. All of the core, the fronts and the trace goes by it. So numbers keep their size (records and budget periods go on as before), and a step moves nothing. A frame's born is turned into steady time once, where it is read: core/wall_clock.py tracks the offset of the two clocks by readings, as segments with the times at which each may have held.

Ways weighed for born: - least transit seen (a filter over reading - born): needs many requests after each step before it knows, and queueing in front ends looks like a step. - ignoring born, taking the time of reading: due times longer by all that a request waited unread, and a key's window would begin later than the judge's; a repeat born inside it could run. - tracked offset with steps noticed: exact as soon as one reading is made after the step; both clocks are of one machine, so no traffic is needed. What it cannot tell (a stamp that two offsets explain, for as long as a short step back was wide) is handed on as an interval: due times count from the earliest birth that leaves time, repeats are looked up by the earliest, a key that the request opens is kept from the latest.

Bound: a due time is never longer than the true one, give or take 7 ms; shorter by at most the steps back within the time remembered (the longest give-up time + 10 s), or by the time between two readings (1 s).

A new check holds the wall clock's readers to a list of files with reasons.

--- a/beechrock/core/book.py
+++ b/beechrock/core/book.py
@@ -9,11 +9,13 @@
 from dataclasses import replace
 from typing import Protocol
 
+from beechrock import clocks
 from beechrock import interface as api
 from beechrock.core.counters import Counters
 from beechrock.core.keys import KeyTable
 from beechrock.core.requests import Answer, Calls, Partner, Request, RunEnded, Tracer, Verdict
 from beechrock.core.tally import Tally
+from beechrock.core.wall_clock import BORN_AHEAD_S, BORN_BEHIND_S, FAR_OFF, Birth, WallClock
 from beechrock.core.wheel import Wheel
 from beechrock.policy import Node
 
@@ -22,8 +24,6 @@
 # program itself takes half of it. These are shares of what is left.
 PROGRAM_MB = 18.0
 KEYS_SHARE, KEY_KB = 0.5, 1.5       # of keys without their results
-# How far a request's ``born`` may lie ahead of now (clocks are one machine's), and behind its due time.
-BORN_AHEAD_S, BORN_BEHIND_S = 1.0, 10.0
 OVERDUE_S = 0.02        # the module answers before the due time; what it leaves until then gets an error
 
 
@@ -42,8 +42,12 @@
 
     def __init__(
         self, settings: api.Settings, clock: Callable[[], float], counters: Counters, memory_mb: float,
+        unix_clock: Callable[[], float] | None = None,
     ) -> None:
+        """``clock``: steady seconds; ``unix_clock``: what requests are stamped with, if not the same."""
         self.settings, self.clock, self.counters = settings, clock, counters
+        self.unix_clock = unix_clock or clock
+        self.wall_clock = WallClock(*self._read_clocks(), self._remember_s())
         self.wheel = Wheel(settings.tick_s or TICK_S, clock())
         self.book: dict[int, Request] = {}          # by id, until answered and not running
         self.traces: dict[str, Request] = {}
@@ -93,12 +97,34 @@
         """Requests that are still owed an answer."""
         return sum(not r.answered and not r.gone for r in self.book.values())
 
+    # --- the wall clock
+
+    def _read_clocks(self) -> tuple[float, float]:
+        return clocks.read_together(self.clock, self.unix_clock)
+
+    def _remember_s(self) -> float:
+        """The greatest age at which a request of any class is still taken in."""
+        return max(c.give_up_s for c in self.settings.classes) + BORN_BEHIND_S
+
+    def observe_clocks(self) -> float:
+        """Read both clocks, so that a step of the wall clock is noticed; gives the steady time."""
+        now, unix_s = self._read_clocks()
+        if self.wall_clock.observe(now, unix_s):
+            self.counters.add("clock.steps")
+        return now
+
+    def birth(self, klass: int, unix_s: float) -> Birth:
+        """When a request that is read now was born, by the Unix time that it was stamped with."""
+        return self.wall_clock.birth(unix_s, self.observe_clocks(), self.settings.classes[klass].give_up_s)
+
     # --- taken in, or not
 
     def _cleared(self, request: Request) -> bool:
         """Whether the other process of this node has no say in a try, or has said it."""
         if self.partner is None or request.granted or request.nonce is None or self.keys.find(request):
             return True
+        if request.born == FAR_OFF.born:        # rejected as soon as it is taken in
+            return True
         if not request.digest:
             request.digest = _digest(request)
         return self.partner.want(request)
@@ -246,7 +272,12 @@
     # --- kept, and answered
 
     def _keep(self, request: Request, until: float, now: float) -> bool:
-        """Remember a request, here and in the other process of this node."""
+        """Remember a request, here and in the other process of this node.
+
+        A request that crossed a step of the wall clock may have been born later than it is counted from.
+        Without ``later_s`` its key was forgotten early by the step, and a repeat within the window ran.
+        """
+        until += request.later_s
         if not self.keys.keep(request, until, now):
             self.counters.add("trouble.keys_full")
             return False
--- a/beechrock/core/keys.py
+++ b/beechrock/core/keys.py
@@ -35,7 +35,7 @@
         key = self.key(request)
         entry = self._entries.get(key) if key else None
         # A repeat within the window must be known even where the judge's clock reads 50 ms more than ours.
-        return entry.request if entry is not None and request.born <= entry.until + SLACK_S else None
+        return entry.request if entry is not None and request.earliest <= entry.until + SLACK_S else None
 
     def knows(self, route: str, nonce: str, born: float) -> bool:
         """Whether a try of this key, read at ``born``, would be a repeat: asked before there is a request."""
--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -46,9 +46,9 @@
 
     def __init__(
         self, settings: api.Settings, seed: int, clock: Callable[[], float], counters: Counters,
-        memory_mb: float = MEMORY_MB,
+        memory_mb: float = MEMORY_MB, unix_clock: Callable[[], float] | None = None,
     ) -> None:
-        super().__init__(settings, clock, counters, memory_mb)
+        super().__init__(settings, clock, counters, memory_mb, unix_clock)
         self.seed = seed
         now = clock()
         self.tick_s = settings.tick_s or TICK_S
@@ -82,6 +82,7 @@
         if not self.mailbox.put(Renew(settings)):
             return False
         self.settings = settings
+        self.wall_clock.remember_s = max(self.wall_clock.remember_s, self._remember_s())
         fresh = self._key_table()
         # Entries that are there keep their end, and linger for the longest due time that any had.
         self.keys.capacity = max(fresh.capacity, len(self.keys))
@@ -314,6 +315,7 @@
 
     def _sweep(self) -> None:
         now = self.clock()
+        self.observe_clocks()
         self.keys.sweep(now)
         self.counters.add("keys.results_dropped", self.keys.trim(self.most_results))
         self.wheel.at(now + SWEEP_S, self._sweep)
--- a/beechrock/core/requests.py
+++ b/beechrock/core/requests.py
@@ -36,7 +36,7 @@
     trace: str              # names it towards those who run it and those it calls
     klass: int
     route: str
-    born: float             # when it reached the machine, by the Unix clock
+    born: float             # when it reached the machine, by the node's steady clock (``core/wall_clock.py``)
     body: bytes
     answer: Callable[[Answer], None]
     kb: float = 1.0
@@ -49,6 +49,9 @@
     share: int | None = None    # the tenant that the module is told of in place of the team's, by the limits
     # Called once when nothing of it is open: the seconds that its run took, or None, as it never ran.
     ended: Callable[[float | None], None] | None = None
+    # Where the wall clock was stepped, it may have been born this much before ``born``, or after it.
+    earlier_s: float = 0.0
+    later_s: float = 0.0
     cost_s: float | None = None
     generation: int = 0         # of routing policy, where another node began it; 0: it begins here
     overdue: Timer | None = None
@@ -71,6 +74,11 @@
     call_mark: int = 0              # which call the run waits for
     call_body: bytes | None = None
 
+    @property
+    def earliest(self) -> float:
+        """The first moment at which it may have been born: what it repeats is looked up as of then."""
+        return self.born - self.earlier_s
+
 
 class Work(Protocol):
     """Those who run requests: the agent, or servers that speak SCGI. They report to the module's actor."""
--- /dev/null
+++ b/beechrock/core/wall_clock.py
@@ -0,0 +1,105 @@
+"""Unix times that other processes of this machine stamped, turned into the node's steady time. Pure.
+
+The wall clock may be stepped by seconds or hours, either way, between a stamp and its reading. So the offset
+(Unix time - steady time) is tracked: the recent past is a list of segments, each with one offset.
+
+    steady time   ---[ segment, offset A ]---(gap)---[ segment, offset B ]--- now
+                                      last seen   first seen
+
+A step is noticed only at the next reading of both clocks. In the gap before that either offset may have held,
+so both segments reach over it. Slewing ends a segment too, once the offset is ``STEP_S`` from its first.
+
+Invariants: segments are in order and reach over all of the time remembered; there are at most
+``MOST_SEGMENTS``; no birth is in the future. And if the clock was stepped at most once between two readings:
+
+- the true birth lies from ``born - earlier_s`` to ``born + later_s``, give or take ``TOLERANCE_S``;
+- a due time counted from ``born`` is never later than the true one, unless that is past at the reading;
+- it is earlier by at most the sum of the steps back in the time remembered, or the longest gap, if that is
+  more (``core/module.py`` reads at least once a second).
+"""
+
+import math
+from dataclasses import dataclass
+
+STEP_S = 0.005          # within it all offsets count as one; ten seconds of the fastest slewing, 500 ppm
+TOLERANCE_S = STEP_S + 0.002    # stamps are cut to whole milliseconds, and two clocks are never read at once
+UNSEEN_STEP_S = 0.1     # a step over this, which slewing cannot be, may hide a second one in the same gap
+MOST_SEGMENTS = 64      # more steps than this within the time remembered are no correction of a clock
+# How far a stamp may lie ahead of the reading, as both clocks are one machine's, and behind its due time.
+BORN_AHEAD_S, BORN_BEHIND_S = 1.0, 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Birth:
+    """When a request came to the machine, in steady seconds."""
+
+    born: float             # due times count from here: the earliest that leaves any time
+    earlier_s: float = 0.0  # by this much earlier at most: a key is known again if it was alive then
+    later_s: float = 0.0    # by this much later at most: a key that the request itself opens counts from then
+
+
+FAR_OFF = Birth(-math.inf)      # no offset that held lately explains the stamp
+
+
+@dataclass(slots=True)
+class Segment:
+    """A time in which the offset stood within ``STEP_S`` of ``offset``."""
+
+    offset: float
+    begins: float       # the last reading before it: it may have held since
+    first_seen: float
+    last_seen: float
+    ends: float = math.inf      # the first reading after it
+    stepped: bool = False       # it began with a step, not by slewing
+
+
+class WallClock:
+    """Follows the wall clock by readings of both clocks; tells when a stamped request was born."""
+
+    def __init__(self, now: float, unix_s: float, remember_s: float) -> None:
+        """``remember_s``: the longest age at which a request may still be read."""
+        self.remember_s = remember_s
+        self.segments = [Segment(unix_s - now, -math.inf, now, now)]
+
+    def observe(self, now: float, unix_s: float) -> bool:
+        """Take in one reading of both clocks; gives whether it shows a step that slewing cannot be."""
+        offset, current = unix_s - now, self.segments[-1]
+        change = abs(offset - current.offset)
+        stepped = change > UNSEEN_STEP_S
+        if change <= STEP_S:
+            current.last_seen = now
+        else:
+            current.ends = now
+            self.segments.append(Segment(offset, current.last_seen, now, now, stepped=stepped))
+        while self.segments[0].ends < now - self.remember_s or len(self.segments) > MOST_SEGMENTS:
+            del self.segments[0]
+        return stepped
+
+    def birth(self, unix_s: float, now: float, give_up_s: float) -> Birth:
+        """Return the birth of a request stamped ``unix_s`` and read now, or ``FAR_OFF``.
+
+        Where several segments explain the stamp, a due time that is already past is passed over: read after
+        it, the request is late in any case.
+        """
+        oldest = now - give_up_s - BORN_BEHIND_S
+        births = sorted(self._explained(unix_s, now, oldest))
+        if births:
+            in_time = [born for born in births if now - born < give_up_s]
+            born = in_time[0] if in_time else births[0]
+            return Birth(born, born - births[0], births[-1] - born)
+        if any(segment.stepped and segment.first_seen >= oldest for segment in self.segments):
+            # Two steps in one gap, as over a pause of the process: the offset between them was never seen.
+            gap = self.segments[-1].begins
+            born = gap if now - gap < give_up_s else now
+            return Birth(born, born - oldest, now - born)
+        return FAR_OFF
+
+    def _explained(self, unix_s: float, now: float, oldest: float) -> list[float]:
+        """Return the births that the stamp means by each segment in which it may have been made."""
+        births = []
+        for segment in self.segments:
+            born = unix_s - segment.offset
+            ends = min(segment.ends + TOLERANCE_S, now + BORN_AHEAD_S)
+            if max(segment.begins - TOLERANCE_S, oldest) <= born <= ends:
+                births.append(min(born, now))
+        return births
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -211,11 +211,13 @@
         size = _number(told, "size", 0, 2000)
         if not size:
             raise BadRequestError("size: not above 0")
+        birth = self.module.birth(klass, _number(told, "born", 0, 2**53) / 1000.0)
         return Request(
-            trace=trace, klass=klass, route=told["route"], born=_number(told, "born", 0, 2**53) / 1000.0,
-            body=body, answer=functools.partial(self._answer, stream), kb=size,
+            trace=trace, klass=klass, route=told["route"], born=birth.born, body=body,
+            answer=functools.partial(self._answer, stream), kb=size,
             rank=_number(told, "order", 0, 1), caller=int(caller), retry=told.get("redo") == "1",
             nonce=nonce, entity=told.get("entity") or None,
+            earlier_s=birth.earlier_s, later_s=birth.later_s,
         )
 
     def _answer(self, stream: int, answer: Answer) -> None:
--- a/beechrock/program.py
+++ b/beechrock/program.py
@@ -4,11 +4,10 @@
 import gc
 import logging
 import signal
-import time
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
-from beechrock import config
+from beechrock import clocks, config
 from beechrock.core.counters import Counters
 from beechrock.core.module import ModuleActor
 from beechrock.core.requests import Leave, Work
@@ -51,9 +50,10 @@
     """The parts of one node, wired together."""
 
     def __init__(
-        self, told: config.Config, clock: Callable[[], float] = time.time,
+        self, told: config.Config, clock: Callable[[], float] = clocks.steady,
         again: "Callable[[config.Config], config.Config] | None" = None,
         stamp: Callable[[], tuple[int, ...]] = tuple, seen: tuple[int, ...] = (),
+        unix_clock: Callable[[], float] = clocks.unix,
     ) -> None:
         self.told, self.again = told, again     # ``again`` reads the configuration once more
         self.stamp, self.seen = stamp, seen     # of the configuration's file, now and when it was read
@@ -61,7 +61,7 @@
         self.counters = Counters()
         # Where processes follow one another, two of them share the node's memory for a while.
         memory_mb = told.memory_mb / (2 if told.listen_fd is not None else 1)
-        self.module = ModuleActor(told.settings, told.seed, clock, self.counters, memory_mb)
+        self.module = ModuleActor(told.settings, told.seed, clock, self.counters, memory_mb, unix_clock)
         self.recorder: Recorder | None = None
         if told.trace is not None:
             self._record(told.trace, clock)
@@ -156,7 +156,6 @@
         self.admin = AdminFront(self.module, calls, min(MOST_CONNECTIONS, self.told.sockets // 8))
 
     def _join(self, told: "MembersTold") -> None:
-        from beechrock import clocks
         from beechrock.members import actor
         from beechrock.store import life
 
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -4,6 +4,8 @@
 import subprocess
 from pathlib import Path
 
+import pytest
+
 ROOT = Path(__file__).parent.parent
 MOST_LINES = 400
 # Longer ones that still stand; none may be added, and a line goes with the split of its file.
@@ -94,5 +96,60 @@
     assert used == AGAINST.keys(), f"take off AGAINST: {AGAINST.keys() - used}"
 
 
+# Who reads the wall clock beside ``clocks.py``, and why a step does no harm there.
+WALL_CLOCK_USERS = {
+    "beechrock/program.py": "hands it to the core, for stamps of other processes only; number of a life",
+    "beechrock/handover/channel.py": "the order of processes in the names of their sockets",
+    "beechrock/edges/part.py": "Unix times of queued writes, which outlive a machine",
+    "beechrock/edges/member.py": "Unix times of queued writes, which outlive a machine",
+    "beechrock/talk/part.py": "number of a life, which has to grow over restarts",
+    "beechrock/lab/pair.py": "stamps requests as front ends do; names of logs",
+    "beechrock/lab/fleet/fleet.py": "histories for people; hands the clocks to the laboratory",
+}
+# Each reads the wall clock, where it is named, called without a time to convert, or imported.
+WALL_CLOCKS = {("time", "time"), ("time", "time_ns"), ("time", "CLOCK_REALTIME"), ("time", "CLOCK_TAI"),
+               ("datetime", "now"), ("datetime", "utcnow"), ("datetime", "today"), ("date", "today"),
+               ("clocks", "wall"), ("clocks", "unix"), ("true_clocks", "wall")}
+OF_NOW = {("time", "gmtime"): 0, ("time", "localtime"): 0, ("time", "ctime"): 0, ("time", "strftime"): 1}
+
+
+def reads_wall_clock(tree: ast.AST) -> bool:
+    """Whether a module names a wall clock in any of the ways that Python has."""
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Attribute):
+            owner = getattr(node.value, "id", getattr(node.value, "attr", ""))
+            if (owner, node.attr) in WALL_CLOCKS:
+                return True
+        elif isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute):
+            named = getattr(node.func.value, "id", ""), node.func.attr
+            if named in OF_NOW and len(node.args) <= OF_NOW[named]:
+                return True
+        elif isinstance(node, ast.ImportFrom) and {
+                (node.module or "").rpartition(".")[2]} & {"time", "clocks"}:
+            return True     # under another name it could not be found here
+    return False
+
+
+def test_the_wall_clock_is_read_in_one_module_and_a_few_places_with_a_reason() -> None:
+    found = {path for path in sources() if path.startswith("beechrock/")
+             and reads_wall_clock(ast.parse((ROOT / path).read_text()))} - {"beechrock/clocks.py"}
+    assert found == WALL_CLOCK_USERS.keys()
+
+
+@pytest.mark.parametrize("line", [
+    "time.time()", "clock = time.time", "from time import time", "time.clock_gettime(time.CLOCK_REALTIME)",
+    "datetime.now(UTC)", "datetime.datetime.utcnow()", "time.gmtime()", "time.strftime('%H')", "clocks.wall"])
+def test_every_way_to_read_the_wall_clock_is_found(line: str) -> None:
+    assert reads_wall_clock(ast.parse(line))
+
+
+def test_the_clocks_load_nothing_that_a_platform_node_has_not_loaded() -> None:
+    """They were not loaded there at all before the core's clock came from them."""
+    top = ast.parse((ROOT / "beechrock/clocks.py").read_text()).body
+    loaded = {part.name for node in top if isinstance(node, ast.Import) for part in node.names}
+    loaded |= {node.module or "" for node in top if isinstance(node, ast.ImportFrom)}
+    assert loaded == {"os", "time", "collections.abc"}
+
+
 def package(module: str) -> str:
     return module.split(".")[1] if "." in module else module
