Accept goes on through every error of accept(2), and accepted sockets get TCP_NODELAY

Seen: asyncio's server stops accepting for a second on EMFILE, ENFILE, ENOBUFS and ENOMEM (read in Lib/asyncio/selector_events.py of 3.11, and measured: 3 requests waited 1 s), and accepts again after that second even where it was paused or closed meanwhile; other errors of accept ended its turn with a traceback. A probe of the old listener showed TCP_NODELAY 0 at accepted sockets: asyncio sets it only where the socket names IPPROTO_TCP, and socket.create_server does not.

Change: net/listener.py accepts on the loop itself (add_reader, at most 16 a turn as before). Errors of one connection are passed over; a shortage rests 10 ms, and from the sixth try in a row the front ends the idle connection that is missed least; unknown errors rest as well and count as trouble. Streams are asyncio's still. A paused front closes its own descriptor of the shared socket, as nothing accepted hangs on it any more; so the list of paused servers goes. Ruled out: a reserve descriptor for EMFILE, which would accept a request only to lose it.

--- a/beechrock/net/front.py
+++ b/beechrock/net/front.py
@@ -3,9 +3,10 @@
 import asyncio
 from typing import Any, Generic, TypeVar
 
-from beechrock.connections.table import UNREAD_SWEEPS, Room, room_for_one
+from beechrock.connections.table import UNREAD_SWEEPS, Room, room_for_one, victim
 from beechrock.core.module import ModuleActor
-from beechrock.net.peer import MOST_AT_ONCE, Peer, listen
+from beechrock.net.listener import MOST_AT_ONCE, Listener, listen
+from beechrock.net.peer import Peer
 
 P = TypeVar("P", bound=Peer[Any])
 SWEEP_S = 0.5
@@ -19,9 +20,8 @@
     def __init__(self, module: ModuleActor, most: int) -> None:
         self.module, self.most = module, most
         self.peers: set[P] = set()
-        self.server: asyncio.Server | None = None
+        self.server: Listener | None = None
         self._sweeping = False
-        self._paused: list[asyncio.Server] = []
 
     # What a kind of front adds.
 
@@ -44,7 +44,9 @@
 
     async def start(self, host: str, port: int, fd: int | None = None) -> None:
         """Listen; after ``pause``, again."""
-        self.server = await listen(self._accepted, host, port, fd, self.at_once)
+        self.server = await listen(
+            self._accepted, host, port, self.module.counters, self.where, fd,
+            at_once=self.at_once, relieve=self._relieve)
         if not self._sweeping:
             self._sweeping = True
             self._sweep()
@@ -53,18 +55,23 @@
         """Take no more connections from a socket that others hold too; those that are open go on.
 
         Seen on a day of upgrades: asyncio's server, when it is closed, drops what it has accepted and not yet
-        handed on, and so a request on such a connection was lost. So it is only no longer asked to accept.
+        handed on, and so a request on such a connection was lost. A ``Listener`` hands it on all the same.
         """
+        self.close()
+
+    def close(self) -> None:
+        """Accept no more; connections that were accepted are served on."""
         if self.server is not None:
-            for sock in self.server.sockets:
-                asyncio.get_running_loop().remove_reader(sock.fileno())
-            self._paused.append(self.server)
+            self.server.close()
             self.server = None
 
-    def close(self) -> None:
-        for server in (*self._paused, self.server):
-            if server is not None:
-                server.close()
+    def _relieve(self) -> None:
+        """End the connection that is missed least, as accept finds no descriptor or memory for a new one."""
+        least = victim(self.peers, self.most, self.module.clock())
+        if least is not None:
+            self.module.counters.add(f"intake.{self.where}_relieved")
+            self.peers.discard(least)
+            least.drop()
 
     def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.module.counters.spawn(self._serve(reader, writer), self.where)
--- /dev/null
+++ b/beechrock/net/listener.py
@@ -0,0 +1,184 @@
+"""A listening socket on asyncio's loop that goes on accepting whatever accept(2) reports.
+
+asyncio's own server was measured and left for these faults (Lib/asyncio/selector_events.py, 3.11 to 3.13):
+
+- On EMFILE, ENFILE, ENOBUFS and ENOMEM it stops accepting for a second, and tries the call again up to
+  ``backlog`` times before that; requests with short deadlines in the backlog are lost meanwhile. After that
+  second it accepts again, also where its server was paused or closed within it.
+- Errors of one connection that Linux reports through accept(2) end that turn with a traceback in the log.
+- A connection whose set-up fails is dropped without a count.
+- Accepted connections have no TCP_NODELAY where the listening socket does not name IPPROTO_TCP, which
+  ``socket.create_server`` leaves out.
+
+No reserve descriptor is kept for EMFILE: it would serve to accept and close, and a request on that connection
+would be lost, while in the backlog it waits. A lasting shortage ends idle connections instead (``relieve``).
+"""
+
+import asyncio
+import contextlib
+import errno
+import logging
+import os
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from beechrock.core.counters import Counters
+
+log = logging.getLogger("beechrock")
+READ_CHUNK = 16_384         # bytes; asyncio holds twice as many of a connection before it stops reading
+BACKLOG = 1024              # connections the kernel may hold for us
+MOST_AT_ONCE = 16           # taken from them in one turn of the loop, before the full table can end others
+RECEIVE_BUFFER = 65_536     # bytes the kernel holds of what a connection sends, so that many fit in memory
+RETRY_S = 0.01              # until accept is tried again after a shortage; deadlines begin at some 100 ms
+RELIEVE_AFTER = 5           # tries in a row without descriptor or memory, after which an idle connection goes
+START_PATIENCE_S = 2.0      # how long a shortage may keep a listening socket from being made
+
+SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+# accept(2): "Linux accept() passes already-pending network errors on the new socket as an error code from
+# accept() ... treat them like EAGAIN by retrying"; and EPERM, where a firewall forbids the connection. Each
+# tells of one connection that is gone, and says nothing of the next.
+CONNECTION_ERRORS = frozenset({
+    errno.ECONNABORTED, errno.EINTR, errno.ENETDOWN, errno.EPROTO, errno.ENOPROTOOPT, errno.EHOSTDOWN,
+    errno.ENONET, errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.EPERM, errno.ECONNRESET,
+    errno.ETIMEDOUT})
+
+Accepted = Callable[[asyncio.StreamReader, asyncio.StreamWriter], None]
+
+
+class Listener:
+    """Accepts from ``sock``, which it owns, and hands the streams of each connection to ``accepted``.
+
+    ``relieve`` is called at each try of a shortage that lasts, to free a descriptor and memory.
+    """
+
+    def __init__(
+        self, sock: socket.socket, accepted: Accepted, counters: Counters, where: str,
+        at_once: int = MOST_AT_ONCE, relieve: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.accepted, self.counters, self.where = accepted, counters, where
+        self.at_once, self.relieve = at_once, relieve
+        self._sock = sock
+        self._loop = asyncio.get_running_loop()
+        self._retry: asyncio.TimerHandle | None = None
+        self._failures = 0      # tries in a row that brought no connection because of an error of our own
+        sock.setblocking(False)
+        self._watch()
+
+    @property
+    def sockets(self) -> tuple[socket.socket, ...]:
+        """The listening socket, as asyncio's servers name it; none once closed."""
+        return () if self._sock.fileno() < 0 else (self._sock,)
+
+    def close(self) -> None:
+        """Accept no more, and close our descriptor; what was accepted before is served all the same."""
+        if self._retry is not None:
+            self._retry.cancel()
+            self._retry = None
+        if self._sock.fileno() >= 0:
+            self._loop.remove_reader(self._sock.fileno())
+            self._sock.close()
+
+    def _watch(self) -> None:
+        self._retry = None
+        self._loop.add_reader(self._sock.fileno(), self._accept_ready)
+
+    def _accept_ready(self) -> None:
+        """Accept up to ``at_once`` connections in this turn of the loop."""
+        taken = errors = 0
+        for _ in range(self.at_once):
+            try:
+                connection, _ = self._sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if error.errno not in CONNECTION_ERRORS:
+                    self._rest(error)
+                    return
+                errors += 1
+                self.counters.add(f"intake.{self.where}_accept_errors")
+                continue
+            taken += 1
+            self._failures = 0
+            self.counters.spawn(self._set_up(connection), f"{self.where}.accept")
+        if errors and not taken:    # the error stays, whatever it says: without a rest it would take a core
+            self._pause()
+
+    def _rest(self, error: OSError) -> None:
+        """After an error of the process or the system: try again soon, as the backlog goes on waiting."""
+        self._failures += 1
+        self.counters.add(f"intake.{self.where}_accept_shortages")
+        if self._failures == 1:
+            log.warning("%s: accept: %s; tried again every %g s", self.where, error.strerror, RETRY_S)
+            if error.errno not in SHORTAGES:
+                self.counters.add(f"trouble.{self.where}_accept")
+        if error.errno in SHORTAGES and self._failures > RELIEVE_AFTER:
+            self.relieve()
+        self._pause()
+
+    def _pause(self) -> None:
+        self._loop.remove_reader(self._sock.fileno())
+        self._retry = self._loop.call_later(RETRY_S, self._watch)
+
+    async def _set_up(self, connection: socket.socket) -> None:
+        """Give an accepted connection its streams; ``accepted`` is called as soon as they stand."""
+        try:
+            send_at_once(connection)
+            reader = asyncio.StreamReader(limit=READ_CHUNK, loop=self._loop)
+            protocol = asyncio.StreamReaderProtocol(reader, self.accepted, loop=self._loop)
+            await self._loop.connect_accepted_socket(lambda: protocol, connection)
+        except Exception as error:      # its descriptor would stay open for as long as anything refers to it
+            connection.close()
+            if not isinstance(error, OSError):
+                raise
+            self.counters.add(f"intake.{self.where}_set_up_errors")
+
+
+def send_at_once(connection: socket.socket) -> None:
+    """Let the kernel hold back no small writes (TCP_NODELAY).
+
+    Seen in a probe: asyncio sets it only where the socket names its protocol, and those accepted did not. An
+    answer that is held back until the one before is acknowledged comes late, and is lost with a reset.
+    """
+    if connection.family != socket.AF_UNIX:
+        with contextlib.suppress(OSError):      # late answers are better than none
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def _listening_socket(host: str, port: int, fd: int | None) -> socket.socket:
+    if fd is not None:      # a descriptor of our own for it: others hold it too, and it outlives us
+        sock = socket.socket(fileno=os.dup(fd))
+    else:
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.create_server((host, port), family=family, backlog=BACKLOG)
+    try:
+        with contextlib.suppress(OSError):      # a bound on memory, without which connections work as well
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+async def listen(
+    accepted: Accepted, host: str, port: int, counters: Counters, where: str, fd: int | None = None,
+    **options: Any,
+) -> Listener:
+    """Listen with a long backlog; ``fd``: at a socket that is there already.
+
+    A shortage of descriptors or memory is waited for, for START_PATIENCE_S; at a shared socket for as long
+    as it lasts, as there the process runs and nobody would ask again. Any other error is raised.
+    """
+    loop = asyncio.get_running_loop()
+    end = loop.time() + START_PATIENCE_S
+    while True:
+        try:
+            sock = _listening_socket(host, port, fd)
+            break
+        except OSError as error:
+            if error.errno not in SHORTAGES or (fd is None and loop.time() > end):
+                raise
+            counters.add(f"intake.{where}_listen_errors")
+        await asyncio.sleep(RETRY_S)
+    return Listener(sock, accepted, counters, where, **options)
--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -1,10 +1,7 @@
 """The actor at one end of a connection: a mailbox, and a ring buffer a direction."""
 
 import asyncio
-import os
-import socket
 import sys
-from collections.abc import Callable
 from typing import Generic, TypeVar
 
 from beechrock.core.counters import Counters
@@ -17,29 +14,6 @@
 UNREAD_S = 20.0     # how long the last answers may stay unread after the other side's end
 LINGER_S = 1.0      # how long a closing connection still reads, so that its last answers are not cut off
 SLOW_S = 0.02       # pause after each chunk that is read in vain: what comes at full speed costs no core
-BACKLOG = 1024      # connections the kernel may hold for us
-MOST_AT_ONCE = 16   # taken from them in one turn of the loop, before the full table can end others
-RECEIVE = 65_536    # bytes the kernel holds of what a connection sends, so that many do not fill the memory
-
-
-async def listen(
-    accepted: Callable[[asyncio.StreamReader, asyncio.StreamWriter], None], host: str, port: int,
-    fd: int | None = None, at_once: int = MOST_AT_ONCE,
-) -> asyncio.Server:
-    """Listen with a long backlog, of which each turn of the loop takes a few.
-
-    ``fd``: at a socket that is there already. asyncio takes as many at once as its backlog says: a rush of
-    them could use up all descriptors.
-    """
-    if fd is not None:      # a descriptor of our own for it: others hold it too, and it outlives us
-        sock = socket.socket(fileno=os.dup(fd))
-    else:
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = socket.create_server((host, port), family=family, backlog=BACKLOG)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
-    server = await asyncio.start_server(accepted, sock=sock, backlog=at_once, limit=CHUNK)
-    sock.listen(BACKLOG)
-    return server
 
 
 class BadInputError(Exception):
--- a/beechrock/program.py
+++ b/beechrock/program.py
@@ -16,6 +16,7 @@
 from beechrock.net.agent import Agent
 from beechrock.net.frames import FramesFront
 from beechrock.net.ledger import Ledger
+from beechrock.net.listener import Listener
 from beechrock.net.registry import Registry
 from beechrock.settings import settings_from
 
@@ -43,7 +44,7 @@
          "members", "parts")
 
 
-def _address_of(server: asyncio.Server | None) -> str:
+def _address_of(server: Listener | None) -> str:
     return "{}:{}".format(*server.sockets[0].getsockname()[:2]) if server is not None else "nothing"
 
 
--- /dev/null
+++ b/tests/syscall_faults.py
@@ -0,0 +1,98 @@
+"""The one place where tests let system calls of chosen sockets fail, or read and write short.
+
+    with faults("accept", EMFILE, EMFILE) as accept:        # the next two accepts fail so, then all is well
+    with faults("send", Short(3), of=to(port)):             # one send to that port takes three bytes only
+    with faults("connect", ENOBUFS, times=None):            # every connect fails, until the block ends
+
+Patched are the methods of ``socket.socket``, through which the event loop makes its calls.
+"""
+
+import errno
+import os
+import socket
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+
+@dataclass(frozen=True)
+class Short:
+    """Instead of an error: at most so many bytes are read or written."""
+
+    count: int
+
+
+@dataclass
+class Faults:
+    """What is still to fail, and how many calls did."""
+
+    left: list[int | Short]
+    forever: bool
+    failed: int = 0
+    sockets: list[socket.socket] = field(default_factory=list)      # on which calls failed
+
+    def next(self, sock: socket.socket) -> int | Short | None:
+        if not self.left:
+            return None
+        self.failed += 1
+        self.sockets.append(sock)
+        return self.left[0] if self.forever else self.left.pop(0)
+
+
+def error_of(number: int) -> OSError:
+    return OSError(number, os.strerror(number))
+
+
+def on_port(port: int) -> Callable[[socket.socket], bool]:
+    """Sockets bound to this port: the listening one, and those that it accepted."""
+    return lambda sock: sock.getsockname()[1:2] == (port,)
+
+
+def to_port(port: int) -> Callable[[socket.socket], bool]:
+    """Sockets connected to this port."""
+    def chosen(sock: socket.socket) -> bool:
+        try:
+            return bool(sock.getpeername()[1:2] == (port,))
+        except OSError:
+            return False
+    return chosen
+
+
+@contextmanager
+def faults(
+    call: str, *kinds: int | Short, times: int | None = 1,
+    of: Callable[[socket.socket], bool] = lambda _: True,
+) -> Iterator[Faults]:
+    """Let ``call`` of the sockets ``of`` fail, by each of ``kinds``, ``times`` over.
+
+    ``times`` None: by the first of them, until the block ends.
+
+    A connection whose accept fails by ECONNABORTED is taken out of the queue and closed, as the kernel does.
+    """
+    told = Faults(list(kinds) * (times or 1), times is None)
+    own = socket.socket.__dict__.get(call)
+    real = getattr(socket.socket, call)
+
+    def patched(sock: socket.socket, *arguments: Any, **options: Any) -> Any:
+        kind = told.next(sock) if of(sock) else None
+        match kind:
+            case None:
+                return real(sock, *arguments, **options)
+            case Short(count) if call == "send":
+                return real(sock, memoryview(arguments[0])[:count], *arguments[1:])
+            case Short(count):
+                return real(sock, min(count, arguments[0]), *arguments[1:])
+            case errno.ECONNABORTED if call == "accept":
+                real(sock)[0].close()
+        assert isinstance(kind, int)
+        raise error_of(kind)
+
+    setattr(socket.socket, call, patched)
+    try:
+        yield told
+    finally:
+        if own is None:
+            delattr(socket.socket, call)
+        else:
+            setattr(socket.socket, call, own)
--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,196 @@
+"""Accept(2) in every way it may fail: nothing that waits in the backlog is left there, or lost."""
+
+import asyncio
+import errno
+import os
+import socket
+from collections.abc import Awaitable, Callable
+
+import pytest
+from play import Stand, until
+from play import run as run_node
+from syscall_faults import faults, on_port
+
+from beechrock.core.counters import Counters
+from beechrock.net import listener
+from beechrock.net.listener import Listener, listen
+
+OWN = [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EINVAL, errno.EIO]
+PASSED_ON = sorted(listener.CONNECTION_ERRORS)
+
+
+class Echo:
+    """Answers what it reads on each connection, and counts them."""
+
+    def __init__(self) -> None:
+        self.counters, self.writers = Counters(), list[asyncio.StreamWriter]()
+        self.relieved = 0
+
+    def accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        self.counters.spawn(self._answer(reader, writer), "echo")
+
+    async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    def relieve(self) -> None:
+        self.relieved += 1
+
+    async def listen(self, fd: int | None = None) -> Listener:
+        return await listen(self.accepted, "127.0.0.1", 0, self.counters, "echo", fd, at_once=4,
+                            relieve=self.relieve)
+
+
+def run(work: Callable[[Echo, Listener], Awaitable[None]]) -> None:
+    async def whole() -> None:
+        echo = Echo()
+        server = await echo.listen()
+        problems: list[object] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: problems.append(context))
+        try:
+            async with asyncio.timeout(20):
+                await work(echo, server)
+            assert not problems
+        finally:
+            server.close()
+            for writer in echo.writers:
+                writer.close()
+
+    asyncio.run(whole())
+
+
+async def ask(address: tuple[str, int]) -> bytes:
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(b"here")
+    try:
+        return await reader.read(100)
+    except ConnectionError:
+        return b"reset"
+    finally:
+        writer.close()
+
+
+def descriptors() -> int:
+    return len(os.listdir("/proc/self/fd"))
+
+
+@pytest.mark.parametrize("number", OWN, ids=errno.errorcode.get)
+def test_a_shortage_costs_a_connection_in_the_backlog_tens_of_milliseconds(number: int) -> None:
+    """asyncio's server stood still for a second, in which requests with short deadlines were lost."""
+    async def work(echo: Echo, server: Listener) -> None:
+        address = server.sockets[0].getsockname()
+        loop = asyncio.get_running_loop()
+        with faults("accept", number, times=3, of=on_port(address[1])) as accept:
+            began = loop.time()
+            assert await ask(address) == b"here" and accept.failed == 3
+            assert loop.time() - began < 0.9
+        assert echo.counters["intake.echo_accept_shortages"] == 3 and not echo.relieved
+        assert echo.counters["trouble.echo_accept"] == (number not in listener.SHORTAGES)
+
+    run(work)
+
+
+@pytest.mark.parametrize("number", PASSED_ON, ids=errno.errorcode.get)
+def test_an_error_of_one_connection_says_nothing_of_the_next(number: int) -> None:
+    """asyncio's server ended its turn on those it does not list, with a traceback for each."""
+    async def work(echo: Echo, server: Listener) -> None:
+        address = server.sockets[0].getsockname()
+        gone = [socket.create_connection(address) for _ in range(2 if number == errno.ECONNABORTED else 0)]
+        with faults("accept", number, number, of=on_port(address[1])) as accept:
+            assert await ask(address) == b"here" and accept.failed == 2
+        assert echo.counters["intake.echo_accept_errors"] == 2 and len(echo.writers) == 1
+        for sock in gone:
+            sock.close()
+
+    run(work)
+
+
+def test_errors_without_end_take_no_core_and_a_lasting_shortage_frees_what_is_idle() -> None:
+    async def work(echo: Echo, server: Listener) -> None:
+        address = server.sockets[0].getsockname()
+        for number in (errno.EPERM, errno.EMFILE):
+            with faults("accept", number, times=None, of=on_port(address[1])) as accept:
+                waiting = asyncio.ensure_future(ask(address))
+                await asyncio.sleep(0.2)
+                # A try every 10 ms, of ``at_once`` calls at most; a turn of the loop takes far less.
+                assert 0 < accept.failed <= 4 * 25
+            assert await waiting == b"here"
+        assert echo.relieved > 0
+
+    run(work)
+
+
+def test_a_full_process_accepts_again_once_an_idle_connection_has_been_ended() -> None:
+    """Where the system allows fewer descriptors than the configuration says, the table alone frees none."""
+    async def work(stand: Stand) -> None:
+        await stand.open()
+        frames = stand.program.frames
+        assert frames is not None and frames.server is not None
+        await stand.play("a = connect frames\ncounter intake.frames_connections 1\nclock 0.06\n")
+        with socket.socket() as caller:
+            caller.setblocking(False)
+            with faults("accept", errno.EMFILE, times=8):
+                caller.connect_ex(frames.server.sockets[0].getsockname())
+                await stand.play("a closed\ncounter intake.frames_connections 2\n")
+        assert stand.program.counters["intake.frames_relieved"] >= 1
+
+    run_node(work)
+
+
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.EPROTO], ids=errno.errorcode.get)
+def test_a_listener_closed_within_its_rest_stays_closed(number: int) -> None:
+    """asyncio's server took connections again a second after a shortage, though it was paused meanwhile."""
+    async def work(echo: Echo, server: Listener) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as shared, socket.socket() as caller:
+            second = await echo.listen(shared.fileno())
+            with faults("accept", number, times=None, of=on_port(shared.getsockname()[1])) as accept:
+                caller.connect(shared.getsockname())
+                await until(lambda: accept.failed > 0, lambda: "not asked")
+                second.close()
+            await asyncio.sleep(5 * listener.RETRY_S)
+            shared.setblocking(False)
+            shared.accept()[0].close()      # it still waits there, for whoever holds the socket
+            assert not second.sockets and not echo.writers
+
+    run(work)
+
+
+@pytest.mark.parametrize("shared", [False, True])
+def test_listening_waits_for_the_end_of_a_shortage(shared: bool) -> None:
+    async def work(echo: Echo, _: Listener) -> None:
+        with (socket.create_server(("127.0.0.1", 0)) as sock,
+              faults("listen", errno.ENOMEM, times=2), faults("setsockopt", errno.ENOBUFS, times=None)):
+            before = descriptors()
+            third = await echo.listen(sock.fileno() if shared else None)
+            assert descriptors() == before + 1
+            third.close()
+        assert echo.counters["intake.echo_listen_errors"] == 2
+
+    run(work)
+
+
+def test_a_connection_that_cannot_be_set_up_is_closed_and_counted() -> None:
+    async def work(echo: Echo, server: Listener) -> None:
+        address = server.sockets[0].getsockname()
+        before = descriptors()
+        with faults("setblocking", errno.ENOMEM, of=on_port(address[1])):
+            assert await ask(address) in (b"", b"reset")
+        assert await ask(address) == b"here"
+        assert echo.counters["intake.echo_set_up_errors"] == 1
+        await until(lambda: descriptors() == before, lambda: f"{descriptors()} of {before}")
+
+    run(work)
+
+
+def test_small_answers_are_not_held_back() -> None:
+    """Without TCP_NODELAY the system keeps small writes, and a close over unread bytes loses them."""
+    async def work(echo: Echo, server: Listener) -> None:
+        _, held = await asyncio.open_connection(*server.sockets[0].getsockname())
+        await until(lambda: echo.writers, lambda: "not accepted")
+        sock = echo.writers[-1].get_extra_info("socket")
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        held.close()
+
+    run(work)
