Agent: bad notices, restarts and gaps end in one answer, and nothing runs a second time

Seen by playing them: an outcome with an unknown end (KeyError) ended the reading task and was lost, as its number counted as read before it was read whole; a notice that is bad each time ended every link for ever; a number far ahead hid all later notices; an agent that started anew (greeting younger than its last word) got posted launches again, so that a keyed request could run twice, and its notices, numbered from 1, passed for old ones; after a gap of notices launches and deliveries were sent again and a run whose outcome was missed held its place for ever; a refused second sending of a launch freed the key; a launch that found no room among the commands was lost in silence. Now notices are read whole first, a bad one cuts the link at once and is passed over the second time, runs of before a restart end as broken off unless their launch never went out, runs open at a gap end two longest due times later, and only a launch sent once counts as unrun when refused. Commands not proved read moved into net/commands.py.

--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -2,20 +2,29 @@
 
 import asyncio
 import itertools
+import logging
+import math
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from beechrock.core import link as life
 from beechrock.core.module import ModuleActor
 from beechrock.core.requests import CallWanted, Request, RunEnded, Sampled, WorkUp
 from beechrock.interface import Outcome
+from beechrock.net.commands import MOST_COMMANDS, Command, UnprovedCommands
 from beechrock.net.linked import Linked
 from beechrock.net.peer import BadInputError, LinesPeer
 from beechrock.settings import gauges_from
 
+log = logging.getLogger("beechrock")
+
 ENDS = {"PASS": Outcome.OK, "FAIL": Outcome.ERROR, "KILLED": Outcome.STOPPED, "NOOP": Outcome.MOOT}
 MOST_BLOB = 200_000      # an answer with it still is one frame
-MOST_COMMANDS = 40_000
+# A notice numbered further ahead is noise: taken as read it would hide all later ones.
+MOST_AHEAD = 1_000_000
+MOST_MS = 1e12      # thirty years; no run and no agent is older
+RESTART_SLACK_S = 0.1       # a start is read this late at most, and no agent comes up again sooner
+LOST_RUN_DUES = 2.0         # longest due times after which a run whose outcome may be lost is given up
+HEAD = 80                   # bytes of a message that could not be read, enough for its number and request
 EXERCISE_S = 3.0    # a check's work that takes longer is a bad check: agents that hang are what it looks for
 # A peer that is there answers in milliseconds. The first silence is noticed in under half a second; a
 # greeting may wait for an agent that comes up late, so later ones get longer. On suspicion alone a node stays
@@ -24,20 +33,6 @@
                      again_s=(0.02, 0.2), broken_s=1.0, suspect_s=3.0)
 
 
-@dataclass(slots=True, eq=False)
-class Command:
-    """One line to the agent. Those about a request are kept until the agent is known to have read them."""
-
-    line: str
-    body: bytes | None = None
-    moves: bool = False     # makes the run go on, so that its next notice proves that this was read
-
-    def encode(self) -> bytes:
-        if self.body is None:
-            return self.line.encode() + b"\r\n"
-        return f"{self.line} {len(self.body)}\r\n".encode() + self.body + b"\r\n"
-
-
 class AgentLink(LinesPeer[Command]):
     """One link; ``Agent`` makes the next when it breaks."""
 
@@ -47,11 +42,13 @@
     def __init__(self, agent: "Agent") -> None:
         super().__init__(agent.counters, 1 << 20, MOST_COMMANDS)
         self.agent = agent
+        self.words: list[str] = []      # of the message that is being read
 
     def encode(self, message: Command) -> bytes:
         return message.encode()
 
     def has_body(self, words: list[str]) -> bool:
+        self.words = words
         return words[0] == "request" or (words[0] == "outcome" and len(words) > 5)
 
     def heard(self, words: list[str], body: bytes) -> None:
@@ -61,6 +58,13 @@
         else:
             mine.heard_at = self.agent.module.clock()
         self.agent.heard(words, body)
+        self.words = []
+
+    def bad_input(self, problem: str) -> None:
+        """Cut the link: what could not be read comes again on the next one."""
+        words = self.words or self.inbox.peek(HEAD).decode("utf-8", "replace").split(" ")
+        self.agent.unreadable(words, problem)
+        self.drop()
 
     def _crowded(self) -> bool:
         return False    # its notices make room: two ends that both stop reading would wait for ever
@@ -80,13 +84,16 @@
         super().__init__(module, LIMITS, address)
         self.gauges = gauges
         self.link: AgentLink | None = None
-        # Sent or to be sent, and not yet known to be read: by number in order, and the numbers by request.
-        self.unproved: dict[int, tuple[Request, Command]] = {}
-        self.unproved_of: dict[str, list[int]] = {}
+        self.unproved = UnprovedCommands()      # sent or to be sent, and not yet known to be read
         self.last_notice = self.dispatches = 0      # ``dispatches``: runs handed over since the start
         self.numbers = itertools.count(1)       # of commands, and the tags of samples and checks among them
+        self.last_sample = 0
         self.sync_tag = ""
         self.exercises: dict[str, Callable[[bool], None]] = {}
+        self.runs: dict[str, Request] = {}      # launched, and not known to be over
+        self.alive_at = math.inf                # when the agent said something last; inf: not yet
+        self.renumbered = False                 # it started anew, and its next notice may have any number
+        self.unreadable_notice, self.problem_said_at = 0, -math.inf
 
     def begin(self) -> None:
         """Hold a link open from now on, for as long as the process lives."""
@@ -144,8 +151,12 @@
     # --- commands
 
     def launch(self, request: Request) -> None:
-        self.dispatches += self._send(
-            request, Command(f"launch {request.trace} {request.route}", request.body, True))
+        launch = Command(f"launch {request.trace} {request.route}", request.body, moves=True, starts=True)
+        self.runs[request.trace] = request
+        if self._send(request, launch):
+            self.dispatches += 1
+        else:       # dropped in silence it would hold a place on the cores for ever
+            self._run_over(request.trace, Outcome.REJECTED)
 
     def stop(self, request: Request) -> None:
         self._send(request, Command(f"freeze {request.trace}"))
@@ -161,7 +172,8 @@
 
     def sample(self) -> None:
         if self.link is not None and self.synced:
-            self.link.post(Command(f"sample g{next(self.numbers)}"))
+            self.last_sample = next(self.numbers)
+            self.link.post(Command(f"sample g{self.last_sample}"))
 
     def exercise(self, report: Callable[[bool], None]) -> None:
         if self.link is None or not self.synced or len(self.exercises) >= 64:
@@ -178,75 +190,137 @@
             report(good)
 
     def _send(self, request: Request, command: Command) -> bool:
-        if len(self.unproved) >= MOST_COMMANDS:
+        if not self.unproved.add(next(self.numbers), request, command):
             self.counters.add("trouble.agent_commands_full")
             return False
-        number = next(self.numbers)
-        self.unproved[number] = request, command
-        self.unproved_of.setdefault(request.trace, []).append(number)
         if self.link is not None and self.synced:
-            self.link.post(command)
+            self._post(self.link, command)
         return True
 
+    def _post(self, link: AgentLink, command: Command) -> None:
+        command.sends += 1
+        if not link.post(command):      # full, as the agent does not read: the next link carries it
+            link.drop()
+
     # --- notices
 
     def heard(self, words: list[str], body: bytes) -> None:
         try:
             self._heard(words, body)
-        except (IndexError, ValueError):
-            raise BadInputError(f"notice {' '.join(words)[:80]!r}") from None
+        except (LookupError, ValueError):
+            raise BadInputError(f"notice {' '.join(words)[:HEAD]!r}") from None
+        self.alive_at = self.module.clock()
 
     def _heard(self, words: list[str], body: bytes) -> None:
+        # Each notice is read whole before its number counts as read.
         match words[0]:
             case "outcome":
-                if self._fresh(words[1]):
-                    self._proved(words[2], over=True)
-                    self.module.post(RunEnded(words[2], ENDS[words[3]], float(words[4]) / 1000, body))
+                number, trace, outcome = int(words[1]), words[2], ENDS[words[3]]
+                elapsed_s = _seconds(words[4])
+                if outcome is Outcome.OK and len(words) != 6:
+                    raise ValueError("a result without its length")
+                if self._fresh(number):
+                    self._run_over(trace, outcome, elapsed_s, body)
             case "request":
-                if self._fresh(words[1]):
-                    self._proved(words[2], over=False)
-                    self.module.post(CallWanted(words[2], int(words[1]), body))
+                number, trace = int(words[1]), words[2]
+                if len(words) != 4:
+                    raise ValueError("a call without the length of its body")
+                if self._fresh(number):
+                    self.unproved.settle_read(trace, over=False)
+                    self.module.post(CallWanted(trace, number, body))
             case "sampled":
-                self._sampled(words[1], [float(word) for word in words[2:]])
+                self._sampled(words[1], [_finite(word) for word in words[2:]])
             case "greeting":
-                self.module.post(WorkUp(words[1] == "EMPTY", float(words[2]) / 1000))
-                self.tell(life.Greeted(self.life.link))
+                self._greeted(cold=words[1] != "LOADED", age_s=_seconds(words[2]))
             case "exercised":
                 self._exercised(words[1], words[2] == "PASS")
             case "refusal":
                 self.counters.add("agent.refusals")
                 if words[1] == "launch":
-                    # It never ran. Told as an error of a run, it counted as work done, at no time at all.
-                    self._proved(words[2], over=True)
-                    self.module.post(RunEnded(words[2], Outcome.REJECTED, 0.0))
+                    self._launch_refused(words[2])
             case "aside":
-                self._fresh(words[1])
+                self._fresh(int(words[1]))
             case _:
                 self.counters.add("agent.unknown_notices")
 
-    def _fresh(self, word: str) -> bool:
-        number = int(word)
+    def _greeted(self, cold: bool, age_s: float) -> None:
+        """Runs and notices of an agent that has started anew since its last word are gone."""
+        if self.module.clock() - age_s > self.alive_at + RESTART_SLACK_S:
+            self.counters.add("agent.restarts")
+            log.warning("agent %s:%d: started anew: %d runs are lost", *self.life.address, len(self.runs))
+            self.last_notice = self.unreadable_notice = 0
+            self.renumbered = True
+            self._lose([r for r in self.runs.values() if not self.unproved.never_sent(r.trace)])
+        self.module.post(WorkUp(cold, age_s))
+        self.tell(life.Greeted(self.life.link))
+
+    def _launch_refused(self, trace: str) -> None:
+        """It never ran. Told as an error of a run, it counted as work done, at no time at all.
+
+        A launch that went out on an earlier link too may have run there: this refusal proves nothing.
+        """
+        launch = self.unproved.launch_of(trace)
+        once = launch is not None and launch.sends == 1
+        self._run_over(trace, Outcome.REJECTED if once else Outcome.BROKEN_OFF)
+
+    def _run_over(self, trace: str, outcome: Outcome, elapsed_s: float = 0.0, result: bytes = b"") -> None:
+        # Seen in an exchange: a run that ended while no link stood was launched again, as the actor had not
+        # yet worked off the notice when what may be lost was sent again. So it is settled here, on reading.
+        self.unproved.settle_read(trace, over=True)
+        self.runs.pop(trace, None)
+        self.module.post(RunEnded(trace, outcome, elapsed_s, result))
+
+    def _lose(self, runs: list[Request]) -> None:
+        """Nothing will be heard of these runs any more; they may have had their effects."""
+        for request in runs:
+            if self.runs.get(request.trace) is request:
+                self.counters.add("agent.lost_runs")
+                self._run_over(request.trace, Outcome.BROKEN_OFF)
+
+    def unreadable(self, words: list[str], problem: str) -> None:
+        """Note a message that is no notice.
+
+        One that comes in that form a second time would end every link, and is passed over.
+        """
+        now = self.module.clock()
+        if not 0 <= now - self.problem_said_at < 1.0:
+            self.problem_said_at = now
+            log.warning("agent %s:%d: link cut: it sent %s", *self.life.address, problem)
+        if words[0] not in ("outcome", "request", "aside") or not "".join(words[1:2]).isdecimal():
+            return
+        number = int(words[1])
+        if number != self.unreadable_notice:
+            self.unreadable_notice = number
+        elif number <= self.last_notice + MOST_AHEAD and self._fresh(number):
+            self.counters.add("agent.notices_passed_over")
+            run = self.runs.get("".join(words[2:3]))
+            if run is not None and words[0] == "outcome":
+                self._lose([run])
+
+    def _fresh(self, number: int) -> bool:
+        """Whether a notice is news; its number counts as read from here on."""
         if number <= self.last_notice:
             return False
-        self.last_notice = number
+        missed = 0 if self.renumbered else number - self.last_notice - 1
+        if missed > MOST_AHEAD:
+            raise ValueError(f"{missed} notices are missing")
+        self.last_notice, self.renumbered = number, False
+        if missed:
+            self._missed(missed)
         return True
 
-    def _proved(self, trace: str, over: bool) -> None:
-        """A run's notice settles the commands before it.
+    def _missed(self, notices: int) -> None:
+        """Notices are gone for good: any of the open runs may be over, or wait for another call.
 
-        Seen in an exchange: a run that ended while no link stood was launched again, as the actor had not
-        yet worked off the notice when what may be lost was sent again. So it is settled here, on reading.
+        So no command that went out is sent again, as it might start a run a second time, or be taken for the
+        reply to a later call; and a run of which nothing is heard any more gives its place back.
         """
-        for number in list(self.unproved_of.get(trace, ())):
-            if over or self.unproved[number][1].moves:
-                self._settle(number)
-
-    def _settle(self, number: int) -> None:
-        trace = self.unproved.pop(number)[0].trace
-        numbers = self.unproved_of[trace]
-        numbers.remove(number)
-        if not numbers:
-            del self.unproved_of[trace]
+        self.counters.add("agent.missed_notices", notices)
+        open_runs = list(self.runs.values())
+        for request in open_runs:
+            self.unproved.settle_sent_moves(request.trace)
+        longest_s = max(c.give_up_s for c in self.module.settings.classes)
+        self.module.wheel.at(self.module.clock() + LOST_RUN_DUES * longest_s, lambda: self._lose(open_runs))
 
     def _sampled(self, tag: str, values: list[float]) -> None:
         if tag == "quiet":
@@ -257,14 +331,31 @@
             self._send_again()
         elif tag[:1] == "g":    # all that went out before this sample was asked for has been read
             asked = int(tag[1:])
-            for number in list(itertools.takewhile(lambda n: n < asked, self.unproved)):
-                self._settle(number)
+            if asked > self.last_sample:
+                raise ValueError("an answer to a question that was not asked")
+            self.unproved.settle_before(asked)
 
     def _send_again(self) -> None:
         """After a break: what may have been lost, less what the notices since then have overtaken."""
-        for number, (request, command) in list(self.unproved.items()):
+        for number, request, command in self.unproved:
             if not request.running:
-                self._settle(number)
+                self.unproved.settle(number)
+            elif (request.answered or request.gone) and self.unproved.never_sent(request.trace):
+                self._run_over(request.trace, Outcome.MOOT)     # nobody waits for it: it need not run at all
             elif self.link is not None:
                 self.counters.add("agent.commands_sent_again")
-                self.link.post(command)
+                self._post(self.link, command)
+
+
+def _finite(word: str) -> float:
+    value = float(word)
+    if not math.isfinite(value):
+        raise ValueError(f"{word}: not finite")
+    return value
+
+
+def _seconds(milliseconds: str) -> float:
+    value = _finite(milliseconds)
+    if not 0 <= value <= MOST_MS:
+        raise ValueError(f"{milliseconds}: no time that has passed")
+    return value / 1000
