--- a/beechrock/policy/calls.py
+++ b/beechrock/policy/calls.py
@@ -68,7 +68,7 @@
             self.call_limit *= 1 + step if self.call_s < SLOW_CALL * self.call_best else 1 - step / 2
         else:
             self._ask(job, job.calls_left)
-            if late or outcome is api.Outcome.BROKEN_OFF:   # rule: given up, it stays in hand below for a while
+            if late or outcome is api.Outcome.BROKEN_OFF:   # rule: given up, it stays in hand for a while
                 heappush(self.lingering, self.now + (self.s.linger_s or 0.0))
             if not outcome.never_ran and job.c.effect is not api.Effect.SAFE and not job.answered:
                 self._go_without(job)
