Handover: claims of a killed process are heard to the last byte, and doubt covers a copy cut short

Seen, each in a test that fails on the tree before: - A write to a process that was just killed fails; asyncio's transport then reads no more, so claims that lay in the kernel were never heard and their keys ran a second time. A second descriptor keeps the queue, and what is left in it is heard after the channel's end. A failed write also counted as told. - A predecessor that died before its last claim was told left no doubt; a process in doubt vouched for keys to its own successor. - Sockets were named by the Unix time: stepped back by an hour, the older process was taken for the newer one and both ran keys alone. Monotonic now; names of versions before count as older. - A folder that could not be read for a moment (EMFILE) was taken for an empty one, a socket that found no room was never tried again, and the loop went on watching its closed descriptor. - After a second channel each waiting try was asked for by itself: the second grant gave back a running key. - A try with less than 0.3 s left waited for the other's answer beyond its due time. - Two that both leave, after a broken channel, left the shared socket to each other; operators' words that cross were swapped; a listener that met EMFILE was never made; two starts at once left one unpaused. Ruled out: a key kept here and granted to the other within one tick, as the module keeps a key in the batch in which it arrives. Tests: the draws of times in test_every_message_comes_back_as_it_was leave out infinity, which is now an error with a test of its own; random histories now have late readings, broken channels and copies cut short.

--- a/beechrock/core/book.py
+++ b/beechrock/core/book.py
@@ -110,7 +110,7 @@
             longest = self.settings.max_retry_after_s or after_s
             self._send(request, Answer(
                 Verdict.REFUSED, b"", min(after_s, longest) if self.settings.retry_after else None))
-            self._done_with(request)
+        self._done_with(request)    # also where the caller has gone: else its place in the limits is lost
 
     def shared_out(self, first: Request) -> None:
         """The other's request is over: those that wait for its result get it."""
--- a/beechrock/handover/channel.py
+++ b/beechrock/handover/channel.py
@@ -1,7 +1,8 @@
 """The channel between two processes of one node: a Unix socket in a folder that both see.
 
-Each process listens at a name of its own, which holds the moment of its start: the newest older one is its
-predecessor. Nothing but these sockets is put there; one whose process is gone refuses, and is removed.
+Each process listens at a name of its own, which holds the moment of its start by the monotonic clock, one for
+all processes of a machine: the newest older one is its predecessor. Nothing but these sockets is put there;
+one whose process is gone refuses, and is removed.
 """
 
 import asyncio
@@ -26,6 +27,9 @@
 MOST_NAMES = 64             # of sockets that are looked at
 LONGEST_PATH = 100          # bytes that a Unix socket's name may have; longer folders are named by descriptor
 CREDENTIALS = struct.Struct("3i")
+# Versions before named their sockets by the Unix time, 1.7e18 ns; no machine has been up for these 31 years.
+UNIX_TIME_NS = 10**18
+MOST_UNREAD = 1 << 20       # bytes of an ended channel: more than the kernel and the stream hold
 
 Accepted = Callable[[asyncio.StreamReader, asyncio.StreamWriter], None]
 
@@ -66,6 +70,41 @@
     def encode(self, message: wire.Message) -> bytes:
         return wire.encode(message)
 
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Until the channel ends; what the other process had said until then is heard to its last byte.
+
+        Seen in a probe: the first write after the other process was killed fails, and asyncio's transport
+        reads no more after that. Claims that lay in the kernel were not heard, and their keys ran once more.
+        """
+        try:    # a second descriptor keeps the kernel's queue when the transport closes its own
+            unread: socket.socket = writer.get_extra_info("socket").dup()
+        except OSError as error:
+            log.warning("handover: %s", error)
+            self.drop()
+            writer.transport.abort()
+            return
+        with unread:
+            await super().serve(reader, writer)
+            if not self.closing and not self.strange:
+                self._hear_rest(bytes(getattr(reader, "_buffer", b"")), unread)
+
+    def _hear_rest(self, data: bytes, unread: socket.socket) -> None:
+        with contextlib.suppress(OSError):      # nothing more is there, or a reset
+            while len(data) < MOST_UNREAD and (more := unread.recv(CHUNK)):
+                data += more
+        try:
+            while data and not self.closing and self.inbox.room:
+                room = self.inbox.room
+                self.inbox.write(data[:room])
+                self.parse()
+                data = data[room:]
+        except BadInputError as error:
+            log.warning("handover: %s", error)
+
+    def _crowded(self) -> bool:
+        """Never: what the other says is heard while it does not read, as it may be killed in that state."""
+        return False
+
     def tell(self, message: wire.Message) -> bool:
         """Whether the other process will read this even if this one is killed now."""
         writer = self._writer
@@ -73,11 +112,14 @@
             if not self.lost and not self.post(message):
                 self.drop()     # it reads nothing; it may come back and read all anew
             return False
+        if writer.transport.is_closing():
+            return False
         if writer.transport.get_write_buffer_size():
             self.post(message)
             return False
         writer.write(wire.encode(message))
-        return writer.transport.get_write_buffer_size() == 0
+        # A write that fails empties the buffer too, and closes: the other may live, and has not heard it.
+        return writer.transport.get_write_buffer_size() == 0 and not writer.transport.is_closing()
 
     def bad_input(self, problem: str) -> None:
         log.warning("handover: %s", problem)
@@ -92,7 +134,9 @@
 
     def __init__(self, folder: Path, node: str) -> None:
         self.folder, self.prefix = folder, f"beechrock-{node}-"
-        self.name = f"{self.prefix}{time.time_ns():020d}-{os.getpid()}.sock"
+        # Seen with a clock stepped back by an hour: named by the Unix time, the older process was taken for
+        # the newer one, and both ran keys as if alone.
+        self.name = f"{self.prefix}{time.monotonic_ns():020d}-{os.getpid()}.sock"
         self.server: asyncio.Server | None = None
         self._fd: int | None = None
 
@@ -106,31 +150,50 @@
         return f"/proc/self/fd/{self._fd}/{name}"
 
     async def listen(self, accepted: Accepted) -> None:
-        """OSError where the folder takes no socket. It has its name only once it listens."""
+        """OSError where the folder takes no socket now. It has its name only once it listens."""
         sock = socket.socket(socket.AF_UNIX)
         made = f".{self.name}"
+        server: asyncio.Server | None = None
         try:
             sock.bind(self._path(made))
             os.chmod(self.folder / made, 0o600)
             sock.listen(4)
-            self.server = await asyncio.start_unix_server(accepted, sock=sock, backlog=4, limit=CHUNK)
+            server = await asyncio.start_unix_server(accepted, sock=sock, backlog=4, limit=CHUNK)
             os.rename(self.folder / made, self.folder / self.name)
         except OSError:
+            if server is not None:  # else the loop would go on watching a descriptor that is another's soon
+                server.close()
             sock.close()
+            self._remove(made)
             raise
+        self.server = server
 
     def older(self) -> list[str]:
-        """Names of older processes' sockets, the newest first; what is not ours to trust is passed over."""
+        """Names of older processes' sockets, the newest first; what is not ours to trust is passed over.
+
+        OSError where that cannot be told now: taken for an empty folder, it left two that both ran keys.
+        """
         try:
-            names = [n for n in os.listdir(self.folder) if n.startswith(self.prefix) and n.endswith(".sock")]
-        except OSError:
+            names = os.listdir(self.folder)
+        except (FileNotFoundError, NotADirectoryError, PermissionError):    # none of this node finds another
             return []
-        return [n for n in sorted(names, reverse=True)[:MOST_NAMES] if n < self.name and self._mine(n)]
+        mine = self._started(self.name)
+        found = sorted((at, name) for name in names if (at := self._started(name)) and mine and at < mine)
+        return [name for _, name in found[:-MOST_NAMES - 1:-1] if self._mine(name)]
+
+    def _started(self, name: str) -> tuple[bool, int, str] | None:
+        """The order of starts, where it is the name of such a socket; any Unix time is older."""
+        told = name.removeprefix(self.prefix).partition("-")[0]
+        if not (name.startswith(self.prefix) and name.endswith(".sock")):
+            return None
+        if not (told.isascii() and told.isdigit()):
+            return None
+        return int(told) < UNIX_TIME_NS, int(told), name
 
     def _mine(self, name: str) -> bool:
         try:
             found = os.lstat(self.folder / name)
-        except OSError:
+        except (FileNotFoundError, PermissionError):
             return False
         return stat.S_ISSOCK(found.st_mode) and found.st_uid == os.getuid()
 
--- a/beechrock/handover/claims.py
+++ b/beechrock/handover/claims.py
@@ -11,6 +11,7 @@
 try here uses it any more and none was kept; what the other held when it went is never free in its window.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Generic, TypeVar
@@ -53,6 +54,7 @@
     good: bool = False
     media: str = ""
     result: bytes = b""
+    earlier: float = 0.0    # until when tries repeat a run before this one, should this one be released
 
 
 @dataclass(slots=True)
@@ -66,9 +68,11 @@
 
 @dataclass(slots=True)
 class Asked(Generic[T]):
+    """A question that is on its way; each try waits for its answer until the time beside it."""
+
+    question: wire.Ask
     due: float
-    until: float
-    tries: list[T] = field(default_factory=list)
+    tries: list[tuple[T, float]] = field(default_factory=list)
 
 
 class Claims(Generic[T]):
@@ -82,6 +86,7 @@
         self.asked: dict[bytes, Asked[T]] = {}
         self.out: list[wire.Message] = []
         self.doubt_until = 0.0
+        self.unread = False     # a predecessor was there, and not all of its claims were heard
         self.result_bytes = self.waiting = 0
 
     # --- a try here
@@ -91,8 +96,10 @@
         claim = self.theirs.get(key)
         return claim if claim is not None and born <= claim.until + SLACK_S else None
 
-    def want(self, key: bytes, digest: bytes, born: float, until: float, of: T, now: float) -> Answer:
-        """A try came whose key nobody here holds."""
+    def want(
+        self, key: bytes, digest: bytes, born: float, until: float, of: T, now: float, due: float = math.inf,
+    ) -> Answer:
+        """A try came whose key nobody here holds; it is owed its answer when it is ``due``."""
         if self.find(key, born) is not None:
             return Answer.GO
         if self.side is Side.STRANGER or now < self.doubt_until:
@@ -111,11 +118,12 @@
             return Answer.BACK
         asked = self.asked.get(key)
         if asked is None:
-            asked = self.asked[key] = Asked(now + ASK_S, until)
-            self.out.append(wire.Ask(key, digest, born, until))
+            asked = self.asked[key] = Asked(wire.Ask(key, digest, born, until), now + ASK_S)
+            self.out.append(asked.question)
         elif now >= asked.due:
             return Answer.BACK
-        asked.tries.append(of)
+        # Seen with a try that had 0.1 s left: it waited for its whole 0.3 s, and was answered too late.
+        asked.tries.append((of, min(asked.due, due)))
         self.waiting += 1
         return Answer.WAIT
 
@@ -165,6 +173,9 @@
             case wire.Released(key):
                 claim = self.theirs.pop(key, None)
                 if claim is not None:
+                    if claim.earlier:   # seen in random histories: its late tries ran a second time
+                        self.theirs[key] = Claim(key, claim.digest, claim.earlier, over=True)
+                    self.result_bytes -= len(claim.result)
                     return [], [self._over(claim, False, "", b"")]
             case wire.Ended(key, good, media, result):
                 claim = self.theirs.get(key)
@@ -173,12 +184,12 @@
             case wire.Ask():
                 self._asked(message, held)
             case wire.Granted(key):
-                until = self.asked[key].until if key in self.asked else 0.0
+                asked = self.asked.get(key)
                 tries = self._answered(key)
-                if not tries:       # all were turned away meanwhile, or have gone
+                if asked is not None and tries:
+                    self.mine[key] = Mine(len(tries), until=asked.question.until)
+                elif key not in self.mine:  # all were turned away meanwhile, or have gone
                     self.out.append(wire.Released(key))
-                    return [], []
-                self.mine[key] = Mine(len(tries), until=until)
                 return tries, []
             case wire.Denied(key):
                 return self._answered(key), []
@@ -193,12 +204,14 @@
             self.out.append(wire.Denied(ask.key))
         else:
             if claim is None:
-                self._theirs(Claim(ask.key, ask.digest, ask.until))
+                old = self.theirs.pop(ask.key, None) or Claim(ask.key, ask.digest, 0.0)
+                self.result_bytes -= len(old.result)
+                self._theirs(Claim(ask.key, ask.digest, ask.until, earlier=old.until))
             self.out.append(wire.Granted(ask.key))
 
     def _answered(self, key: bytes) -> list[T]:
         asked = self.asked.pop(key, None)
-        tries = asked.tries if asked is not None else []
+        tries = [of for of, _ in asked.tries] if asked is not None else []
         self.waiting -= len(tries)
         return tries
 
@@ -229,11 +242,25 @@
 
     # --- time, and the other's end
 
+    def synced(self) -> None:
+        """All that the predecessor holds is known; what it was asked over a channel before is asked anew.
+
+        Seen with two channels in a row: asked once for each try, the second grant found nobody waiting and
+        gave back a key that was running; a question without tries stood for ever, and its key was refused.
+        """
+        self.side, self.unread = Side.PREDECESSOR, False
+        for key, asked in list(self.asked.items()):
+            if asked.tries:
+                self.out.append(asked.question)
+            else:
+                del self.asked[key]
+
     def lost(self, now: float) -> tuple[list[T], list[Claim]]:
         """The other process is gone, and all that it said has been read."""
-        if self.side is Side.STRANGER:      # nobody knows what it ran
+        # Seen with a predecessor killed within its copy: the keys that had not come over ran a second time.
+        if self.side is Side.STRANGER or self.unread:   # nobody knows what it ran
             self.doubt_until = max(self.doubt_until, now + self.window_s + SLACK_S + self.linger_s)
-        self.side = Side.ALONE
+        self.side, self.unread = Side.ALONE, False
         self.mine.clear()
         over = [self._over(claim, False, "", b"") for claim in self.theirs.values() if not claim.over]
         return [of for key in list(self.asked) for of in self._answered(key)], over
@@ -242,16 +269,17 @@
         """Tries whose question was not answered in time; it stands, as the answer may still come."""
         back: list[T] = []
         for asked in self.asked.values():
-            if now >= asked.due and asked.tries:
-                back += asked.tries
-                self.waiting -= len(asked.tries)
-                asked.tries = []
+            late = [of for of, due in asked.tries if now >= due]
+            if late:
+                back += late
+                self.waiting -= len(late)
+                asked.tries = [(of, due) for of, due in asked.tries if now < due]
         return back
 
     def sweep(self, now: float) -> None:
         """Drop what no try can repeat any more."""
         for key in [k for k, m in self.mine.items() if m.kept and m.uses <= 0 and (
-                m.until + self.linger_s < now)]:
+                m.until + SLACK_S + self.linger_s < now)]:
             del self.mine[key]
         for key in [k for k, c in self.theirs.items() if c.until + SLACK_S + self.linger_s < now]:
             self.result_bytes -= len(self.theirs.pop(key).result)
--- a/beechrock/handover/life.py
+++ b/beechrock/handover/life.py
@@ -2,7 +2,7 @@
 
 Of the predecessor (``Before``): SOUGHT, at the start; GREETED, a channel stands, and its first word is
 waited for; DEFERRED, it waits for one of its own; COPIED, its claims are being read; TOGETHER, all are known;
-STRANGE, it is there and cannot be understood, or says nothing; GONE, or never was there.
+STRANGE, it is there and cannot be understood, or has said nothing yet; GONE, or never was there.
 Of the successor (``After``): NONE; JOINING; READY, it takes connections. Of either, whether it leaves too.
 
 Events: what the channel tells (found, nobody, greeted, ...), ``able`` once runs can be started here,
@@ -96,7 +96,8 @@
             self._go(Before.DEFERRED)
 
     def copied(self) -> None:
-        if self.before in (Before.COPIED, Before.DEFERRED):
+        # Also one that was stopped for so long that it counted as strange, and went on.
+        if self.before in (Before.COPIED, Before.DEFERRED, Before.STRANGE):
             self._go(Before.TOGETHER)
 
     def cut(self) -> None:
--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
+from beechrock.core.keys import SLACK_S
 from beechrock.core.module import ModuleActor
 from beechrock.core.requests import Request
 from beechrock.handover import wire
@@ -17,6 +18,7 @@
 log = logging.getLogger("beechrock")
 PULSE_S = 0.01          # the other hears of our load so often; its own batches come no closer than 4 ms
 AGAIN_S = 0.05          # between two attempts to reach a predecessor
+LISTEN_AGAIN_S = 0.25   # between two attempts to listen; a successor takes as long to start
 SWEEP_S = 1.0
 CHUNK_CLAIMS = 200      # of a copy, in one turn of the loop
 # Results follow the claims at this pace: what the kernel holds for a reader that is 60 ms late stays far
@@ -41,6 +43,7 @@
         self.others_connections = 0
         self._pulsing: asyncio.Task[None] | None = None
         self._said_ready = False
+        self._copying: ChannelPeer | None = None    # who is being told the claims and their results
         self._load = wire.Load(0, 0.0, 0, 0)
         self._swept_at = module.clock()
 
@@ -56,10 +59,8 @@
         if self.channel is None:
             log.warning("handover: TMPDIR is not set: this process can neither follow nor be followed")
             return self._nobody()
-        try:
-            await self.channel.listen(self._accepted)
-        except OSError as error:
-            log.warning("handover: %s: no successor can be heard", error)
+        if not await self._listen(self.channel):
+            self.counters.spawn(self._listen_again(self.channel), "handover.listen")
         while True:
             try:
                 found = await self.channel.connect()
@@ -67,6 +68,7 @@
                 if not self.counters["handover.unreachable"]:
                     log.warning("handover: predecessor: %s", error)
                 self.counters.add("handover.unreachable")
+                self.claims.unread = True
                 self.life.found(self.module.clock())
                 self._pulse_on()
                 await asyncio.sleep(AGAIN_S)
@@ -74,6 +76,7 @@
             if found is None:
                 return self._nobody()
             self.life.found(self.module.clock())
+            self.claims.unread = True
             self.before = ChannelPeer(self, successor=False)
             self.before.post(wire.Hello())
             self._pulse_on()
@@ -82,10 +85,28 @@
             self._said_ready = False
             if self.life.over:
                 return
+            together = not self.claims.unread
             self.life.cut()
             self._elsewhere(wire.Load(0, 0.0, 0, 0))
             self.counters.add("handover.channels_ended")
-            await asyncio.sleep(0 if self.claims.side is Side.PREDECESSOR else AGAIN_S)
+            await asyncio.sleep(0 if together else AGAIN_S)
+
+    async def _listen(self, channel: Channel) -> bool:
+        try:
+            await channel.listen(self._accepted)
+        except OSError as error:
+            if not self.counters["handover.not_listening"]:
+                log.warning("handover: %s: no successor can be heard", error)
+            self.counters.add("handover.not_listening")
+            return False
+        return True
+
+    async def _listen_again(self, channel: Channel) -> None:
+        """A full disk passes; a successor that does not find this process would run its keys once more."""
+        while not self.life.over:
+            await asyncio.sleep(LISTEN_AGAIN_S)
+            if not self.life.over and await self._listen(channel):
+                return log.info("handover: a successor can be heard now")
 
     def _nobody(self) -> None:
         if self.claims.side is not Side.ALONE:
@@ -141,6 +162,11 @@
         if not self.life.authority or self.after is not None:
             peer.tell(wire.Wait())
             return
+        # Seen with a predecessor that had died unheard: its successor vouched for keys that it knew nothing
+        # of. Without a copy the next one serves all else, and turns keys away as this one does.
+        if self.in_doubt:
+            self.counters.spawn(self._join_after_doubt(), "handover.doubt")
+            return
         self.waiting.remove(peer)
         self.after = peer
         self.life.joined()
@@ -149,7 +175,23 @@
         self.counters.spawn(self._copy(peer), "handover.copy")
         self._pulse_on()
 
+    async def _join_after_doubt(self) -> None:
+        while self.in_doubt:
+            await asyncio.sleep(AGAIN_S)
+        if self.after is None:
+            self._join_next()
+
     async def _copy(self, peer: ChannelPeer) -> None:
+        self._copying = peer
+        try:
+            await self._tell_all(peer)
+        finally:
+            if self._copying is peer:
+                self._copying = None
+
+    async def _tell_all(self, peer: ChannelPeer) -> None:
+        if self.life.leaving:
+            peer.tell(wire.Leaving())
         held = [(e.request, e.until) for e in self.module.keys.entries() if e.request.nonce is not None]
         theirs = list(self.claims.theirs.values())
         self.ours = {key_of(request): until for request, until in held}
@@ -175,7 +217,7 @@
 
     def _results(self, held: list[tuple[Request, float]], theirs: list[Claim]) -> Iterator[wire.Ended]:
         for request, _ in held:
-            if request.over:    # else its end is told when it comes
+            if request.over and self.module.keys.holds(request):    # else its end is told when it comes
                 yield wire.Ended(key_of(request), request.result is not None, request.media,
                                  request.result or b"")
         for claim in theirs:
@@ -192,11 +234,8 @@
                 self.life.deferred()
             case wire.Synced() if peer is self.before:
                 self.life.copied()
-                self.claims.side = Side.PREDECESSOR
                 self.counters.set("handover.claims_copied", len(self.claims.theirs))
-                for request in [r for asked in self.claims.asked.values() for r in asked.tries]:
-                    key = key_of(request)     # of a channel before this one
-                    self.claims.out.append(wire.Ask(key, request.digest, request.born, self.until(request)))
+                self.claims.synced()
                 self.flush()
                 self.changed()
                 self.pulse()
@@ -209,9 +248,15 @@
                     self._elsewhere(message)
             case wire.Word(failed):
                 self.word(failed)
+                # Seen with two words that crossed: each process went by the other's, for ever. What the older
+                # one holds last is the last word for both.
+                if peer.successor:
+                    peer.tell(message)
             case wire.Leaving() if peer is self.peer:
                 self.life.other_leaves = True
                 self.changed()
+            case wire.Ask() if peer.lost:
+                pass    # the last words of a channel that has ended: no answer would arrive
             case _ if peer is self.peer:
                 self.claims_heard(message)
 
@@ -267,6 +312,9 @@
             self.before is not None
         ):
             self._said_ready = True
+            # Seen with a channel that broke between two that leave: either left the socket to the other.
+            if self.life.leaving:
+                self.before.tell(wire.Leaving())
             self.before.tell(wire.Ready())
         self._tell_load()
         if now - self._swept_at > SWEEP_S:
@@ -275,7 +323,7 @@
     def _tell_load(self) -> None:
         mine = self.module.load()
         load = wire.Load(mine.runs, mine.kb, mine.calls, self.connections())
-        if self.peer is not None and load != self._load:
+        if self.peer is not None and load != self._load and self.peer.flushed:  # the next one tells more
             self._load = load
             self.peer.tell(load)
 
@@ -284,7 +332,7 @@
         self.claims.sweep(now)
         self.firsts = {key: held for key, held in self.firsts.items() if key in self.claims.theirs}
         linger_s = self.claims.linger_s
-        self.ours = {key: until for key, until in self.ours.items() if until + linger_s > now}
+        self.ours = {key: until for key, until in self.ours.items() if until + SLACK_S + linger_s > now}
 
     def _elsewhere(self, load: wire.Load) -> None:
         self.others_connections = load.connections
@@ -314,7 +362,7 @@
     def may_go(self) -> bool:
         """Nothing is owed here any more, and what comes is the successor's."""
         return (self.life.replaced and not self.connections() and not self.module.book
-                and not self.module.mailbox and not self.claims.waiting
+                and not self.module.mailbox and not self.claims.waiting and self._copying is None
                 and (self.peer is None or self.peer.flushed))
 
     def end(self) -> None:
--- a/beechrock/handover/partner.py
+++ b/beechrock/handover/partner.py
@@ -31,6 +31,11 @@
         """The other process, as far as claims go."""
         return self.before if self.before is not None else self.after
 
+    @property
+    def in_doubt(self) -> bool:
+        """Whether a process that is gone may have run keys that nobody here knows of."""
+        return self.module.clock() < self.claims.doubt_until
+
     def _idle(self) -> bool:
         claims = self.claims
         return claims.side is Side.ALONE and not claims.theirs and not claims.doubt_until
@@ -39,7 +44,7 @@
         if self._idle():
             return True
         answer = self.claims.want(key_of(request), request.digest, request.born, self.until(request), request,
-                                  self.module.clock())
+                                  self.module.clock(), self._due(request))
         self.flush()
         if answer is Answer.GO and key_of(request) in self.claims.mine:
             request.granted = True
@@ -51,6 +56,9 @@
         c = self.module.settings.classes[request.klass]
         return request.born + (c.window_s or c.give_up_s)
 
+    def _due(self, request: Request) -> float:
+        return request.born + self.module.settings.classes[request.klass].give_up_s
+
     def find(self, request: Request) -> Request | None:
         if self._idle():
             return None
@@ -106,9 +114,11 @@
     # --- the other's word on claims
 
     def claims_heard(self, message: wire.Message) -> None:
-        held = isinstance(message, wire.Ask) and message.born <= self.ours.get(message.key, 0.0) + SLACK_S
+        held = False
         if isinstance(message, wire.Ask):
             self.counters.add("handover.asked")
+            # In doubt nothing is vouched for: what an earlier process ran is known to neither.
+            held = self.in_doubt or message.born <= self.ours.get(message.key, 0.0) + SLACK_S
         tries, over = self.claims.heard(message, held)
         self._settle(over)
         for request in tries:
--- a/beechrock/handover/wire.py
+++ b/beechrock/handover/wire.py
@@ -6,6 +6,7 @@
 version. A process that meets another version reads nothing after it.
 """
 
+import math
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -15,7 +16,7 @@
 HEAD = struct.Struct(">IB")
 MOST_RESULT = 65_536        # a longer result is not passed on: its repeats fail
 MOST = MOST_RESULT + 512
-MOST_MEDIA = 255
+MOST_MEDIA = 255            # bytes; with a longer one the result is not passed on either
 
 
 class WireError(ValueError):
@@ -142,9 +143,10 @@
         case Hello(version):
             number, payload = HELLO, HELLO_LAYOUT.pack(MAGIC, version)
         case Ended(key, good, media, result):
-            told = media.encode()[:MOST_MEDIA]
-            if len(result) > MOST_RESULT:
-                good, result = False, b""
+            told = media.encode("utf-8", "surrogatepass")
+            # Seen in a draw: a media type cut within a character ended the channel at its other end.
+            if len(result) > MOST_RESULT or len(told) > MOST_MEDIA:
+                good, told, result = False, b"", b""
             number, payload = ENDED, ENDED_LAYOUT.pack(key, good, len(told)) + told + result
         case _:
             number = NUMBERS[type(message)]
@@ -172,8 +174,14 @@
         if number == ENDED:
             key, good, told = ENDED_LAYOUT.unpack_from(payload)
             rest = payload[ENDED_LAYOUT.size:]
-            return Ended(key, good, rest[:told].decode(), rest[told:])
+            if len(rest) < told:
+                raise WireError("a result that was cut")
+            return Ended(key, good, rest[:told].decode("utf-8", "surrogatepass"), rest[told:])
         made, layout = LAYOUTS[number]
-        return made(*layout.unpack(payload))
+        values = layout.unpack(payload)
+        # A claim until infinity would never be swept, one until no number never be found.
+        if not all(math.isfinite(value) for value in values if isinstance(value, float)):
+            raise WireError(f"a message of type {number}: a time that is none")
+        return made(*values)
     except (struct.error, UnicodeDecodeError, KeyError) as error:
         raise WireError(f"a message of type {number}: {type(error).__name__}") from None
--- a/beechrock/program.py
+++ b/beechrock/program.py
@@ -37,6 +37,7 @@
 # So often a process that has a successor looks whether anything is left to do, and how many times in a row
 # there was nothing: a connection that has just been accepted shows up some turns of the loop later.
 LOOK_S, IDLE_LOOKS = 0.05, 3
+LISTEN_AGAIN_S = 0.05   # between two attempts to listen at a shared socket
 
 # What a reload does not change; ``seed`` is new with each start, and means nothing later.
 FIXED = ("name", "listen", "admin", "stop_s", "memory_mb", "sockets", "settings", "gauges", "scgi", "trace",
@@ -86,6 +87,7 @@
         self.module.calls = self.ledger
         self.handover: Handover | None = None
         self.replaced = self._open = False
+        self._opening = asyncio.Lock()
         if told.listen_fd is not None:
             self._follow()
         self.serving: Serving | None = None
@@ -129,11 +131,19 @@
             self._tell_leave()
 
     async def _take_connections(self) -> None:
+        """Seen in a test: with two of these under way, one listener outlived the pause that followed."""
         assert self.frames is not None and self.told.listen is not None
-        await self.frames.start(*self.told.listen, self.told.listen_fd)
-        log.info("%s: frames on %s", self.told.name, _address_of(self.frames.server))
-        if not self._open:
-            self.frames.pause()
+        async with self._opening:
+            while self._open and self.frames.server is None:
+                try:
+                    await self.frames.start(*self.told.listen, self.told.listen_fd)
+                    log.info("%s: frames on %s", self.told.name, _address_of(self.frames.server))
+                except OSError as error:    # no descriptor now: nobody else may take what comes
+                    self.counters.add("handover.no_listener")
+                    log.error("%s: frames: %s", self.told.name, error)
+                    await asyncio.sleep(LISTEN_AGAIN_S)
+            if not self._open:
+                self.frames.pause()
 
     def _open_to_operators(self) -> None:
         from beechrock.admin.http import MOST_CONNECTIONS, AdminFront, Calls
--- a/tests/pair.py
+++ b/tests/pair.py
@@ -3,12 +3,16 @@
 import asyncio
 import socket
 from pathlib import Path
+from typing import TypeVar
 
-from play import Stand, until
+from play import HANG_S, Stand, until
 from test_admin import ASKED
 
+from beechrock.handover import wire
 from beechrock.handover.life import After
 
+Message = TypeVar("Message", bound=wire.Message)
+
 UP = 'g = accept agent\ng < "subscribe 0\\r\\n"\ng > "greeting LOADED 5\\r\\n"\ncounter agent.links 1\n'
 LAUNCH = 'g < "launch %016d submit 1\\r\\nx\\r\\n"\n'
 OK = 'a < {02 %08d 00 01 06"advice" 0006"0.0000" "ok"}\n'
@@ -80,6 +84,59 @@
             await other.program._take_connections()
 
 
+class OtherEnd:
+    """The other process of the node, played byte by byte over a blocking socket: it does what it is told."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.got = sock, b""
+
+    def say(self, *messages: wire.Message) -> None:
+        self.sock.sendall(b"".join(map(wire.encode, messages)))
+
+    async def heard(self, kind: type[Message]) -> Message:
+        """The next message of this kind; what comes before it is passed over."""
+        while True:
+            size = wire.length(self.got) if len(self.got) >= 4 else 0
+            if not size or len(self.got) < 4 + size:
+                async with asyncio.timeout(HANG_S):
+                    more = await asyncio.get_running_loop().sock_recv(self.sock, 4096)
+                assert more, "the channel ended"
+                self.got += more
+                continue
+            message = wire.decode(self.got[4], self.got[5:4 + size])
+            self.got = self.got[4 + size:]
+            if isinstance(message, kind):
+                return message
+
+    def die(self) -> None:
+        """As the kernel ends a process: what it had said is still there to be read."""
+        self.sock.close()
+
+
+class OlderProcess:
+    """Listens under a name that is older than any that is given now."""
+
+    def __init__(self, pair: Pair) -> None:
+        host, port = pair.shared.getsockname()
+        self.listening = socket.socket(socket.AF_UNIX)
+        self.listening.bind(str(pair.folder / f"beechrock-{host}_{port}-{0:020d}-1.sock"))
+        self.listening.listen(8)
+        self.listening.setblocking(False)
+        self.end: OtherEnd | None = None
+
+    async def accept(self) -> OtherEnd:
+        async with asyncio.timeout(HANG_S):
+            sock, _ = await asyncio.get_running_loop().sock_accept(self.listening)
+        sock.setblocking(False)
+        self.end = OtherEnd(sock)
+        return self.end
+
+    def die(self) -> None:
+        self.listening.close()
+        if self.end is not None:
+            self.end.die()
+
+
 def run(work, folder: Path) -> None:  # type: ignore[no-untyped-def]
     async def whole() -> None:
         with socket.create_server(("127.0.0.1", 0), backlog=64) as shared:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,5 +1,6 @@
 """Claims, stages and messages of a handover, without I/O: random histories, invariants after each step."""
 
+import math
 import random
 from collections import deque
 
@@ -73,13 +74,30 @@
                 self.claims.ended(key, True, "", b"r")
             self.flush()
 
-    def copy_to(self, new: "Process") -> None:
-        self.claims.side, new.claims.side = Side.SUCCESSOR, Side.PREDECESSOR
+    def copy_to(self, new: "Process", part: float = 1.0) -> None:
+        """All claims, or as many of them as come over before this process dies."""
+        self.claims.side = Side.SUCCESSOR
         self.other, new.other = new, self
+        new.claims.unread = True
         told: list[wire.Message] = [wire.Claimed(k, BODY, until) for k, until in self.ours.items()]
         told += [wire.Claimed(c.key, c.digest, c.until) for c in self.claims.theirs.values()]
-        for message in told:
+        for message in told[:int(part * len(told))]:
             new.claims.heard(message, False)
+        if part == 1.0:
+            new.claims.synced()
+            new.flush()
+
+    def break_channel(self, new: "Process") -> None:
+        """Both live on, with a part of what was on its way unheard; this one goes on alone until the next."""
+        for process in (self, new):
+            for _ in range(self.world.draw.randint(0, len(process.inbox))):
+                process.hear()
+            process.other = None
+        for process in (self, new):
+            process.inbox.clear()
+        self.claims.lost(self.world.now)
+        for process in (self, new, self):
+            process.attempt(self.world.draw.choice(KEYS), self.world.now)
 
     def lost(self) -> None:
         """The other is dead: what it had written is read, and then this one decides alone."""
@@ -116,7 +134,7 @@
         process = draw.choice(there)
         match draw.choice(["try", "try", "try", "hear", "hear", "hear", "end", "time", "turn"]):
             case "try":
-                process.attempt(draw.choice(KEYS), world.now - draw.random() * 0.05)
+                process.attempt(draw.choice(KEYS), world.now - draw.random() ** 3 * LINGER_S)
             case "hear" if process.inbox:
                 process.hear()
             case "end":
@@ -126,8 +144,15 @@
                 process.claims.sweep(world.now)
             case "turn" if draw.random() < 0.15:
                 if new is None:
-                    new = Process(world)
-                    old.copy_to(new)
+                    if world.now >= old.claims.doubt_until:     # else it vouches for nothing
+                        new = Process(world)
+                        old.copy_to(new)
+                elif draw.random() < 0.4:
+                    old.break_channel(new)
+                    old.copy_to(new, draw.choice([1.0, 1.0, draw.random()]))
+                    if new.claims.unread:
+                        new.lost()
+                        old, new = new, None
                 elif draw.random() < 0.7:   # killed, or gone in peace, with words on their way to it
                     new.lost()
                     old, new = new, None
@@ -245,16 +270,17 @@
             assert life.serves, seed                                            # 4
 
 
+TIMES = st.floats(allow_nan=False, allow_infinity=False)    # what is none of these is no message: see below
 MESSAGES = st.one_of(
     st.builds(wire.Hello, st.integers(0, 65_535)),
     st.sampled_from([wire.Wait(), wire.Synced(), wire.Ready(), wire.Leaving()]),
-    st.builds(wire.Claimed, *[st.binary(min_size=16, max_size=16)] * 2, st.floats(allow_nan=False)),
-    st.builds(wire.Ask, *[st.binary(min_size=16, max_size=16)] * 2, *[st.floats(allow_nan=False)] * 2),
+    st.builds(wire.Claimed, *[st.binary(min_size=16, max_size=16)] * 2, TIMES),
+    st.builds(wire.Ask, *[st.binary(min_size=16, max_size=16)] * 2, TIMES, TIMES),
     *(st.builds(made, st.binary(min_size=16, max_size=16)) for made in (wire.Granted, wire.Denied,
                                                                         wire.Released)),
     st.builds(wire.Ended, st.binary(min_size=16, max_size=16), st.booleans(), st.text(max_size=50),
               st.binary(max_size=3000)),
-    st.builds(wire.Load, st.integers(0, 2**32 - 1), st.floats(allow_nan=False), st.integers(0, 2**32 - 1),
+    st.builds(wire.Load, st.integers(0, 2**32 - 1), TIMES, st.integers(0, 2**32 - 1),
               st.integers(0, 2**32 - 1)),
     st.builds(wire.Word, st.booleans()),
 )
@@ -283,3 +309,70 @@
     assert wire.decode(data[4], data[5:]) == wire.Ended(KEYS[0], False)
     with pytest.raises(wire.WireError):
         wire.length((wire.MOST + 1).to_bytes(4, "big"))
+
+
+@pytest.mark.parametrize("time", [math.nan, math.inf, -math.inf])
+def test_a_time_that_is_none_and_a_result_that_was_cut_are_no_messages(time: float) -> None:
+    for message in (wire.Claimed(KEYS[0], BODY, time), wire.Ask(KEYS[0], BODY, 1.0, time),
+                    wire.Load(1, time, 1, 1)):
+        data = wire.encode(message)
+        with pytest.raises(wire.WireError):
+            wire.decode(data[4], data[5:])
+    data = wire.encode(wire.Ended(KEYS[0], True, "text/plain"))
+    with pytest.raises(wire.WireError):
+        wire.decode(data[4], data[5:-1])
+
+
+def test_a_media_type_that_does_not_fit_is_not_cut_within_a_character() -> None:
+    data = wire.encode(wire.Ended(KEYS[0], True, "\u00e4" * wire.MOST_MEDIA, b"r"))
+    assert wire.decode(data[4], data[5:]) == wire.Ended(KEYS[0], False)
+
+
+def test_two_tries_that_are_asked_for_anew_get_one_grant_which_a_second_does_not_take_back() -> None:
+    claims: Claims[str] = Claims(WINDOW_S, LINGER_S, 100, 1000)
+    claims.side = Side.PREDECESSOR
+    for of in "ab":
+        claims.want(KEYS[0], BODY, 1.0, 3.0, of, 1.0)
+    claims.want(KEYS[1], BODY, 1.0, 3.0, "c", 1.0)
+    claims.late(1.0)
+    claims.asked[KEYS[1]].tries.clear()     # all have been turned away
+    claims.waiting -= 1
+    claims.out.clear()
+    claims.synced()     # over a new channel
+    assert claims.out == [wire.Ask(KEYS[0], BODY, 1.0, 3.0)]
+    claims.out.clear()
+    assert claims.heard(wire.Granted(KEYS[0]), False)[0] == ["a", "b"]
+    claims.kept(KEYS[0], BODY, 3.0)
+    claims.heard(wire.Granted(KEYS[0]), False)
+    assert claims.out == []
+    assert claims.want(KEYS[1], BODY, 2.0, 4.0, "d", 2.0) is Answer.WAIT     # not refused for ever
+
+
+def test_a_key_that_is_given_back_is_still_known_for_the_run_before() -> None:
+    claims: Claims[str] = Claims(WINDOW_S, LINGER_S, 100, 1000)
+    claims.side = Side.SUCCESSOR
+    claims.heard(wire.Ask(KEYS[0], BODY, 1.0, 3.0), False)
+    claims.heard(wire.Ended(KEYS[0], True, "", b"r"), False)
+    claims.heard(wire.Ask(KEYS[0], BODY, 3.2, 5.2), False)      # the next window
+    claims.heard(wire.Released(KEYS[0]), False)
+    late = claims.find(KEYS[0], 2.99)       # born in the first window, and read late
+    assert late is not None and late.over and claims.find(KEYS[0], 3.2) is None
+    assert claims.result_bytes == 0
+
+
+def test_a_try_waits_for_its_answer_no_longer_than_until_it_is_due() -> None:
+    claims: Claims[str] = Claims(WINDOW_S, LINGER_S, 100, 1000)
+    claims.side = Side.PREDECESSOR
+    claims.want(KEYS[0], BODY, 1.0, 3.0, "short", 1.0, 1.1)
+    claims.want(KEYS[0], BODY, 1.0, 3.0, "long", 1.0, 9.0)
+    assert claims.late(1.1) == ["short"] and claims.late(1.0 + ASK_S) == ["long"]
+
+
+@pytest.mark.parametrize(("stage", "doubt"), [("unheard", True), ("synced", False)])
+def test_what_a_predecessor_ran_that_died_before_it_had_told_all_is_in_doubt(stage: str, doubt: bool) -> None:
+    claims: Claims[str] = Claims(WINDOW_S, LINGER_S, 100, 1000)
+    claims.unread = True
+    if stage == "synced":
+        claims.synced()
+    claims.lost(1.0)
+    assert claims.want(KEYS[0], BODY, 1.0, 3.0, "a", 1.0) is (Answer.BACK if doubt else Answer.GO)
--- /dev/null
+++ b/tests/test_handover_crossings.py
@@ -0,0 +1,345 @@
+"""A replacement in which two events cross: each test forces one order of them."""
+
+import asyncio
+import errno
+import os
+import socket
+import time
+from pathlib import Path
+
+import pytest
+from pair import DOUBT, LAUNCH, OK, PASS, UP, OlderProcess, Pair, asked, run
+from play import START, Stand, until
+
+from beechrock.core.requests import Request
+from beechrock.handover import channel, node, wire
+from beechrock.handover.channel import Channel
+from beechrock.handover.life import COPY_S, GREET_S, After, Before
+from beechrock.handover.node import Handover
+from beechrock.handover.partner import key_of
+
+LONGEST_S = 15.0    # beyond each window of the settings
+BODY = b"x"
+
+
+def request_of(number: int) -> Request:
+    """As the callers of these tests ask for key ``number``."""
+    return Request(trace="", klass=1, route="submit", born=START, body=BODY, answer=lambda _: None,
+                   nonce=f"{number:04d}")
+
+
+def claimed(number: int) -> wire.Claimed:
+    return wire.Claimed(key_of(request_of(number)), b"d" * 16, START + 10.0)
+
+
+def part(stand: Stand) -> Handover:
+    assert stand.program.handover is not None
+    return stand.program.handover
+
+
+async def gone(stand: Stand) -> None:
+    await until(lambda: part(stand).life.before is Before.GONE, lambda: f"{part(stand).life.before}")
+
+
+def later(text: str, stand: Stand) -> str:
+    """The same, born now."""
+    return text.replace("1700000000000", str(int(1000 * stand.now)))
+
+
+# --- the end of either process
+
+
+def test_claims_of_a_killed_process_are_heard_though_a_write_to_it_failed_before(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old = OlderProcess(pair)
+        new = await pair.start()
+        end = await old.accept()
+        end.say(wire.Hello(), wire.Synced())
+        await end.heard(wire.Ready)
+        before = part(new).before
+        assert before is not None
+        end.say(claimed(1))     # its run begins, and it is killed
+        old.die()
+        assert not before.tell(wire.Load(9, 0.0, 0, 0))     # in the same turn: nothing has been read yet
+        await gone(new)
+        await new.play("a = connect frames\n")
+        new.wires["a"].writer.write(b"")
+        await new.play(asked(1, 1, 1).replace('"x"', '"y"') + 'a ... "another body"\n')
+        assert new.program.counters["sent.launches"] == 0
+
+    run(work, folder)
+
+
+@pytest.mark.parametrize("said", [(), (wire.Hello(),), (wire.Hello(), claimed(1))])
+def test_keys_of_a_predecessor_that_dies_before_it_has_told_all_are_in_doubt(
+    folder: Path, said: tuple[wire.Message, ...],
+) -> None:
+    async def work(pair: Pair) -> None:
+        old = OlderProcess(pair)
+        new = await pair.start()
+        end = await old.accept()
+        end.say(*said)
+        await end.heard(wire.Hello)
+        old.die()
+        await gone(new)
+        await pair.serving(new)     # all else is served at once
+        await new.play("a = connect frames\n" + asked(1, 1, 2) + DOUBT % 1)
+        new.now += LONGEST_S
+        await new.play("a = connect frames\n" + later(asked(2, 2, 2), new) + LAUNCH % 2)
+
+    run(work, folder)
+
+
+def test_a_process_in_doubt_vouches_for_no_key_to_its_successor(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        first = OlderProcess(pair)
+        second = await pair.start()
+        await first.accept()
+        first.die()
+        await gone(second)
+        third = await pair.start()
+        await until(lambda: part(third).life.before is Before.COPIED, lambda: f"{part(third).life.before}")
+        third.now += GREET_S + COPY_S
+        await pair.serving(third)
+        await pair.caller(third, [second])
+        await third.play(later(asked(1, 1, 1), third) + DOUBT % 1)
+        second.now += LONGEST_S     # its doubt is over: all is told, and the third asks
+        third.now = second.now
+        await pair.following(second, third)
+        await pair.caller(third, [second])
+        await third.play(later(asked(2, 2, 1), third) + LAUNCH % 2)
+
+    run(work, folder)
+
+
+def test_a_predecessor_that_went_on_after_it_counted_as_a_stranger_vouches_for_its_keys(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old = OlderProcess(pair)
+        new = await pair.start()
+        end = await old.accept()    # and is stopped
+        await end.heard(wire.Hello)
+        new.now += GREET_S + COPY_S
+        await pair.serving(new)
+        await new.play("a = connect frames\n" + later(asked(1, 1, 1), new) + DOUBT % 1)
+        end.say(wire.Hello(), wire.Synced())
+        await end.heard(wire.Ready)
+        assert part(new).serving
+        await new.play(later(asked(2, 2, 1), new))
+        end.say(wire.Granted((await end.heard(wire.Ask)).key))
+        await new.play(LAUNCH % 2)
+        old.die()
+
+    run(work, folder)
+
+
+def test_a_try_with_little_time_left_is_answered_before_the_other_has_spoken(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old = OlderProcess(pair)
+        new = await pair.start()
+        end = await old.accept()
+        end.say(wire.Hello(), wire.Synced())
+        await end.heard(wire.Ready)
+        new.now += 3.5      # of the 3.6 s that a caller gives
+        await new.play("a = connect frames\n" + asked(1, 1, 1))
+        await end.heard(wire.Ask)
+        await new.play("clock 0.11\n" + DOUBT % 1)
+        old.die()
+
+    run(work, folder)
+
+
+def test_nothing_counts_as_told_that_a_closed_channel_did_not_take(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old = OlderProcess(pair)
+        new = await pair.start()
+        end = await old.accept()
+        end.say(wire.Hello(), wire.Synced())
+        await end.heard(wire.Ready)
+        before = part(new).before
+        assert before is not None
+        end.die()       # the channel, not the process
+        assert not before.tell(claimed(1)) and not before.tell(claimed(1))
+        assert (await old.accept()) is not end      # it comes again at once
+        old.die()
+
+    run(work, folder)
+
+
+def test_the_old_process_stays_until_its_results_have_come_over(
+    folder: Path, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(node, "RESULT_BYTES", 1)
+
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        for n in (1, 2, 3):
+            await old.play(("a = connect frames\n" if n == 1 else "") + asked(n, n, n) + LAUNCH % n
+                           + PASS % (n, n) + OK % n)
+        await old.play("a end\na closed\n")
+        new = await pair.start()
+        await pair.following(old, new)
+        old.program.leave()
+        await until(part(old).may_go, lambda: "still there")
+        await pair.end(old)
+        await gone(new)
+        claims = part(new).claims.theirs.values()
+        assert [claim.good for claim in claims] == [True] * 3
+
+    run(work, folder)
+
+
+# --- words that cross
+
+
+def test_words_of_two_operators_that_cross_leave_both_processes_of_one_mind(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old, new = await pair.start(admin=True), None
+        await pair.serving(old)
+        new = await pair.start(admin=True)
+        await pair.following(old, new)
+        one, other = old.program.serving, new.program.serving
+        assert one is not None and other is not None
+        one.fail()
+        other.ok()
+        await until(lambda: not one.failed and not other.failed, lambda: f"{one.failed}, {other.failed}")
+
+    run(work, folder)
+
+
+def test_two_that_both_leave_take_connections_also_after_their_channel_broke(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old, new = await pair.both()
+        new.program.leave()
+        old.program.leave()
+        await pair.serving(old)
+        await pair.serving(new)
+        after = part(old).after
+        assert after is not None
+        after.drop()
+        await until(lambda: part(old).after not in (None, after), lambda: "not joined again")
+        await until(lambda: part(old).life.after is After.READY, lambda: "not ready again")
+        await until(lambda: part(old).life.other_leaves and part(new).life.other_leaves, lambda: "not told")
+        await pair.serving(old)
+        await pair.serving(new)
+
+    run(work, folder)
+
+
+# --- the shared socket, and the folder
+
+
+def test_two_starts_of_a_listener_at_once_leave_one(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        one = await pair.start()
+        await pair.serving(one)
+        frames = one.program.frames
+        assert frames is not None
+        frames.pause()
+        await asyncio.gather(one.program._take_connections(), one.program._take_connections())
+        frames.pause()
+        assert len(frames._paused) == 2
+        with socket.create_connection(pair.shared.getsockname()):
+            await asyncio.sleep(0.05)
+            assert not frames.peers     # it waits in the queue, for whoever takes connections
+
+    run(work, folder)
+
+
+def test_a_listener_that_found_no_descriptor_is_made_again(
+    folder: Path, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def work(pair: Pair) -> None:
+        one = await pair.start(up=False)
+        frames = one.program.frames
+        assert frames is not None
+        start, failures = frames.start, [OSError(errno.EMFILE, "none left")] * 2
+
+        async def failing(host: str, port: int, fd: int | None = None) -> None:
+            if failures:
+                raise failures.pop()
+            await start(host, port, fd)
+
+        monkeypatch.setattr(frames, "start", failing)
+        await one.play(UP)
+        await pair.serving(one)
+        assert one.program.counters["handover.no_listener"] == 2
+
+    run(work, folder)
+
+
+@pytest.mark.parametrize("call", ["bind", "rename", "chmod"])
+def test_a_folder_without_room_for_the_socket_takes_it_later(
+    folder: Path, monkeypatch: pytest.MonkeyPatch, call: str,
+) -> None:
+    full = [OSError(errno.ENOSPC, "no room")] * 2
+    where = socket.socket if call == "bind" else os
+    real = getattr(where, call)
+
+    def failing(*args: object) -> object:
+        if full and "beechrock-" in str(args):
+            raise full.pop()
+        return real(*args)
+
+    monkeypatch.setattr(where, call, failing)
+
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        assert [name for name in os.listdir(folder) if name.startswith(".")] == []
+        await until(lambda: bool(os.listdir(folder)), lambda: "never listens")
+        new = await pair.start()
+        await pair.following(old, new)
+
+    run(work, folder)
+
+
+@pytest.mark.parametrize("call", ["listdir", "lstat"])
+def test_a_folder_that_cannot_be_read_now_is_not_taken_for_an_empty_one(
+    folder: Path, monkeypatch: pytest.MonkeyPatch, call: str,
+) -> None:
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        real, failures = getattr(os, call), [OSError(errno.EMFILE, "none left")] * 3
+
+        def failing(*args: object) -> object:
+            if failures:
+                raise failures.pop()
+            return real(*args)
+
+        monkeypatch.setattr(channel.os, call, failing)
+        new = await pair.start()
+        await pair.following(old, new)
+        assert new.program.counters["handover.unreachable"] == 3
+
+    run(work, folder)
+
+
+def test_the_older_process_is_known_whatever_the_wall_clock_says(
+    folder: Path, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    old = Channel(folder, "n")
+    stepped = time.time_ns() - 3600 * 10**9
+    monkeypatch.setattr(channel.time, "time_ns", lambda: stepped)
+    new = Channel(folder, "n")
+    # A version before this one named its socket by the Unix time; it is the oldest of all.
+    names = [f"beechrock-n-{stepped:020d}-1.sock", old.name, new.name, "beechrock-n-x-1.sock"]
+    with socket.socket(socket.AF_UNIX) as one, socket.socket(socket.AF_UNIX) as two, socket.socket(
+        socket.AF_UNIX
+    ) as three:
+        for sock, name in zip((one, two, three), names, strict=False):
+            sock.bind(str(folder / name))
+        assert new.older() == [old.name, names[0]] and old.older() == [names[0]]
+
+
+def test_a_caller_that_left_while_its_key_was_asked_for_gives_its_place_back(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        one = await pair.start()
+        ended: list[float | None] = []
+        request = request_of(1)
+        request.gone, request.ended = True, ended.append
+        one.program.module.turn_back(request, 0.3)
+        assert ended == [None]
+
+    run(work, folder)
