Settings that no decision can go by are refused by name; slots have a bound

Now a setting is finite, at most 1e12 and not below 0, or a SettingsError names its key; a slot lasts 10 ms at the least and there are 4,096 at most; the window of calls keeps its told length with a stride. A real node's tick is held to 1 to 20 ms.

--- a/beechrock/core/book.py
+++ b/beechrock/core/book.py
@@ -18,6 +18,9 @@
 from beechrock.policy import Node
 
 TICK_S = 0.004
+# The told tick is the simulator's. A real node's may be no longer, or all its answers were late: with drawn
+# settings a tick of a second; and no shorter, or it wakes for nothing.
+SHORTEST_TICK_S, LONGEST_TICK_S = 0.001, 0.02
 # Seen with bad clients at six times the rate under 32 MB: shares of the whole limit ended the node, as the
 # program itself takes half of it. These are shares of what is left.
 PROGRAM_MB = 18.0
@@ -44,7 +47,8 @@
         self, settings: api.Settings, clock: Callable[[], float], counters: Counters, memory_mb: float,
     ) -> None:
         self.settings, self.clock, self.counters = settings, clock, counters
-        self.wheel = Wheel(settings.tick_s or TICK_S, clock())
+        tick_s = min(max(settings.tick_s or TICK_S, SHORTEST_TICK_S), LONGEST_TICK_S)
+        self.wheel = Wheel(tick_s, clock())
         self.book: dict[int, Request] = {}          # by id, until answered and not running
         self.traces: dict[str, Request] = {}
         self.left_kb = 1024 * max(memory_mb - PROGRAM_MB, 0.25 * memory_mb)
--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 from beechrock import interface as api
-from beechrock.core.book import TICK_S, Book
+from beechrock.core.book import Book
 from beechrock.core.counters import Counters
 from beechrock.core.keys import KeyTable
 from beechrock.core.mailbox import Mailbox
@@ -51,7 +51,7 @@
         super().__init__(settings, clock, counters, memory_mb)
         self.seed = seed
         now = clock()
-        self.tick_s = settings.tick_s or TICK_S
+        self.tick_s = self.wheel.tick_s
         self.mailbox: Mailbox[Message] = Mailbox(MAILBOX)
         self.wake = self.mailbox.wake
         self.node = Node(settings, seed, now)
--- a/beechrock/policy/__init__.py
+++ b/beechrock/policy/__init__.py
@@ -5,7 +5,17 @@
 
 from beechrock import interface as api
 from beechrock.policy.admission import Admission
-from beechrock.policy.books import AT_CALL, DRAIN_MARGIN, HELD, IN_CALL, MEMORY_RUN, OVER, RUNNING, Job
+from beechrock.policy.books import (
+    AT_CALL,
+    DRAIN_MARGIN,
+    HELD,
+    IN_CALL,
+    MEMORY_RUN,
+    MOST_SLOTS,
+    OVER,
+    RUNNING,
+    Job,
+)
 from beechrock.policy.calls import Calls
 
 DRAIN_OPEN = 0.8         # share of the grace in which callers are wanted: what is full at once only idles
@@ -90,6 +100,8 @@
         self.calls.advance(passed, self.count[IN_CALL] / max(1.0, self.call_limit)
                            or self.count[AT_CALL] * (self.call_limit < 1))
         self.call_time_s += passed * (self.count[IN_CALL] + len(self.lingering) + self.other.calls)
+        # After a pause of hours all buckets have left long ago: further slots would only cost time.
+        self.slot_end = max(self.slot_end, now - MOST_SLOTS * self.slot_s)
         while now >= self.slot_end:
             self._shift()
         while self.lingering and self.lingering[0] <= now:
--- a/beechrock/policy/admission.py
+++ b/beechrock/policy/admission.py
@@ -129,7 +129,9 @@
     def _shift(self) -> None:
         """A slot ends: the front bucket leaves, a new one gets W_a = (r_t - lambda) T0; parts carry over."""
         self.slot_end += self.slot_s
-        self.call_times = [*self.call_times[1:], self.call_time_s]
+        self.slots += 1
+        if self.slots % self.call_stride == 0:
+            self.call_times = [*self.call_times[1:], self.call_time_s]
         self.lam += (self.arrivals / self.slot_s - self.lam) / LAMBDA_SLOTS
         self.arrivals, self.unread_s = 0.0, self.unread_s * 0.8
         self.failing *= math.exp(-self.slot_s / self.mean_aim)      # refusing, nothing is learnt
--- a/beechrock/policy/books.py
+++ b/beechrock/policy/books.py
@@ -7,6 +7,9 @@
 
 FIRST_OFFSET_S = 3.0     # d0 of the design; the told longest retry-after replaces it where that is shorter,
 OFFSET_AIMS = 0.6        # and this part of the mean aim: who stays away for longer comes back in a rush
+# Drawn settings: aims of 10 ms with a deadline of minutes made slots of 2 ms and 300,000 of them, and each is
+# copied at the end of each slot; a longest retry-after of 1 us would have taken gigabytes.
+SHORTEST_SLOT_S, MOST_SLOTS = 0.01, 4096
 STEPS = (3, 9, 21)       # slots: d0, so that T0 = d0 / 3, then 3 * 2^k further; N = 3, later is past any wait
 FEW = 16.0               # means forget over one mean aim, but on thin traffic not under so many samples
 TENANT_KEPT = 0.995      # of a tenant's part of the traffic at each arrival: averages over 200 of them
@@ -72,7 +75,7 @@
         self.mean_aim, self.mean_work, self.cores = s.mean_aim_s, 0.0, Meter(s.mean_aim_s)
         self.away_s = min(FIRST_OFFSET_S, s.max_retry_after_s or FIRST_OFFSET_S)
         self.d0 = min(self.away_s, OFFSET_AIMS * self.mean_aim)
-        self.slot_s, self.limit = self.d0 / STEPS[0], CROWDING * s.cores
+        self.slot_s, self.limit = max(self.d0 / STEPS[0], SHORTEST_SLOT_S), CROWDING * s.cores
         self.tokens, self.borrowed = self._buckets(), self._buckets()
         self.carry = self.arrivals = self.lam = self.peak_rate = self.run_s = self.read_s = 0.0
         self.tenants = [(t.share or 0.0) / (1 - TENANT_KEPT) for t in s.tenants]
@@ -84,12 +87,15 @@
             OPEN_CALLS[s.downstream is api.Downstream.TIER] * s.cores)
         self.call_limit, self.calls_from, self.call_fails, self.call_heard = self.most_calls, now, 0, now
         self.call_s = self.call_best = self.call_time_s = self.failing = 0.0    # failing: of the latest runs
-        self.call_times = [0.0] * (int((s.calls_over_s or 0.0) / self.slot_s) + 2)
+        # Call time at the ends of slots, back to the start of the told window; of so many slots just one.
+        self.call_stride = int((s.calls_over_s or 0.0) / self.slot_s / MOST_SLOTS) + 1
+        self.call_times = [0.0] * (int((s.calls_over_s or 0.0) / self.slot_s / self.call_stride) + 2)
+        self.slots = 0
         self.lingering: list[float] = []
         self.spent, self.periods = ([0.0] * len(s.tenants) for _ in range(2))   # in which budget period
 
     def _buckets(self) -> list[int]:
-        return [0] * (int(max(c.give_up_s for c in self.s.classes) / self.slot_s) + 1)
+        return [0] * min(int(max(c.give_up_s for c in self.s.classes) / self.slot_s) + 1, MOST_SLOTS)
 
     def _move(self, job: Job, phase: int, calls_left: float | None = None) -> None:
         """The one place where running totals follow a job's phase and the calls it still needs."""
--- a/beechrock/settings.py
+++ b/beechrock/settings.py
@@ -11,6 +11,9 @@
 E = TypeVar("E", bound=Enum)
 
 NEEDED = "a number above 0; no decision can do without"
+# No setting of the pages comes near it (seconds, kilobytes, requests). What is beyond, and what is not
+# finite, would only show later: as a sum of infinity, or as a list with a place for each of its parts.
+LARGEST = 1e12
 DOWNSTREAM = {"one_for_all": "shared"}
 GAUGES = {
     "cpu_busy": "cpu_busy",
@@ -26,23 +29,54 @@
 
 
 def _section(where: dict[str, Any], name: str) -> dict[str, Any]:
-    value = where.get(name)
-    if value is None:
-        return {}
+    value = where.get(name) or {}      # told as 0 or empty: nothing is told
     if not isinstance(value, dict):
         raise api.SettingsError("not an object", where=f"settings: {name}")
     return value
 
 
-def _num(where: dict[str, Any], name: str, at: str = "settings") -> float | None:
+def _list(where: dict[str, Any], name: str, at: str) -> list[Any]:
+    value = where.get(name) or []      # told as 0 or empty: there are none
+    if not isinstance(value, list):
+        raise api.SettingsError("not a list", where=f"{at}: {name}")
+    return value
+
+
+def _flag(where: dict[str, Any], name: str, default: bool) -> bool:
+    """Absent and null are the default; 0 is false. Seen: ``retryAfter`` told as 0 was taken as true."""
     value = where.get(name)
+    return default if value is None else bool(value)
+
+
+def _finite(value: object, at: str) -> float | None:
+    """A number that can be reckoned with, or None for null."""
     if value is None:
         return None
     if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise api.SettingsError(f"{value!r:.40} is not a number", where=f"{at}: {name}")
+        raise api.SettingsError(f"{value!r:.40} is not a number", where=at)
+    if not -LARGEST <= value <= LARGEST:    # so is NaN, which is in no order with anything
+        raise api.SettingsError(f"{value!r:.40} is out of all proportion", where=at,
+                                wanted=f"a number of at most {LARGEST:g}")
     return float(value)
 
 
+def _num(where: dict[str, Any], name: str, at: str = "settings") -> float | None:
+    """A time, size, count or part; there is none below 0.
+
+    Seen with drawn settings: a worth of -1 made the gate's root complex, a longest retry-after of -1 a slot
+    that never ends, and both showed with the first request only.
+    """
+    value = _finite(where.get(name), f"{at}: {name}")
+    if value is not None and value < 0:
+        raise api.SettingsError(f"{value:g} is below 0", where=f"{at}: {name}", wanted="0 or more")
+    return value
+
+
+def _record(where: dict[str, Any], name: str) -> float | None:
+    """A number that is kept for records alone, so that any will do."""
+    return _finite(where.get(name), f"settings: {name}")
+
+
 def _need(where: dict[str, Any], name: str, at: str = "settings") -> float:
     value = _num(where, name, at)
     if value is None or value <= 0:
@@ -50,6 +84,14 @@
     return value
 
 
+def _whole(where: dict[str, Any], name: str, at: str = "settings") -> int:
+    """A count without which nothing runs. Seen: half a core was taken as none, and divided by."""
+    value = _need(where, name, at)
+    if value < 1:
+        raise api.SettingsError(f"{value:g} is under 1", where=f"{at}: {name}", wanted="1 or more")
+    return int(value)
+
+
 def _count(where: dict[str, Any], name: str) -> int | None:
     value = _num(where, name)
     return None if value is None else int(value)
@@ -63,8 +105,8 @@
         return default
 
 
-def _at(values: object, place: int) -> Any:
-    return values[place] if isinstance(values, list) and place < len(values) else None
+def _at(values: list[Any], place: int) -> Any:
+    return values[place] if place < len(values) else None
 
 
 def _class(entry: object, place: int, extra: dict[str, Any]) -> api.ClassSettings:
@@ -72,8 +114,8 @@
         raise api.SettingsError("not an object", where=f"settings: grades[{place}]")
     at = f"settings: grades[{place}]"
     worth, price = _num(entry, "worth", at), _num(entry, "price", at)
-    calls = _at(extra.get("classCalls"), place)
-    skip = _at(extra.get("classSkipWorth"), place)
+    calls = _at(_list(extra, "classCalls", "settings: extra"), place)
+    skip = _at(_list(extra, "classSkipWorth", "settings: extra"), place)
     return api.ClassSettings(
         aim_s=_need(entry, "promiseS", at),
         give_up_s=_need(entry, "giveUpS", at),
@@ -83,7 +125,7 @@
         window_s=_num(entry, "windowS", at),
         aim_stretch=_num(entry, "aimStretch", at),
         calls=None if calls is None else bool(calls),
-        skip_worth=None if skip is None else float(skip),
+        skip_worth=_num({"classSkipWorth": skip}, "classSkipWorth", "settings: extra"),
         name=str(entry.get("name") or ""),
         price=1.0 if price is None else price,
         gone=bool(entry.get("gone")),
@@ -122,25 +164,23 @@
     grades = told.get("grades")
     if not isinstance(grades, list) or not grades:
         raise api.SettingsError("missing or empty", where="settings: grades", wanted="a list of classes")
-    tenants = told.get("tenants") or []
-    if not isinstance(tenants, list):
-        raise api.SettingsError("not a list", where="settings: tenants")
+    tenants = _list(told, "tenants", "settings")
     word = extra.get("downstream")
     below = _word(api.Downstream, DOWNSTREAM.get(str(word), word), api.Downstream.NONE)
     # A tier protects itself with the same decisions: the figure is 0 there and means nothing. Seen at a site
     # with a tier: taken as 'no call survives', every call was given up, and so was each class that must call.
     shared = below is api.Downstream.SHARED
     settings = api.Settings(
-        cores=int(_need(extra, "cpus")),
+        cores=_whole(extra, "cpus"),
         memory_kb=_need(extra, "memLimitKb"),
         classes=tuple(_class(entry, place, extra) for place, entry in enumerate(grades)),
         tenants=tuple(_tenant(entry, place) for place, entry in enumerate(tenants)),
         over_share_worth=_num(told, "overShareWorth"),
         worth_by_work=told.get("worthBy") == "work",
-        mix_whole=_num(mix, "whole"),
-        mix_worst_window=_num(mix, "worstWindow"),
-        mix_worst_class=_num(mix, "worstClass"),
-        mix_worst_tenant=_num(mix, "worstTenant"),
+        mix_whole=_record(mix, "whole"),
+        mix_worst_window=_record(mix, "worstWindow"),
+        mix_worst_class=_record(mix, "worstClass"),
+        mix_worst_tenant=_record(mix, "worstTenant"),
         run_factor=_num(extra, "runFactor"),
         key_kb=_num(extra, "keyKb"),
         cold_start=bool(extra.get("freshStart")),
@@ -156,7 +196,7 @@
         stop_mode=_word(api.StopMode, extra.get("stopMode"), api.StopMode.NONE),
         say=_word(api.Say, extra.get("say"), api.Say.NONE),
         heard_for_s=_num(extra, "heardForS"),
-        retry_after=limits.get("retryAfter") is not False,
+        retry_after=_flag(limits, "retryAfter", True),
         max_retry_after_s=_num(limits, "maxRetryAfterS"),
         downstream=below,
         calls_share=_num(extra, "depShare") if shared else None,
@@ -168,11 +208,10 @@
         callers=_count(extra, "callers"),
         fleet_size=_count(told, "fleetSize"),
         tick_s=_num(told, "tickS"),
-        price_waste=_num(prices, "waste"),
-        price_late_fail=_num(prices, "lateFail"),
-        price_call=_num(prices, "origin"),
-        price_connection=_num(prices, "connection"),
-        price_handshake=_num(prices, "handshake"),
+        price_waste=_record(prices, "waste"),
+        price_late_fail=_record(prices, "lateFail"),
+        price_call=_record(prices, "origin"),
+        price_connection=_record(prices, "connection"),
+        price_handshake=_record(prices, "handshake"),
     )
-    names = extra.get("ownStats")
-    return settings, tuple(str(name) for name in names) if isinstance(names, list) else ()
+    return settings, tuple(str(name) for name in _list(extra, "ownStats", "settings: extra"))
