Connections: the look and the close are one step, and evicted ones end in order

Seen in probes over loopback sockets: a connection found idle was closed some turns of the loop later, and a request read in between was thrown away; an evicted one was aborted, so a request that crossed the close met a reset; whole requests behind the sixteenth bad one, or unread on a stale connection, got no answer; a request that came slowly and steadily was cut off after 2.5 s.

Ruled out: the choice of whom to end (connections/table.py) already asks the kernel for unread bytes; only what came after that look was lost.

Now Peer.shut looks and ends our side without a turn of the loop between; Peer.end goes on reading and answering until that can be done. Evicted connections linger until the other side ends, at most 1/16 of the places. While something comes, a message has 8 s to come whole.

--- a/beechrock/connections/table.py
+++ b/beechrock/connections/table.py
@@ -136,12 +136,14 @@
     return max(c.spoke_at + idle_s, min(expected_until(c), c.spoke_at + max(callers_idle_s, idle_s)))
 
 
-def ends_at_sweep(c: Connection, silent: int, now: float, idle_s: float, callers_idle_s: float) -> End | None:
+def ends_at_sweep(
+    c: Connection, silent: float, now: float, idle_s: float, callers_idle_s: float,
+) -> End | None:
     """Whether a sweep ends it; ``silent`` counts those without anything whole, idle times of 0 mean never."""
     if c.closing:
         return None
-    if silent > SILENT_SWEEPS:
-        return End.STALE
+    if silent > SILENT_SWEEPS:      # on a loop that lags its message may lie there whole
+        return None if c.input_waits() else End.STALE
     if not idle_s or c.owes() or now <= idle_until(c, idle_s, callers_idle_s) or c.input_waits():
         return None
     return End.IDLE
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -23,6 +23,7 @@
 MOST_ASK = 16_384       # a request with every field and the longest body is far below; more is never stored
 MOST_BAD = 16           # requests that cannot be served, after which a connection ends
 MAILBOX = 4096
+SLOW_PART = 0.25        # what a sweep counts in which a part of a message came; a whole one has 8 s to come
 MOST_GAPS = 512         # stream numbers remembered one by one above the highest that are known as a whole
 MOST_WAITING = 32       # health checks that wait for real work, over all connections
 
@@ -112,7 +113,7 @@
         self.skipping = self.bad = 0    # bytes still to come of a frame that is too long; bad requests so far
         self.open: dict[int, Request | None] = {}      # None: a health check that waits for work
         self.streams = Streams()
-        self.spoke_at, self.silent = self.module.clock(), 0     # sweeps without anything whole
+        self.spoke_at, self.silent = self.module.clock(), 0.0   # sweeps without anything whole
 
     def parse(self) -> None:
         while not self.closing:
@@ -137,7 +138,7 @@
                 return
             self.inbox.skip(HEAD.size)
             payload = self.inbox.read(length - LEAST)
-            self.uses, self.silent, self.spoke_at, self.back_at = self.uses + 1, 0, self.module.clock(), 0.0
+            self.uses, self.silent, self.spoke_at, self.back_at = self.uses + 1, 0.0, self.module.clock(), 0.0
             self._frame(kind, stream, payload)
 
     def _frame(self, kind: int, stream: int, payload: bytes) -> None:
@@ -161,8 +162,11 @@
         self.counters.add("intake.frames_bad")
         self.post(Reply(ANSWER, stream, FAILED, body=problem.encode()))
         self.bad += 1
-        if self.bad >= MOST_BAD:
-            raise BadInputError(f"{self.bad} bad requests")
+        if self.bad == MOST_BAD:    # whole requests may stand behind it, and those can be understood
+            self.counters.add("intake.frames_malformed")
+            self.post(Reply(ANSWER, 0, FAILED, body=f"{self.bad} bad requests".encode()))
+            self.post(Reply(NO_MORE))
+            self.end()
 
     def _too_long(self, kind: int, stream: int, length: int) -> None:
         if kind != ASK or not stream or not self.streams.use(stream):
@@ -311,18 +315,20 @@
     def look_at(self, peer: FramesPeer, now: float) -> None:
         """End what says nothing, or nothing whole, and what carried nothing for as long as callers keep it.
 
-        Seen on a rough day: half a request was waited for for 10 s, and who said nothing for ever.
+        Seen on a rough day: half a request was waited for for 10 s, and who said nothing for ever. Seen in a
+        probe: one that came slowly and steadily was cut off with those.
         """
-        peer.silent += not peer.uses or len(peer.inbox) > 0 or peer.skipping > 0
+        if not peer.uses or len(peer.inbox) or peer.skipping:
+            peer.silent += 1.0 if peer.received == peer.received_then else SLOW_PART
+        peer.received_then = peer.received
         callers_s = self.module.settings.idle_s or 0.0
         match ends_at_sweep(peer, peer.silent, now, self.module.idle_s or callers_s, callers_s):
             case End.STALE:
                 self.module.counters.add("intake.frames_stale")
                 peer.bad_input("nothing whole came in time")
-                peer.finish()
-            case End.IDLE:
+                peer.end()
+            case End.IDLE if not len(peer.inbox) and peer.shut():
                 self.module.counters.add("intake.frames_idle")
-                peer.finish()
 
     def leave(self) -> None:
         """Ask for no new requests on any connection, those to come included; go on reading all the same."""
--- a/beechrock/net/front.py
+++ b/beechrock/net/front.py
@@ -9,6 +9,7 @@
 
 P = TypeVar("P", bound=Peer[Any])
 SWEEP_S = 0.5
+LINGERING_PART = 16     # 1 / this of the places: connections ended for others that still hold a descriptor
 
 
 class Front(Generic[P]):
@@ -22,6 +23,7 @@
         self.server: asyncio.Server | None = None
         self._sweeping = False
         self._paused: list[asyncio.Server] = []
+        self._lingering: dict[P, None] = {}     # ended for others, oldest first; read until the other end
 
     # What a kind of front adds.
 
@@ -37,6 +39,10 @@
         """A connection is over: nobody waits any more for what is open on it."""
         raise NotImplementedError
 
+    def dismiss(self, peer: P) -> bool:
+        """End a connection with nothing open on it and nothing unread; False if it has such."""
+        return peer.shut()
+
     def look_at(self, peer: P, now: float) -> None:
         """At each sweep: end a connection that does not do what it is for."""
 
@@ -84,6 +90,7 @@
             await peer.serve(reader, writer)
         finally:
             self.peers.discard(peer)
+            self._lingering.pop(peer, None)
             self.ended(peer)
 
     def _make_room(self) -> bool:
@@ -94,10 +101,24 @@
         room, least = room_for_one(self.peers, self.most, self.module.clock())
         if least is not None:
             self.module.counters.add(f"intake.{self.where}_evicted")
-            self.peers.discard(least)
-            least.drop()
+            self._evict(least)
         return room is not Room.NONE
 
+    def _evict(self, peer: P) -> None:
+        """End a connection that owes nothing, in order: what crosses our end is read, so nothing is reset.
+
+        Its descriptor is free once the other side has ended it too; only the oldest of many are cut off.
+        """
+        self.peers.discard(peer)
+        if peer.closing or not self.dismiss(peer):
+            peer.drop()
+            return
+        self._lingering[peer] = None
+        while len(self._lingering) > max(1, self.most // LINGERING_PART):
+            oldest = next(iter(self._lingering))
+            del self._lingering[oldest]
+            oldest.drop()
+
     def _sweep(self) -> None:
         now = self.module.clock()
         for peer in self.peers:
@@ -106,6 +127,6 @@
             if peer.unread > UNREAD_SWEEPS:     # its descriptor and its answers would be held for ever
                 self.module.counters.add(f"intake.{self.where}_unread")
                 peer.drop()
-            elif not peer.closing:
+            elif not (peer.closing or peer.ending):
                 self.look_at(peer, now)
         self.module.wheel.at(now + SWEEP_S, self._sweep)
--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -59,12 +59,14 @@
         self.inbox, self.outbox = RingBuffer(most_in), RingBuffer(most_out)
         self.mailbox: Mailbox[T] = Mailbox(mailbox)
         self.closing = False    # read no more messages; close once ``settled``
+        self.ending = False     # close once ``settled`` and nothing read or unread waits; until then go on
         self.lost = self.broken = False
         self.flushed = True     # all messages so far are written
         self.written = self.written_then = self.unread = 0  # bytes; at the last sweep; sweeps without any
+        self.received = self.received_then = 0  # chunks; at the last sweep
         # For ``connections/table.py``; of whole messages how many came, and when the last one did.
         self.uses, self.opened_at, self.spoke_at, self.back_from, self.back_at = 0, 0.0, 0.0, 0.0, 0.0
-        self.turned = False
+        self.turned = self._shut = False    # ``_shut``: our end of the stream is closed, nothing may follow
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
@@ -109,7 +111,7 @@
     # The actor.
 
     def post(self, message: T) -> bool:
-        if self.lost:
+        if self.lost or self._shut:
             return False
         if self.mailbox.put(message):
             self.flushed = False
@@ -122,6 +124,30 @@
         self.closing = True
         self.mailbox.wake()
 
+    def end(self) -> None:
+        """Close at the first moment at which nothing is owed and nothing that came is unread.
+
+        Until then messages are read and answered as ever, as what was written before our close is ours.
+        """
+        self.ending = True
+        self.mailbox.wake()
+
+    def shut(self) -> bool:
+        """Send our end of the stream now, unless something is owed or waits to be read; whether it was sent.
+
+        Seen in a probe: a connection was found idle, and closed some turns of the loop later; a request that
+        was read in between was thrown away. So the look and the close are one step, with nothing between.
+        """
+        if self._writer is None or self.closing or self.owes() or len(self.outbox) or self.input_waits():
+            return False
+        try:
+            self._write_end(self._writer)
+        except OSError:     # the other side has reset it; nobody waits for anything here
+            self.drop()
+            return True
+        self.finish()
+        return True
+
     def drop(self) -> None:
         """End the connection at once, whatever is open on it."""
         self.closing = self.broken = True
@@ -159,6 +185,7 @@
     async def _receive(self, reader: asyncio.StreamReader) -> None:
         try:
             while data := await reader.read(CHUNK):
+                self.received += 1
                 if self.broken:
                     return
                 if self.closing:
@@ -177,6 +204,8 @@
                     self.counters.add(f"intake.{self.where}_malformed")
                     self.bad_input(str(error))
                     self.finish()
+                if self.ending:
+                    self.mailbox.wake()
                 while not self.closing and self._crowded():     # who does not read is not read from
                     await asyncio.sleep(0.01)
             if not self.closing:
@@ -204,14 +233,20 @@
                     self.outbox.write(data)
                 await self._flush(writer)
                 self.flushed = not len(self.mailbox)
+                if self.ending:
+                    self.shut()
                 if self.closing and self.settled() and not len(self.mailbox):
-                    if writer.can_write_eof():
-                        writer.write_eof()
+                    self._write_end(writer)
                     return
         except (ConnectionError, OSError, TimeoutError) as error:
             error.__traceback__ = None
             self.counters.add(f"sent.{self.where}_resets")
 
+    def _write_end(self, writer: asyncio.StreamWriter) -> None:
+        self._shut = True
+        if writer.can_write_eof():
+            writer.write_eof()
+
     async def _flush(self, writer: asyncio.StreamWriter) -> None:
         while len(self.outbox):
             data = self.outbox.read(CHUNK)
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,110 @@
+"""Connections that the node ends, and requests that come in that moment."""
+
+from callers import Caller, request, turns
+from play import Stand, run, until
+
+from beechrock.net.frames import CHECK, MOST_BAD, FramesFront, FramesPeer, frame
+
+CHECK_1, CHECK_2 = (frame(CHECK, stream, b"\0") for stream in (1, 2))
+
+
+async def node(stand: Stand, callers: int = 1) -> tuple[FramesFront, list[Caller]]:
+    """A node, and connections that each carried a check."""
+    await stand.open()
+    front = stand.program.frames
+    assert front is not None and front.server is not None
+    found = []
+    for _ in range(callers):
+        caller = Caller(front.server.sockets[0].getsockname()[:2])
+        caller.send(CHECK_1)
+        await caller.answered()
+        found.append(caller)
+    return front, found
+
+
+def test_an_idle_connection_is_closed_in_one_step_that_no_request_comes_between() -> None:
+    async def work(stand: Stand) -> None:
+        front, [before, after] = await node(stand, 2)
+        stand.program.module.idle_s = 1.0
+        stand.now += 1.1
+        before.send(CHECK_2)    # written, and unread by the node as it looks
+        front._sweep()
+        after.send(CHECK_2)     # written right after the look, in the same turn of the loop
+        await before.answered()
+        await after.closed()
+
+    run(work)
+
+
+def test_a_connection_that_gives_its_place_is_closed_in_order_and_not_reset() -> None:
+    async def work(stand: Stand) -> None:
+        front, [first] = await node(stand)
+        front.most = 1
+        assert front._make_room() and not front.peers
+        first.send(CHECK_2)     # crosses the close
+        await turns(10)
+        await first.closed()    # and resets nothing
+        assert len(front._lingering) == 1
+        first.socket.close()
+        await until(lambda: not front._lingering, lambda: "it is still held")
+
+    run(work)
+
+
+def test_those_that_gave_their_place_hold_few_descriptors() -> None:
+    async def work(stand: Stand) -> None:
+        front, callers = await node(stand, 4)
+        for most in (3, 2, 1):
+            front.most = most
+            assert front._make_room()
+        assert len(front._lingering) == 1
+        await until(lambda: sum(c.answers() == c.owed and c.ended for c in callers) == 3, lambda: "open")
+        assert not any(caller.reset for caller in callers)
+
+    run(work)
+
+
+def test_who_brings_many_bad_requests_is_closed_after_the_good_ones_behind_them() -> None:
+    async def work(stand: Stand) -> None:
+        _, [caller] = await node(stand)
+        bad = b"".join(request(stream, route="dance") for stream in range(2, MOST_BAD + 3))
+        caller.send(bad + frame(CHECK, 40, b"\0") + request(41))
+        stand.now += 10.0       # the good one is refused once it is due
+        await caller.closed()
+
+    run(work)
+
+
+def test_what_lies_there_unread_is_not_stale() -> None:
+    async def work(stand: Stand) -> None:
+        front, _ = await node(stand, 0)
+        assert front.server is not None
+        caller = Caller(front.server.sockets[0].getsockname()[:2])
+        await until(lambda: bool(front.peers), lambda: "no connection")
+        [peer] = front.peers
+        assert isinstance(peer, FramesPeer)
+        await turns(5)
+        peer.silent = 9.0
+        caller.send(CHECK_1)
+        front._sweep()
+        await caller.answered()
+        assert not peer.ending
+
+    run(work)
+
+
+def test_a_request_that_comes_slowly_and_steadily_is_served_and_half_of_one_is_not_awaited() -> None:
+    async def work(stand: Stand) -> None:
+        front, [slow, half] = await node(stand, 2)
+        data = frame(CHECK, 2, b"\0")
+        half.socket.sendall(data[:3])
+        for at in range(len(data)):
+            before = sum(peer.received for peer in front.peers)
+            slow.send(data[at:at + 1])
+            await until(lambda before=before: sum(p.received for p in front.peers) > before, lambda: "unread")
+            front._sweep()
+        slow.owed[5, 2] += 1
+        await slow.answered()
+        await half.closed()
+
+    run(work)
