--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -108,3 +108,14 @@
         await half.closed()
 
     run(work)
+
+
+def test_what_came_before_an_end_that_was_asked_for_is_answered() -> None:
+    async def work(stand: Stand) -> None:
+        front, [caller] = await node(stand)
+        [peer] = front.peers
+        caller.send(CHECK_2)
+        peer.end()
+        await caller.closed()
+
+    run(work)
