--- a/beechrock/core/book.py
+++ b/beechrock/core/book.py
@@ -183,8 +183,11 @@
         if self.tracer is not None:
             self.tracer.taken(now, request, self._team(request))
         self.book[request.id] = self.traces[request.trace] = request
+        # Where a step of the wall clock leaves the birth in doubt, the module counts from the latest. By the
+        # earliest, all that was read within 2 s of a step back by 2 s was refused, as past its aim, and keys
+        # were forgotten 2 s early. The due time is held by ``overdue`` below.
         events.append(api.Arrived(api.Request(
-            id=request.id, klass=request.klass, kb=request.kb, waited_s=max(0.0, now - request.born),
+            id=request.id, klass=request.klass, kb=request.kb, waited_s=max(0.0, now - request.latest),
             repeats=first.id if first is not None else None,
             key=_number(request.entity), tenant=self._tenant(request), caller=request.caller,
             rank=request.rank, retry=request.retry, write=settings.effect is not api.Effect.SAFE,
@@ -211,7 +214,8 @@
         overdue, self.overdue = self.overdue, []
         for request in overdue:
             if not request.answered and not request.gone and not request.over:
-                self.counters.add("trouble.overdue")
+                # The module was told of a later birth than the one that the due time counts from.
+                self.counters.add("clock.cut_short" if request.later_s else "trouble.overdue")
                 self._answer(request, Answer(Verdict.FAILED, b"out of time"), now)
 
     # --- run, and over
@@ -272,12 +276,7 @@
     # --- kept, and answered
 
     def _keep(self, request: Request, until: float, now: float) -> bool:
-        """Remember a request, here and in the other process of this node.
-
-        A request that crossed a step of the wall clock may have been born later than it is counted from.
-        Without ``later_s`` its key was forgotten early by the step, and a repeat within the window ran.
-        """
-        until += request.later_s
+        """Remember a request, here and in the other process of this node."""
         if not self.keys.keep(request, until, now):
             self.counters.add("trouble.keys_full")
             return False
--- a/beechrock/core/requests.py
+++ b/beechrock/core/requests.py
@@ -79,6 +79,11 @@
         """The first moment at which it may have been born: what it repeats is looked up as of then."""
         return self.born - self.earlier_s
 
+    @property
+    def latest(self) -> float:
+        """The last moment at which it may have been born: a key that it opens is kept from then."""
+        return self.born + self.later_s
+
 
 class Work(Protocol):
     """Those who run requests: the agent, or servers that speak SCGI. They report to the module's actor."""
--- a/beechrock/handover/channel.py
+++ b/beechrock/handover/channel.py
@@ -34,6 +34,7 @@
     """Whoever hears what comes over a channel."""
 
     counters: Counters
+    origin_s: float     # what its steady time is ahead of the monotonic clock, which both processes share
 
     def heard(self, peer: "ChannelPeer", message: wire.Message) -> None:
         """One message, in the order in which they were told."""
@@ -57,14 +58,15 @@
                     return
                 self.inbox.skip(4)
                 number = self.inbox.read(1)[0]
-                self.owner.heard(self, wire.decode(number, self.inbox.read(size - 1)))
+                message = wire.decode(number, self.inbox.read(size - 1))
+                self.owner.heard(self, wire.shifted(message, self.owner.origin_s))
         except wire.WireError as error:
             raise BadInputError(str(error)) from None
         if self.strange:
             self.inbox.skip(len(self.inbox))
 
     def encode(self, message: wire.Message) -> bytes:
-        return wire.encode(message)
+        return wire.encode(wire.shifted(message, -self.owner.origin_s))
 
     def tell(self, message: wire.Message) -> bool:
         """Whether the other process will read this even if this one is killed now."""
@@ -76,7 +78,7 @@
         if writer.transport.get_write_buffer_size():
             self.post(message)
             return False
-        writer.write(wire.encode(message))
+        writer.write(self.encode(message))
         return writer.transport.get_write_buffer_size() == 0
 
     def bad_input(self, problem: str) -> None:
--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
+from beechrock import clocks
 from beechrock.core.module import ModuleActor
 from beechrock.core.requests import Request
 from beechrock.handover import wire
@@ -29,9 +30,10 @@
 
     def __init__(
         self, module: ModuleActor, folder: Path | None, node: str, connections: Callable[[], int],
+        origin_s: float = clocks.ORIGIN_S,
     ) -> None:
         super().__init__(module)
-        self.connections = connections
+        self.connections, self.origin_s = connections, origin_s
         self.life = Life()
         self.channel = Channel(folder, node) if folder is not None else None
         self.waiting: list[ChannelPeer] = []        # successors that are still to be heard
@@ -196,7 +198,8 @@
                 self.counters.set("handover.claims_copied", len(self.claims.theirs))
                 for request in [r for asked in self.claims.asked.values() for r in asked.tries]:
                     key = key_of(request)     # of a channel before this one
-                    self.claims.out.append(wire.Ask(key, request.digest, request.born, self.until(request)))
+                    self.claims.out.append(
+                        wire.Ask(key, request.digest, request.earliest, self.until(request)))
                 self.flush()
                 self.changed()
                 self.pulse()
--- a/beechrock/handover/partner.py
+++ b/beechrock/handover/partner.py
@@ -38,8 +38,8 @@
     def want(self, request: Request) -> bool:
         if self._idle():
             return True
-        answer = self.claims.want(key_of(request), request.digest, request.born, self.until(request), request,
-                                  self.module.clock())
+        answer = self.claims.want(key_of(request), request.digest, request.earliest, self.until(request),
+                                  request, self.module.clock())
         self.flush()
         if answer is Answer.GO and key_of(request) in self.claims.mine:
             request.granted = True
@@ -49,13 +49,13 @@
 
     def until(self, request: Request) -> float:
         c = self.module.settings.classes[request.klass]
-        return request.born + (c.window_s or c.give_up_s)
+        return request.latest + (c.window_s or c.give_up_s)
 
     def find(self, request: Request) -> Request | None:
         if self._idle():
             return None
         key = key_of(request)
-        claim = self.claims.find(key, request.born)
+        claim = self.claims.find(key, request.earliest)
         if claim is None:
             return None
         of, first = self.firsts.get(key, (None, None))
@@ -116,7 +116,7 @@
             if key in self.claims.mine:
                 request.granted = True
                 self._again(request)
-            elif self.claims.find(key, request.born) is not None:
+            elif self.claims.find(key, request.earliest) is not None:
                 self._again(request)
             else:   # the other knows of a claim that here is over, by a hair
                 self.back(request)
--- a/beechrock/handover/wire.py
+++ b/beechrock/handover/wire.py
@@ -4,14 +4,17 @@
 
 ``Hello`` comes first from both ends, and is the one message that no version may change: a magic word and a
 version. A process that meets another version reads nothing after it.
+
+Times on the wire are seconds of the monotonic clock that all processes of a machine share (version 1: Unix
+seconds, which a step of the wall clock between two starts would have shifted).
 """
 
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 MAGIC = b"beechrock"
-VERSION = 1
+VERSION = 2
 HEAD = struct.Struct(">IB")
 MOST_RESULT = 65_536        # a longer result is not passed on: its repeats fail
 MOST = MOST_RESULT + 512
@@ -153,6 +156,17 @@
     return HEAD.pack(1 + len(payload), number) + payload
 
 
+def shifted(message: Message, by_s: float) -> Message:
+    """The same message with its times on a clock that is ``by_s`` ahead."""
+    match message:
+        case Claimed():
+            return replace(message, until=message.until + by_s)
+        case Ask():
+            return replace(message, born=message.born + by_s, until=message.until + by_s)
+        case _:
+            return message
+
+
 def length(head: bytes) -> int:
     """Of what follows the head's four bytes of length. WireError where no message is so long."""
     size = int.from_bytes(head[:4], "big")
--- a/beechrock/program.py
+++ b/beechrock/program.py
@@ -53,11 +53,12 @@
         self, told: config.Config, clock: Callable[[], float] = clocks.steady,
         again: "Callable[[config.Config], config.Config] | None" = None,
         stamp: Callable[[], tuple[int, ...]] = tuple, seen: tuple[int, ...] = (),
-        unix_clock: Callable[[], float] = clocks.unix,
+        unix_clock: Callable[[], float] = clocks.unix, origin_s: float = clocks.ORIGIN_S,
     ) -> None:
         self.told, self.again = told, again     # ``again`` reads the configuration once more
         self.stamp, self.seen = stamp, seen     # of the configuration's file, now and when it was read
         self.seen_changed = seen                # and when it was looked at last
+        self.origin_s = origin_s                # of ``clock``, as in ``clocks``
         self.counters = Counters()
         # Where processes follow one another, two of them share the node's memory for a while.
         memory_mb = told.memory_mb / (2 if told.listen_fd is not None else 1)
@@ -107,7 +108,8 @@
         assert self.frames is not None and self.told.listen is not None
         node = "{}_{}".format(*self.told.listen)
         frames = self.frames
-        self.handover = Handover(self.module, self.told.handover, node, lambda: len(frames.peers))
+        self.handover = Handover(
+            self.module, self.told.handover, node, lambda: len(frames.peers), self.origin_s)
         self.module.partner = self.handover
         self.handover.changed = self._steer
 
--- a/tests/pair.py
+++ b/tests/pair.py
@@ -33,8 +33,8 @@
         self.folder, self.shared = folder, shared
         self.stands: list[Stand] = []
 
-    async def start(self, up: bool = True, admin: bool = False) -> Stand:
-        stand = Stand()
+    async def start(self, up: bool = True, admin: bool = False, stand: Stand | None = None) -> Stand:
+        stand = stand or Stand()
         self.stands.append(stand)
         await stand.open(admin=admin, listen=self.shared.getsockname(), listen_fd=self.shared.fileno(),
                          handover=self.folder)
--- a/tests/play.py
+++ b/tests/play.py
@@ -128,7 +128,8 @@
     """A node and all that it talks to."""
 
     def __init__(self) -> None:
-        self.now, self.step_s = START, 0.0      # steady time, and what the wall clock is ahead of it
+        # Steady time, what the wall clock is ahead of it, and it of the monotonic clock that processes share.
+        self.now, self.step_s, self.origin_s = START, 0.0, START
         self.wires: dict[str, Wire] = {}
         self.links: dict[str, asyncio.Queue[Wire]] = {}
         self.servers: dict[str, asyncio.Server] = {}
@@ -158,7 +159,7 @@
         if generation:
             self.told = replace(self.told, raw=settings)
         self.program = Program(self.told, clock=lambda: self.now, again=self.again,
-                               unix_clock=lambda: self.now + self.step_s)
+                               unix_clock=lambda: self.now + self.step_s, origin_s=self.origin_s)
         await self.program.start()
 
     def take_up(self, name: str) -> None:
--- a/tests/test_handover_faults.py
+++ b/tests/test_handover_faults.py
@@ -39,14 +39,15 @@
     run(work, folder)
 
 
-def test_a_successor_of_another_version_is_left_the_socket(folder: Path) -> None:
+@pytest.mark.parametrize("version", [1, 99])     # 1: times on the wire were Unix times
+def test_a_successor_of_another_version_is_left_the_socket(folder: Path, version: int) -> None:
     async def work(pair: Pair) -> None:
         old = await pair.start()
         await pair.serving(old)
         handover = old.program.handover
         assert handover is not None and handover.channel is not None and old.program.frames is not None
         reader, writer = await asyncio.open_unix_connection(str(folder / handover.channel.name))
-        writer.write(wire.encode(wire.Hello(99)) + b"\xff" * 100)
+        writer.write(wire.encode(wire.Hello(version)) + b"\xff" * 100)
         await until(lambda: any(peer.strange for peer in handover.waiting), lambda: "not seen")
         assert (await reader.read(100)) == wire.encode(wire.Hello())
         old.program.leave()
