--- a/beechrock/program.py
+++ b/beechrock/program.py
@@ -65,7 +65,7 @@
         self.module = ModuleActor(told.settings, told.seed, clock, self.counters, memory_mb, unix_clock)
         self.recorder: Recorder | None = None
         if told.trace is not None:
-            self._record(told.trace, clock)
+            self._record(told.trace, clock, unix_clock)
         self.tasks: list[asyncio.Task[None]] = []
         self.leaving = asyncio.Event()
         # Front ends use up to half of the descriptors; the agent, the ledger and SCGI share the rest.
@@ -173,14 +173,17 @@
         self.context = parts.Context(self.told.name, self.told.seed, self.counters, self.module, self)
         self.parts = parts.begin(told, self.context)
 
-    def _record(self, told: config.Trace, clock: Callable[[], float]) -> None:
+    def _record(
+        self, told: config.Trace, clock: Callable[[], float], unix_clock: Callable[[], float],
+    ) -> None:
         from beechrock.trace.flow import Rules
         from beechrock.trace.recorder import Recorder
 
         rules = Rules(flush_s=told.flush_s, segment_bytes=int(told.segment_mb * 2**20),
                       segment_s=told.segment_s, most_bytes=int(told.most_mb * 2**20))
         self.recorder = Recorder(
-            told.folder, self.told.name, self.counters, clock, rules, told.sample, told.key)
+            told.folder, self.told.name, self.counters, clock, rules, told.sample, told.key,
+            unix_clock)
         self.module.trace(self.recorder)
 
     def _speak_scgi(self, told: config.Scgi) -> Work:
--- a/beechrock/trace/recorder.py
+++ b/beechrock/trace/recorder.py
@@ -2,6 +2,10 @@
 
 On the loop a batch costs one entry that holds the module's own events and actions; they are immutable, and
 become rows in the writing thread. Bodies are never written. Subjects may be hashed with a key before that.
+
+Times are the node's own, as the module decided by them: monotonic, and Unix time as it was when the process
+started. A step of the wall clock moves none of them; each file's header says how far the wall clock was ahead
+(``unix_ahead_s``) when the file was opened.
 """
 
 import asyncio
@@ -14,6 +18,7 @@
 import blake3
 import xxhash
 
+from beechrock import clocks
 from beechrock import interface as api
 from beechrock.core.counters import Counters
 from beechrock.core.requests import Answer, Request
@@ -25,7 +30,6 @@
 
 MOST_TEXT = 65_536          # characters of a subject; what is longer is cut off
 LOOK_S = 0.1
-JUMP_S = 0.05               # wall clock against the monotonic one, from reading to reading
 HASH_BYTES = 12
 
 
@@ -43,13 +47,13 @@
 
     def __init__(
         self, folder: Path, name: str, counters: Counters, clock: Callable[[], float], rules: Rules,
-        sample: float = 1.0, key: bytes | None = None, mono: Callable[[], float] = time.monotonic,
+        sample: float = 1.0, key: bytes | None = None, unix_clock: Callable[[], float] | None = None,
     ) -> None:
-        self.folder, self.name, self.counters, self.clock, self.mono = folder, name, counters, clock, mono
+        self.folder, self.name, self.counters, self.clock = folder, name, counters, clock
+        self.unix_clock = unix_clock or clock
         self.sample, self.key = sample, key
         self.flow = Flow(rules, clock())
         self.notes: list[tuple[int, Any]] = []      # rows that a note will give, and the note
-        self._ahead = clock() - mono()
         self._numbers = itertools.count(1)
         self._writer: Writer | None = None
         self._writing = asyncio.Lock()
@@ -61,10 +65,6 @@
             self._note(now, 1, lambda: [("start", now, seed, started, records.settings_text(settings))])
 
     def batch(self, now: float, events: Sequence[api.Event], actions: Sequence[api.Action]) -> None:
-        ahead = now - self.mono()
-        if abs(ahead - self._ahead) > JUMP_S:
-            self._note(now, 1, ("jump", now, ahead - self._ahead))
-            self._ahead = ahead
         if self.sample >= 1:
             self._note(now, 1 + len(events) + len(actions), (now, events, actions))
 
@@ -188,7 +188,9 @@
             path = self.folder / f"{self.name}-{stamp}-{number:04}{SUFFIX}"
             if not path.exists():       # a start in the same second as one that was killed
                 break
-        return Writer(path, {"node": self.name, "sample": self.sample, "hidden": self.key is not None})
+        now, unix_s = clocks.read_together(self.clock, self.unix_clock)
+        return Writer(path, {"node": self.name, "sample": self.sample, "hidden": self.key is not None,
+                             "unix_ahead_s": round(unix_s - now, 3)})
 
     def _end(self) -> None:
         if self._writer is not None:
