--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
+from beechrock import clocks
 from beechrock.core.keys import SLACK_S
 from beechrock.core.module import ModuleActor
 from beechrock.core.requests import Request
@@ -31,9 +32,10 @@
 
     def __init__(
         self, module: ModuleActor, folder: Path | None, node: str, connections: Callable[[], int],
+        origin_s: float = clocks.ORIGIN_S,
     ) -> None:
         super().__init__(module)
-        self.connections = connections
+        self.connections, self.origin_s = connections, origin_s
         self.life = Life()
         self.channel = Channel(folder, node) if folder is not None else None
         self.waiting: list[ChannelPeer] = []        # successors that are still to be heard
--- a/beechrock/program.py
+++ b/beechrock/program.py
@@ -55,18 +55,19 @@
         self, told: config.Config, clock: Callable[[], float] = clocks.steady,
         again: "Callable[[config.Config], config.Config] | None" = None,
         stamp: Callable[[], tuple[int, ...]] = tuple, seen: tuple[int, ...] = (),
-        unix_clock: Callable[[], float] = clocks.unix,
+        unix_clock: Callable[[], float] = clocks.unix, origin_s: float = clocks.ORIGIN_S,
     ) -> None:
         self.told, self.again = told, again     # ``again`` reads the configuration once more
         self.stamp, self.seen = stamp, seen     # of the configuration's file, now and when it was read
         self.seen_changed = seen                # and when it was looked at last
+        self.origin_s = origin_s                # of ``clock``, as in ``clocks``
         self.counters = Counters()
         # Where processes follow one another, two of them share the node's memory for a while.
         memory_mb = told.memory_mb / (2 if told.listen_fd is not None else 1)
         self.module = ModuleActor(told.settings, told.seed, clock, self.counters, memory_mb, unix_clock)
         self.recorder: Recorder | None = None
         if told.trace is not None:
-            self._record(told.trace, clock)
+            self._record(told.trace, clock, unix_clock)
         self.tasks: list[asyncio.Task[None]] = []
         self.leaving = asyncio.Event()
         # Front ends use up to half of the descriptors; the agent, the ledger and SCGI share the rest.
@@ -110,7 +111,8 @@
         assert self.frames is not None and self.told.listen is not None
         node = "{}_{}".format(*self.told.listen)
         frames = self.frames
-        self.handover = Handover(self.module, self.told.handover, node, lambda: len(frames.peers))
+        self.handover = Handover(
+            self.module, self.told.handover, node, lambda: len(frames.peers), self.origin_s)
         self.module.partner = self.handover
         self.handover.changed = self._steer
 
@@ -182,14 +184,17 @@
         self.context = parts.Context(self.told.name, self.told.seed, self.counters, self.module, self)
         self.parts = parts.begin(told, self.context)
 
-    def _record(self, told: config.Trace, clock: Callable[[], float]) -> None:
+    def _record(
+        self, told: config.Trace, clock: Callable[[], float], unix_clock: Callable[[], float],
+    ) -> None:
         from beechrock.trace.flow import Rules
         from beechrock.trace.recorder import Recorder
 
         rules = Rules(flush_s=told.flush_s, segment_bytes=int(told.segment_mb * 2**20),
                       segment_s=told.segment_s, most_bytes=int(told.most_mb * 2**20))
         self.recorder = Recorder(
-            told.folder, self.told.name, self.counters, clock, rules, told.sample, told.key)
+            told.folder, self.told.name, self.counters, clock, rules, told.sample, told.key,
+            unix_clock)
         self.module.trace(self.recorder)
 
     def _speak_scgi(self, told: config.Scgi) -> Work:
