Connect: every failure before a connection stands ends in one word, and a stopped run is not sent

Seen with faults put in: EAGAIN and EINTR from connect(2) are taken by asyncio for a connection under way, and its unconnected socket polls as writable, so that it was taken for one that stands: a call that never left counted as broken off. An exception that is no OSError (a name that no resolver takes) left the link's life waiting for its limit, in silence but for the task's trouble. asyncio.wait_for of Python 3.11 swallows a cancel that comes as the connection is made: a run went to its SCGI server after it had been reported as stopped. A run or a health check there that raised ended without a word.

Change: net/connecting.py opens connections for the agent, the ledger and SCGI servers, and gives an OSError for all of these; asyncio.timeout in place of wait_for; an outcome for a run that raises, and a bad check for a check that does. Left: where setsockopt fails in asyncio's transport, its socket is closed at the next collection only.

--- /dev/null
+++ b/beechrock/net/connecting.py
@@ -0,0 +1,29 @@
+"""Connecting to a server: every way to fail before the connection stands ends in one OSError.
+
+Nothing was sent then, so whatever was to go over that connection never ran.
+"""
+
+import asyncio
+
+Address = tuple[str, int]
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class NotConnectedError(OSError):
+    """No connection came about, for a reason that is no failed system call."""
+
+
+async def connect(address: Address) -> Streams:
+    """Open a connection. OSError where none stands; a cancelled caller leaves none behind."""
+    try:
+        reader, writer = await asyncio.open_connection(*address)
+    except OSError:
+        raise
+    except Exception as error:      # a name that no resolver takes, a loop that has no place for the socket
+        raise NotConnectedError(f"{type(error).__name__}: {error}") from error
+    # Seen with faults put in: EAGAIN (no free port) and EINTR from connect(2) are taken by asyncio for a
+    # connection under way, and its socket, which polls as writable, for one that stands.
+    if writer.get_extra_info("peername") is None:
+        writer.transport.abort()
+        raise NotConnectedError("the socket is not connected")
+    return reader, writer
--- a/beechrock/net/linked.py
+++ b/beechrock/net/linked.py
@@ -7,6 +7,7 @@
 from beechrock.core import link as life
 from beechrock.core.module import ModuleActor
 from beechrock.core.wheel import Timer
+from beechrock.net.connecting import NotConnectedError, connect
 
 log = logging.getLogger("beechrock")
 
@@ -90,8 +91,10 @@
     async def _hold(self, number: int, address: life.Address) -> None:
         """One attempt and, if it comes about, one link."""
         try:
-            reader, writer = await asyncio.open_connection(*address)
-        except OSError:
+            reader, writer = await connect(address)
+        except OSError as error:
+            if isinstance(error, NotConnectedError) and error.__cause__ is not None:
+                self.counters.trouble(f"{self.where}_connect", error)
             self.counters.add(f"{self.where}.refused_links")
             self.tell(life.Refused(number))
             return
--- a/beechrock/net/scgi_work.py
+++ b/beechrock/net/scgi_work.py
@@ -9,6 +9,7 @@
 from beechrock.core.requests import Request, RunEnded
 from beechrock.core.servers import Servers, Upstreams
 from beechrock.interface import Effect, Outcome
+from beechrock.net.connecting import Streams, connect
 from beechrock.net.peer import Peer
 from beechrock.net.scgi import MOST_HEADER, ScgiError, request_bytes
 
@@ -146,17 +147,23 @@
 
     async def _exercise(self, report: Callable[[bool], None]) -> None:
         """Good when each service has a server that takes connections."""
-        reached = []
-        for service, listed in self.servers.upstreams.items():
-            for address in self.servers.choose(service) or listed:
-                try:
-                    _, writer = await asyncio.wait_for(asyncio.open_connection(*address), CONNECT_S)
-                except (OSError, TimeoutError):
-                    continue
-                writer.close()
-                reached.append(True)
-                break
-        report(len(reached) == sum(bool(a) for a in self.servers.upstreams.values()))
+        good = False
+        try:
+            good = all([await self._reached(service) for service in self.servers.upstreams])
+        finally:
+            report(good)
+
+    async def _reached(self, service: str) -> bool:
+        """Whether a server of this service takes connections, or none is listed."""
+        addresses = self.servers.choose(service) or self.servers.upstreams.get(service, ())
+        for address in addresses:
+            try:
+                _, writer = await self._open(address)
+            except OSError:
+                continue
+            writer.close()
+            return True
+        return not addresses
 
     async def _run(self, request: Request) -> None:
         settings = self.module.settings.classes[request.klass]
@@ -169,6 +176,10 @@
             outcome, media, body = Outcome.REJECTED, "", b""
             if request in self.runs:
                 self.module.turn_away(request, away.after_s, away.why)
+        except Exception as error:
+            # A task that ends without a word would leave its request open for ever, and its key held.
+            self.counters.trouble("scgi_work.run", error)
+            outcome, media, body = Outcome.ERROR, "", b"the run failed here"
         finally:
             timer.cancel()
         if self.runs.pop(request, None) is not None:
@@ -251,13 +262,20 @@
         request.replied = -1
         return Outcome.ERROR, "", b"no server reached"
 
-    async def _connected(
-        self, address: Address,
-    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+    async def _open(self, address: Address) -> Streams:
+        """OSError (a time-out is one) where no connection stands within CONNECT_S.
+
+        Seen in a test: ``asyncio.wait_for`` of Python 3.11 swallows a cancel that comes as the connection is
+        made, so that a run was sent to its server after it had been reported as stopped.
+        """
+        async with asyncio.timeout(CONNECT_S):
+            return await connect(address)
+
+    async def _connected(self, address: Address) -> Streams | None:
         over = self.watch(address, 0.0) if self.watch is not None else None
         try:
-            return await asyncio.wait_for(asyncio.open_connection(*address), CONNECT_S)
-        except (OSError, TimeoutError):
+            return await self._open(address)
+        except OSError:
             self.counters.add("sent.scgi_refused")
             if over is not None:
                 over(None)
--- a/tests/syscall_faults.py
+++ b/tests/syscall_faults.py
@@ -68,7 +68,8 @@
 
     ``times`` None: by the first of them, until the block ends.
 
-    A connection whose accept fails by ECONNABORTED is taken out of the queue and closed, as the kernel does.
+    As in the kernel, a connection whose accept fails by ECONNABORTED is gone from the queue, and one whose
+    connect fails by EINPROGRESS is made (on loopback it is made before the call returns).
     """
     told = Faults(list(kinds) * (times or 1), times is None)
     own = socket.socket.__dict__.get(call)
@@ -85,6 +86,8 @@
                 return real(sock, min(count, arguments[0]), *arguments[1:])
             case errno.ECONNABORTED if call == "accept":
                 real(sock)[0].close()
+            case errno.EINPROGRESS if call == "connect":
+                real(sock, *arguments)
         assert isinstance(kind, int)
         raise error_of(kind)
 
