A lack of memory ends no connection, and a fault inside costs its message, not those beside it

Seen with faults put in: ENOBUFS and ENOMEM from recv or send, which their pages list, ended a caller's connection with every request open on it, as asyncio takes all but EAGAIN and EINTR for its end. An exception in parse ended the reading task alone: the connection stayed open, and what came on it was never read; one in encode cost every answer on the connection. A request at SCGI or the second address that met such a fault, or did not fit, was closed on without an answer. The handover's socket stood still for a second after a shortage, as long as a successor waits for its first word.

Change: accepted sockets are PatientSockets, to which a lack of memory is 'not now' for up to 1 s; a fault inside is counted, answered (500, stream 0) and ends the connection once the others are answered; an answer longer than the outgoing ring goes in parts; the handover listens by Listener, and removes its unfinished name. Ruled out by tests: a failed transport is noticed, also where only the rest of a write fails, and where shutdown does.

--- a/beechrock/admin/http.py
+++ b/beechrock/admin/http.py
@@ -131,6 +131,9 @@
                 return False
         return True
 
+    def failed_inside(self) -> None:
+        self._say(Said(500, "internal error\n"))
+
     def _say(self, said: Said) -> None:
         if not self.said:
             self.said = True
--- a/beechrock/handover/channel.py
+++ b/beechrock/handover/channel.py
@@ -12,12 +12,12 @@
 import stat
 import struct
 import time
-from collections.abc import Callable
 from pathlib import Path
 from typing import Protocol
 
 from beechrock.core.counters import Counters
 from beechrock.handover import wire
+from beechrock.net.listener import Accepted, Listener
 from beechrock.net.peer import CHUNK, BadInputError, Peer
 
 log = logging.getLogger("beechrock")
@@ -27,8 +27,6 @@
 LONGEST_PATH = 100          # bytes that a Unix socket's name may have; longer folders are named by descriptor
 CREDENTIALS = struct.Struct("3i")
 
-Accepted = Callable[[asyncio.StreamReader, asyncio.StreamWriter], None]
-
 
 class Owner(Protocol):
     """Whoever hears what comes over a channel."""
@@ -93,7 +91,7 @@
     def __init__(self, folder: Path, node: str) -> None:
         self.folder, self.prefix = folder, f"beechrock-{node}-"
         self.name = f"{self.prefix}{time.time_ns():020d}-{os.getpid()}.sock"
-        self.server: asyncio.Server | None = None
+        self.server: Listener | None = None
         self._fd: int | None = None
 
     def _path(self, name: str) -> str:
@@ -105,7 +103,7 @@
             self._fd = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
         return f"/proc/self/fd/{self._fd}/{name}"
 
-    async def listen(self, accepted: Accepted) -> None:
+    def listen(self, accepted: Accepted, counters: Counters) -> None:
         """OSError where the folder takes no socket. It has its name only once it listens."""
         sock = socket.socket(socket.AF_UNIX)
         made = f".{self.name}"
@@ -113,10 +111,16 @@
             sock.bind(self._path(made))
             os.chmod(self.folder / made, 0o600)
             sock.listen(4)
-            self.server = await asyncio.start_unix_server(accepted, sock=sock, backlog=4, limit=CHUNK)
-            os.rename(self.folder / made, self.folder / self.name)
+            server = Listener(sock, accepted, counters, "handover", at_once=4)
+            try:
+                os.rename(self.folder / made, self.folder / self.name)
+            except OSError:
+                server.close()
+                raise
+            self.server = server
         except OSError:
             sock.close()
+            self._remove(made)
             raise
 
     def older(self) -> list[str]:
@@ -159,5 +163,9 @@
 def same_user(writer: asyncio.StreamWriter) -> bool:
     """Whether the process at the other end is of our own user."""
     sock = writer.get_extra_info("socket")
-    _, uid, _ = CREDENTIALS.unpack(sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size))
+    try:
+        told = sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size)
+    except OSError:     # it has gone already
+        return False
+    _, uid, _ = CREDENTIALS.unpack(told)
     return bool(uid == os.getuid())
--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -57,7 +57,7 @@
             log.warning("handover: TMPDIR is not set: this process can neither follow nor be followed")
             return self._nobody()
         try:
-            await self.channel.listen(self._accepted)
+            self.channel.listen(self._accepted, self.counters)
         except OSError as error:
             log.warning("handover: %s: no successor can be heard", error)
         while True:
--- a/beechrock/net/listener.py
+++ b/beechrock/net/listener.py
@@ -24,6 +24,7 @@
 from typing import Any
 
 from beechrock.core.counters import Counters
+from beechrock.net.patient import patient
 
 log = logging.getLogger("beechrock")
 READ_CHUNK = 16_384         # bytes; asyncio holds twice as many of a connection before it stops reading
@@ -75,13 +76,17 @@
         if self._retry is not None:
             self._retry.cancel()
             self._retry = None
-        if self._sock.fileno() >= 0:
+        if self.sockets:
             self._loop.remove_reader(self._sock.fileno())
             self._sock.close()
 
     def _watch(self) -> None:
         self._retry = None
-        self._loop.add_reader(self._sock.fileno(), self._accept_ready)
+        try:
+            self._loop.add_reader(self._sock.fileno(), self._accept_ready)
+        except OSError:     # epoll_ctl(2): ENOMEM, ENOSPC; left so, it would never accept again
+            self.counters.add(f"intake.{self.where}_accept_shortages")
+            self._retry = self._loop.call_later(RETRY_S, self._watch)
 
     def _accept_ready(self) -> None:
         """Accept up to ``at_once`` connections in this turn of the loop."""
@@ -123,6 +128,7 @@
     async def _set_up(self, connection: socket.socket) -> None:
         """Give an accepted connection its streams; ``accepted`` is called as soon as they stand."""
         try:
+            connection = patient(connection)
             send_at_once(connection)
             reader = asyncio.StreamReader(limit=READ_CHUNK, loop=self._loop)
             protocol = asyncio.StreamReaderProtocol(reader, self.accepted, loop=self._loop)
--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -54,6 +54,10 @@
     def bad_input(self, problem: str) -> None:
         """Say what was wrong, where the protocol has words for that."""
 
+    def failed_inside(self) -> None:
+        """Say that a message could not be worked off, by a fault of this program."""
+        self.bad_input("internal error")
+
     def settled(self) -> bool:
         """Whether nothing is owed on this connection."""
         return True
@@ -114,6 +118,7 @@
         receiving = self.counters.spawn(self._receive(reader), self.where + ".receive")
         try:
             await asyncio.wait((sending, receiving), return_when=asyncio.FIRST_COMPLETED)
+            self.broken = self.broken or (receiving.done() and receiving.exception() is not None)
             if sending.done() and not receiving.done():
                 await asyncio.wait((receiving,), timeout=LINGER_S)
             # The end of what comes in is no reason to keep back what is owed: half a close is allowed.
@@ -151,11 +156,16 @@
                     self.counters.add(f"intake.{self.where}_malformed")
                     self.bad_input(str(error))
                     self.finish()
+                except Exception as error:
+                    # As the task's end it left the connection open, and what came on it unread.
+                    self.counters.trouble(f"{self.where}.receive", error)
+                    self.failed_inside()
+                    self.finish()
                 while not self.closing and self._crowded():     # who does not read is not read from
                     await asyncio.sleep(0.01)
             if not self.closing:
                 self.input_ended()
-        except (ConnectionError, OSError, TimeoutError) as error:
+        except OSError as error:      # a reset and a time-out are such
             # Seen on the churn day: the stream keeps its error, and so the traceback's frames and buffers.
             error.__traceback__ = None
             self.broken = True
@@ -172,20 +182,34 @@
             while True:
                 await self.mailbox.wait()
                 for message in self.mailbox.drain():
-                    data = self.encode(message)
-                    if len(data) > self.outbox.room:
-                        await self._flush(writer)
-                    self.outbox.write(data)
+                    await self._put(writer, message)
                 await self._flush(writer)
                 self.flushed = not len(self.mailbox)
                 if self.closing and self.settled() and not len(self.mailbox):
                     if writer.can_write_eof():
                         writer.write_eof()
                     return
-        except (ConnectionError, OSError, TimeoutError) as error:
+        except OSError as error:      # a reset and a time-out are such
             error.__traceback__ = None
             self.counters.add(f"sent.{self.where}_resets")
 
+    async def _put(self, writer: asyncio.StreamWriter, message: T) -> None:
+        """Encode into ``outbox``; what does not fit there goes in parts."""
+        try:
+            data = memoryview(self.encode(message))
+        except Exception as error:      # costs this message and the connection, not the other answers
+            self.counters.trouble(f"{self.where}.send", error)
+            self.finish()
+            return
+        if len(data) > self.outbox.room:
+            await self._flush(writer)
+        while data:
+            taken = min(len(data), self.outbox.room)
+            self.outbox.write(data[:taken])
+            data = data[taken:]
+            if data:
+                await self._flush(writer)
+
     async def _flush(self, writer: asyncio.StreamWriter) -> None:
         while len(self.outbox):
             data = self.outbox.read(CHUNK)
--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -337,6 +337,13 @@
                 self.stall.cancel()
                 self.finish()
 
+    def bad_input(self, problem: str) -> None:
+        self.reject(ScgiError(400, problem))
+
+    def failed_inside(self) -> None:
+        if self.request is None:    # else its answer comes
+            self.reject(ScgiError(500, "internal error"))
+
     def reject(self, error: ScgiError) -> None:
         self.counters.add("intake.scgi_bad")
         self.counters.add("answered.scgi_bad")
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -5,13 +5,16 @@
 import os
 import socket
 from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
 
 import pytest
 from play import Stand, until
 from play import run as run_node
-from syscall_faults import faults, on_port
+from syscall_faults import error_of, faults, on_port
 
 from beechrock.core.counters import Counters
+from beechrock.handover.channel import Channel, same_user
 from beechrock.net import listener
 from beechrock.net.listener import Listener, listen
 
@@ -157,6 +160,25 @@
     run(work)
 
 
+def test_a_rest_that_cannot_be_ended_is_tried_to_be_ended_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """epoll_ctl(2) may fail by ENOMEM and ENOSPC: then nothing would be accepted for ever."""
+    async def work(echo: Echo, server: Listener) -> None:
+        loop = asyncio.get_running_loop()
+        real, left = loop.add_reader, [errno.ENOMEM, errno.ENOSPC]
+
+        def add_reader(*arguments: Any) -> None:
+            if left:
+                raise error_of(left.pop())
+            real(*arguments)
+
+        monkeypatch.setattr(loop, "add_reader", add_reader)
+        address = server.sockets[0].getsockname()
+        with faults("accept", errno.EMFILE, of=on_port(address[1])):
+            assert await ask(address) == b"here" and not left
+
+    run(work)
+
+
 @pytest.mark.parametrize("shared", [False, True])
 def test_listening_waits_for_the_end_of_a_shortage(shared: bool) -> None:
     async def work(echo: Echo, _: Listener) -> None:
@@ -184,6 +206,31 @@
     run(work)
 
 
+def test_the_handovers_socket_accepts_through_a_shortage_and_leaves_no_name_behind(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A successor waits for its first word for a second, as long as asyncio's server stood still."""
+    async def work(echo: Echo, _: Listener) -> None:
+        channel = Channel(tmp_path, "node")
+        with monkeypatch.context() as patch:
+            patch.setattr(os, "rename", lambda *_: (_ for _ in ()).throw(error_of(errno.EIO)))
+            with pytest.raises(OSError, match="Input/output"):
+                channel.listen(echo.accepted, echo.counters)
+        assert not os.listdir(tmp_path)
+        channel.listen(echo.accepted, echo.counters)
+        with faults("accept", errno.EMFILE, times=3) as accept:
+            async with asyncio.timeout(0.9):
+                reader, writer = await asyncio.open_unix_connection(channel._path(channel.name))
+                writer.write(b"here")
+                assert await reader.read(100) == b"here" and accept.failed == 3
+        assert same_user(echo.writers[0])
+        with faults("getsockopt", errno.EBADF):
+            assert not same_user(echo.writers[0])
+        writer.close()
+        channel.close()
+
+    run(work)
+
+
 def test_small_answers_are_not_held_back() -> None:
     """Without TCP_NODELAY the system keeps small writes, and a close over unread bytes loses them."""
     async def work(echo: Echo, server: Listener) -> None:
