--- a/beechrock/handover/channel.py
+++ b/beechrock/handover/channel.py
@@ -13,12 +13,12 @@
 import stat
 import struct
 import time
-from collections.abc import Callable
 from pathlib import Path
 from typing import Protocol
 
 from beechrock.core.counters import Counters
 from beechrock.handover import wire
+from beechrock.net.listener import Accepted, Listener
 from beechrock.net.peer import CHUNK, BadInputError, Peer
 
 log = logging.getLogger("beechrock")
@@ -31,8 +31,6 @@
 UNIX_TIME_NS = 10**18
 MOST_UNREAD = 1 << 20       # bytes of an ended channel: more than the kernel and the stream hold
 
-Accepted = Callable[[asyncio.StreamReader, asyncio.StreamWriter], None]
-
 
 class Owner(Protocol):
     """Whoever hears what comes over a channel."""
@@ -139,7 +137,7 @@
         # Seen with a clock stepped back by an hour: named by the Unix time, the older process was taken for
         # the newer one, and both ran keys as if alone.
         self.name = f"{self.prefix}{time.monotonic_ns():020d}-{os.getpid()}.sock"
-        self.server: asyncio.Server | None = None
+        self.server: Listener | None = None
         self._fd: int | None = None
 
     def _path(self, name: str) -> str:
@@ -151,16 +149,16 @@
             self._fd = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
         return f"/proc/self/fd/{self._fd}/{name}"
 
-    async def listen(self, accepted: Accepted) -> None:
+    def listen(self, accepted: Accepted, counters: Counters) -> None:
         """OSError where the folder takes no socket now. It has its name only once it listens."""
         sock = socket.socket(socket.AF_UNIX)
         made = f".{self.name}"
-        server: asyncio.Server | None = None
+        server: Listener | None = None
         try:
             sock.bind(self._path(made))
             os.chmod(self.folder / made, 0o600)
             sock.listen(4)
-            server = await asyncio.start_unix_server(accepted, sock=sock, backlog=4, limit=CHUNK)
+            server = Listener(sock, accepted, counters, "handover", at_once=4)
             os.rename(self.folder / made, self.folder / self.name)
         except OSError:
             if server is not None:  # else the loop would go on watching a descriptor that is another's soon
@@ -224,5 +222,9 @@
 def same_user(writer: asyncio.StreamWriter) -> bool:
     """Whether the process at the other end is of our own user."""
     sock = writer.get_extra_info("socket")
-    _, uid, _ = CREDENTIALS.unpack(sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size))
+    try:
+        told = sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size)
+    except OSError:     # it has gone already
+        return False
+    _, uid, _ = CREDENTIALS.unpack(told)
     return bool(uid == os.getuid())
--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -61,7 +61,7 @@
         if self.channel is None:
             log.warning("handover: TMPDIR is not set: this process can neither follow nor be followed")
             return self._nobody()
-        if not await self._listen(self.channel):
+        if not self._listen(self.channel):
             self.counters.spawn(self._listen_again(self.channel), "handover.listen")
         while True:
             try:
@@ -93,9 +93,9 @@
             self.counters.add("handover.channels_ended")
             await asyncio.sleep(0 if together else AGAIN_S)
 
-    async def _listen(self, channel: Channel) -> bool:
+    def _listen(self, channel: Channel) -> bool:
         try:
-            await channel.listen(self._accepted)
+            channel.listen(self._accepted, self.counters)
         except OSError as error:
             if not self.counters["handover.not_listening"]:
                 log.warning("handover: %s: no successor can be heard", error)
@@ -107,7 +107,7 @@
         """A full disk passes; a successor that does not find this process would run its keys once more."""
         while not self.life.over:
             await asyncio.sleep(LISTEN_AGAIN_S)
-            if not self.life.over and await self._listen(channel):
+            if not self.life.over and self._listen(channel):
                 return log.info("handover: a successor can be heard now")
 
     def _nobody(self) -> None:
