--- a/beechrock/handover/channel.py
+++ b/beechrock/handover/channel.py
@@ -112,8 +112,6 @@
             if not self.lost and not self.post(message):
                 self.drop()     # it reads nothing; it may come back and read all anew
             return False
-        if writer.transport.is_closing():
-            return False
         if writer.transport.get_write_buffer_size():
             self.post(message)
             return False
--- a/tests/test_handover_crossings.py
+++ b/tests/test_handover_crossings.py
@@ -169,6 +169,7 @@
     folder: Path, monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(node, "RESULT_BYTES", 1)
+    monkeypatch.setattr(node, "RESULT_PAUSE_S", 0.2)
 
     async def work(pair: Pair) -> None:
         old = await pair.start()
