--- a/tests/test_handover_crossings.py
+++ b/tests/test_handover_crossings.py
@@ -287,8 +287,8 @@
     async def work(pair: Pair) -> None:
         old = await pair.start()
         await pair.serving(old)
-        assert [name for name in os.listdir(folder) if name.startswith(".")] == []
-        await until(lambda: bool(os.listdir(folder)), lambda: "never listens")
+        await until(lambda: os.listdir(folder) == [part(old).channel.name],     # type: ignore[union-attr]
+                    lambda: f"{os.listdir(folder)}")
         new = await pair.start()
         await pair.following(old, new)
 
