--- a/beechrock/lab/pair.py
+++ b/beechrock/lab/pair.py
@@ -81,7 +81,7 @@
 
     def __init__(self, address: tuple[str, int], seed: int) -> None:
         self.address, self.draw = address, random.Random(seed)
-        self.ends: Counter[str] = Counter()         # of tries: served, refused, failed, lost, wrong
+        self.ends: Counter[str] = Counter()         # of tries: served, refused, failed, lost, wrong, twice
         self.refused_connections = 0
         # When each try was sent, whether it was keyed, and seconds to its answer.
         self.took: list[tuple[float, bool, float]] = []
@@ -89,6 +89,7 @@
 
     async def load(
         self, rate_per_s: float, seconds: float, connections: int = 8, again: float = 0.3,
+        within_s: float = 1.0,
     ) -> None:
         """Requests at this rate; a part of the keyed ones is tried again, on any connection."""
         links = [Link(self) for _ in range(connections)]
@@ -99,7 +100,7 @@
             sent.append(asyncio.ensure_future(self.draw.choice(links).ask(self.numbers, keyed)))
             if keyed and self.draw.random() < again:
                 sent.append(asyncio.ensure_future(
-                    self._later(self.draw.choice(links), self.numbers, self.draw.uniform(0, 1.0))))
+                    self._later(self.draw.choice(links), self.numbers, self.draw.uniform(0, within_s))))
             await asyncio.sleep(self.draw.expovariate(rate_per_s))
         await asyncio.gather(*sent)
         for link in links:
@@ -168,6 +169,8 @@
                         self.writer = None
                 elif kind == ANSWER and stream in waiting:
                     waiting.pop(stream).set_result(payload)
+                elif kind == ANSWER:
+                    self.callers.ends["twice"] += 1
         except (OSError, asyncio.IncompleteReadError):
             pass
         if self.writer is writer:
--- a/tests/test_handover_processes.py
+++ b/tests/test_handover_processes.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import tempfile
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
@@ -13,6 +14,7 @@
 from beechrock.lab.pair import Callers, Farm, Process, check
 
 ROOT = Path(__file__).parent.parent
+Crossing = Callable[["Play", Process], Awaitable[None]]
 
 
 @pytest.mark.parametrize(("how", "seed"), [
@@ -51,3 +53,119 @@
 
     with tempfile.TemporaryDirectory() as name, socket.create_server(("127.0.0.1", 0), backlog=512) as shared:
         asyncio.run(work(Path(name), shared))
+
+
+class Play:
+    """Two processes under a load in which each key is tried twice, nearly at once, on any connection."""
+
+    def __init__(self, folder: Path, shared: socket.socket, seed: int) -> None:
+        self.folder, self.shared = folder, shared
+        self.draw, self.farm = random.Random(seed), Farm(seed)
+        self.callers = Callers(shared.getsockname(), seed)
+        self.processes: list[Process] = []
+
+    async def start(self) -> Process:
+        process = Process(self.folder, self.shared, await self.farm.address(), ROOT)
+        self.processes.append(process)
+        return process
+
+    async def some_stage(self) -> None:
+        """Any moment from the start of a process to its yes, or a little later."""
+        await asyncio.sleep(self.draw.uniform(0.0, 0.5))
+
+    async def stop(self, process: Process, seconds: float) -> None:
+        process.popen.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        process.popen.send_signal(signal.SIGCONT)
+
+    def check(self, lost: bool) -> None:
+        ends = self.callers.ends
+        assert max(self.farm.launched.values()) == 1, self.farm.launched.most_common(3)
+        assert ends["served"] and not ends["wrong"] and not ends["twice"], ends
+        assert lost or (not ends["lost"] and not self.callers.refused_connections), ends
+        for process in self.processes:
+            assert "Traceback" not in process.log.read_text()
+
+
+async def old_is_stopped_and_goes_on(play: Play, old: Process) -> None:
+    new = await play.start()
+    await play.some_stage()
+    await play.stop(old, 1.0)
+    assert await new.yes() < 6.0
+    assert await old.end() == 0
+
+
+async def old_is_stopped_for_longer_than_the_new_one_waits(play: Play, old: Process) -> None:
+    new = await play.start()
+    stopping = asyncio.ensure_future(play.stop(old, 4.0))
+    assert await new.yes() < 6.0        # without keys
+    await stopping
+    assert await old.end() == 0
+
+
+async def old_is_stopped_and_killed(play: Play, old: Process) -> None:
+    new = await play.start()
+    await play.some_stage()
+    old.popen.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(play.draw.uniform(0.0, 1.0))
+    await old.end(signal.SIGKILL)
+    assert await new.yes() < 6.0
+
+
+async def old_is_killed_while_the_new_one_joins(play: Play, old: Process) -> None:
+    new = await play.start()
+    await play.some_stage()
+    await old.end(signal.SIGKILL)
+    assert await new.yes() < 6.0
+
+
+async def new_is_killed_at_any_stage(play: Play, old: Process) -> None:
+    new = await play.start()
+    await play.some_stage()
+    await new.end(signal.SIGKILL)
+    assert await check(play.shared.getsockname())
+
+
+async def new_is_stopped_after_its_yes(play: Play, old: Process) -> None:
+    new = await play.start()
+    await new.yes()
+    ending = asyncio.ensure_future(old.end())
+    await play.stop(new, 0.5)
+    assert await ending == 0
+
+
+async def old_is_told_to_leave_twice_and_before_the_yes(play: Play, old: Process) -> None:
+    new = await play.start()
+    await play.some_stage()
+    old.popen.send_signal(signal.SIGTERM)
+    old.popen.send_signal(signal.SIGHUP)
+    await new.yes()
+    assert await old.end() == 0
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize(("crossing", "lost"), [
+    (old_is_stopped_and_goes_on, False), (old_is_stopped_for_longer_than_the_new_one_waits, False),
+    (old_is_stopped_and_killed, True), (old_is_killed_while_the_new_one_joins, True),
+    (new_is_killed_at_any_stage, True), (new_is_stopped_after_its_yes, False),
+    (old_is_told_to_leave_twice_and_before_the_yes, False)])
+def test_no_key_runs_twice_and_nothing_read_is_lost_while_signals_cross(
+    crossing: Crossing, lost: bool, seed: int,
+) -> None:
+    async def work(folder: Path, shared: socket.socket) -> None:
+        play = Play(folder, shared, seed)
+        old = await play.start()
+        await old.yes()
+        load = asyncio.ensure_future(play.callers.load(150.0, 6.0, again=0.8, within_s=0.002))
+        try:
+            await asyncio.sleep(0.3)
+            await crossing(play, old)
+            await load
+            play.check(lost)
+        finally:
+            load.cancel()
+            for process in play.processes:
+                process.popen.kill()
+
+    with tempfile.TemporaryDirectory() as name, socket.create_server(("127.0.0.1", 0), backlog=512) as shared:
+        asyncio.run(work(Path(name), shared))
