Handover: a predecessor killed before it was reached leaves its keys in doubt

Its socket is left behind and refuses; the new process took that for an empty folder. Road not taken: a mark of the time of its death, which costs each process a write a second. A process that was killed alone and is started again in the same TMPDIR now turns keys away for its longest window; an ordinary start, with an empty TMPDIR, and one after a peaceful end do not.

--- a/beechrock/handover/channel.py
+++ b/beechrock/handover/channel.py
@@ -136,6 +136,9 @@
         # the newer one, and both ran keys as if alone.
         self.name = f"{self.prefix}{time.monotonic_ns():020d}-{os.getpid()}.sock"
         self.server: asyncio.Server | None = None
+        self.found = ""             # the name of the predecessor that was reached last
+        self.known: set[str] = set()    # of those whose claims have all come over
+        self.killed = False         # one that is not among them has left its socket behind
         self._fd: int | None = None
 
     def _path(self, name: str) -> str:
@@ -199,19 +202,30 @@
         """To the newest older process that is there. OSError where that cannot be told."""
         for name in self.older():
             try:
-                return await asyncio.open_unix_connection(self._path(name), limit=CHUNK)
-            except (ConnectionRefusedError, FileNotFoundError):     # its process is gone
+                ends = await asyncio.open_unix_connection(self._path(name), limit=CHUNK)
+            except FileNotFoundError:       # it has gone in peace
+                continue
+            except ConnectionRefusedError:  # it was killed
+                self.killed = self.killed or name not in self.known
                 self._remove(name)
+            else:
+                self.found = name
+                return ends
         return None
 
+    def all_known(self) -> None:
+        """All claims have come over, and those of processes since then: it vouches for them."""
+        self.known.add(self.found)
+        self.killed = False
+
     def _remove(self, name: str) -> None:
         with contextlib.suppress(OSError):
             os.unlink(self.folder / name)
 
     def close(self) -> None:
         if self.server is not None:
+            self._remove(self.name)     # first: a name whose socket refuses is that of a killed process
             self.server.close()
-            self._remove(self.name)
         if self._fd is not None:
             os.close(self._fd)
             self._fd = None
--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -74,6 +74,9 @@
                 await asyncio.sleep(AGAIN_S)
                 continue
             if found is None:
+                # Seen in plays with real processes: killed before its successor had reached it, the
+                # predecessor left only its socket, and keys that it had begun ran a second time.
+                self.claims.unread = self.claims.unread or self.channel.killed
                 return self._nobody()
             self.life.found(self.module.clock())
             self.claims.unread = True
@@ -236,6 +239,8 @@
                 self.life.copied()
                 self.counters.set("handover.claims_copied", len(self.claims.theirs))
                 self.claims.synced()
+                if self.channel is not None:
+                    self.channel.all_known()
                 self.flush()
                 self.changed()
                 self.pulse()
--- a/tests/test_handover_crossings.py
+++ b/tests/test_handover_crossings.py
@@ -90,6 +90,32 @@
     run(work, folder)
 
 
+def test_keys_of_a_predecessor_that_was_killed_before_it_was_reached_are_in_doubt(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        OlderProcess(pair).die()        # its socket stays behind
+        new = await pair.start()
+        await pair.serving(new)
+        await new.play("a = connect frames\n" + asked(1, 1, 2) + DOUBT % 1)
+        new.now += LONGEST_S
+        await new.play("a = connect frames\n" + later(asked(2, 2, 2), new) + LAUNCH % 2)
+
+    run(work, folder)
+
+
+def test_a_predecessor_that_is_killed_after_its_copy_leaves_no_doubt(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old = OlderProcess(pair)
+        new = await pair.start()
+        end = await old.accept()
+        end.say(wire.Hello(), wire.Synced())
+        await end.heard(wire.Ready)
+        old.die()
+        await gone(new)
+        await new.play("a = connect frames\n" + asked(1, 1, 1) + LAUNCH % 1)
+
+    run(work, folder)
+
+
 def test_a_process_in_doubt_vouches_for_no_key_to_its_successor(folder: Path) -> None:
     async def work(pair: Pair) -> None:
         first = OlderProcess(pair)
--- a/tests/test_handover_processes.py
+++ b/tests/test_handover_processes.py
@@ -56,7 +56,7 @@
 
 
 class Play:
-    """Two processes under a load in which each key is tried twice, nearly at once, on any connection."""
+    """Two processes under a load in which most keys are tried twice, at once or a little later."""
 
     def __init__(self, folder: Path, shared: socket.socket, seed: int) -> None:
         self.folder, self.shared = folder, shared
@@ -143,20 +143,20 @@
     assert await old.end() == 0
 
 
-@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize(("seed", "within_s"), [(1, 0.002), (2, 1.0)])
 @pytest.mark.parametrize(("crossing", "lost"), [
     (old_is_stopped_and_goes_on, False), (old_is_stopped_for_longer_than_the_new_one_waits, False),
     (old_is_stopped_and_killed, True), (old_is_killed_while_the_new_one_joins, True),
     (new_is_killed_at_any_stage, True), (new_is_stopped_after_its_yes, False),
     (old_is_told_to_leave_twice_and_before_the_yes, False)])
 def test_no_key_runs_twice_and_nothing_read_is_lost_while_signals_cross(
-    crossing: Crossing, lost: bool, seed: int,
+    crossing: Crossing, lost: bool, seed: int, within_s: float,
 ) -> None:
     async def work(folder: Path, shared: socket.socket) -> None:
         play = Play(folder, shared, seed)
         old = await play.start()
         await old.yes()
-        load = asyncio.ensure_future(play.callers.load(150.0, 6.0, again=0.8, within_s=0.002))
+        load = asyncio.ensure_future(play.callers.load(150.0, 6.0, again=0.8, within_s=within_s))
         try:
             await asyncio.sleep(0.3)
             await crossing(play, old)
