Keys: what was refused or taken back unrun leaves no entry that fails its repeats

Seen in a probe: a keyed request that was held and then refused at its due time, or whose caller had gone, was out of the book before the module's Forget was carried out. Its entry stayed, without a result, and each further try of the key failed until the window ended, though nothing had run. A run for which the agent started nothing (NOOP) kept its entry as well. Now an entry whose request never was launched goes with the request, and a moot run frees its key.

--- a/beechrock/core/book.py
+++ b/beechrock/core/book.py
@@ -204,7 +204,7 @@
             request.call_body = None
         if outcome is api.Outcome.OK:
             request.result, request.media = end.result, end.media
-        if outcome is api.Outcome.REJECTED:     # it never ran, so a further try of its key is no repeat
+        if outcome in (api.Outcome.REJECTED, api.Outcome.MOOT):     # a further try of its key is no repeat
             self._forget(request)
         if not request.answered and not request.gone:
             served = outcome is api.Outcome.OK
@@ -218,6 +218,10 @@
         if request.running or not (request.answered or request.gone) or request.over:
             return
         request.over, request.ended_at = True, now
+        # Seen in a probe: refused or taken back while held, it was out of the book before the module's Forget
+        # came, and all its repeats failed for the rest of the window though nothing had run.
+        if not request.launched_at and self.keys.holds(request):
+            self._forget(request)
         self._done_with(request, self.keys.holds(request) if self.partner is not None else False)
         # A kept request must hold neither its body nor, by ``answer``, a connection that is long closed.
         request.body, request.first, request.answer = b"", None, _nobody
--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -158,7 +158,8 @@
             if isinstance(message, Taken) and not self._cleared(message.request):
                 continue
             if isinstance(message, Taken) and (key := KeyTable.key(message.request)) is not None:
-                if key in new:      # whether the first of them is kept shows only after this batch
+                if key in new and not self._repeats_what_ran(message.request):
+                    # Whether the first of them is kept shows only after this batch.
                     later.append(message)
                     continue
                 new.add(key)
@@ -176,6 +177,14 @@
         if self.next_events:
             self.mailbox.wake()
 
+    def _repeats_what_ran(self, request: Request) -> bool:
+        """Whether a try can only be a repeat; such are taken in at once, however many they are.
+
+        One a batch, some hundreds of one key came up after their due time.
+        """
+        first = self.keys.find(request)
+        return first is not None and (first.running or (request.nonce is not None and first.launched_at > 0))
+
     # --- what happened
 
     def _take_in(self, message: Message, events: list[api.Event], now: float) -> None:
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,203 @@
+"""A further try of a keyed request, at each moment of the first one's life; and tries that come too late."""
+
+from collections.abc import Callable
+
+import pytest
+from test_core import SAID, Desk, request, verdicts
+
+from beechrock import interface as api
+from beechrock.core.requests import CallWanted, Gone, Leave, RunEnded, Taken, Verdict
+
+FAILED, SERVED, REFUSED = Verdict.FAILED, Verdict.SERVED, Verdict.REFUSED
+BELOW = {"downstream": api.Downstream.SHARED, "calls_share": 6.0, "linger_s": 0.2}
+
+
+def first(desk: Desk) -> None:
+    desk.tell(Taken(request("first", "n", born=desk.now)))
+
+
+def repeat(desk: Desk, after: float = 0.0) -> None:
+    desk.now += after
+    desk.tell(Taken(request("repeat", "n", born=desk.now)))
+
+
+def ended(outcome: api.Outcome) -> Callable[[Desk], None]:
+    def history(desk: Desk) -> None:
+        first(desk)
+        desk.tell(RunEnded("first", outcome, 0.1, b"r"))
+        repeat(desk)
+
+    return history
+
+
+def fill(desk: Desk) -> None:
+    """Give the cores so much to do that what comes next is held."""
+    while len(desk.launched()) == len(desk.actor.book):
+        desk.tell(Taken(request(f"{len(desk.actor.book)}", klass=0, born=desk.now)), after=0.01)
+
+
+def empty(desk: Desk) -> None:
+    """End each run, and those that start then."""
+    while running := [trace for trace, r in desk.actor.traces.items() if r.running]:
+        desk.tell(*(RunEnded(trace, api.Outcome.OK, 0.1, b"r") for trace in running), after=0.1)
+
+
+def held(desk: Desk) -> None:
+    fill(desk)
+    first(desk)
+    repeat(desk)
+    empty(desk)
+
+
+def in_one_batch(desk: Desk) -> None:
+    desk.tell(Taken(request("first", "n")), Taken(request("repeat", "n")))
+    desk.tell()
+    desk.tell(RunEnded("first", api.Outcome.OK, 0.1, b"r"))
+
+
+def running(desk: Desk) -> None:
+    first(desk)
+    repeat(desk)
+    desk.tell(RunEnded("first", api.Outcome.OK, 0.1, b"r"))
+
+
+def at_a_call(desk: Desk) -> None:
+    first(desk)
+    desk.tell(CallWanted("first", 1, b"c"))
+    running_on(desk)
+
+
+def running_on(desk: Desk) -> None:
+    repeat(desk)
+    desk.tell(RunEnded("first", api.Outcome.OK, 0.1, b"r"))
+
+
+def given_up_while_it_ran(desk: Desk) -> None:
+    first(desk)
+    desk.tell(after=9.0)
+    assert verdicts("first") == [FAILED]
+    running_on(desk)
+
+
+def callers_gone_while_it_ran(desk: Desk) -> None:
+    first(desk)
+    desk.tell(Gone(desk.actor.traces["first"]))
+    running_on(desk)
+
+
+def gone_and_repeated_in_one_batch(desk: Desk) -> None:
+    fill(desk)
+    first(desk)
+    desk.tell(Gone(desk.actor.traces["first"]), Taken(request("repeat", "n", born=desk.now)))
+    empty(desk)
+
+
+def callers_gone_while_it_was_held(desk: Desk) -> None:
+    fill(desk)
+    first(desk)
+    desk.tell(Gone(desk.actor.traces["first"]))
+    repeat(desk)
+    empty(desk)
+
+
+def refused_when_it_was_due(desk: Desk) -> None:
+    fill(desk)
+    first(desk)
+    desk.tell(after=8.99)
+    assert verdicts("first") == [REFUSED]
+    desk.tell(*(RunEnded(trace, api.Outcome.OK, 0.1) for trace in desk.launched()))
+    repeat(desk)
+    desk.tell(RunEnded("repeat", api.Outcome.OK, 0.1, b"r"))
+
+
+def its_result_dropped(desk: Desk) -> None:
+    first(desk)
+    desk.tell(RunEnded("first", api.Outcome.OK, 0.1, b"r"))
+    desk.actor.keys.trim(0)
+    repeat(desk)
+
+
+def at_the_windows_last_millisecond(desk: Desk) -> None:
+    ended(api.Outcome.OK)(desk)
+    SAID["repeat"].clear()
+    repeat(desk, after=30.049)
+
+
+def after_the_window(desk: Desk) -> None:
+    first(desk)
+    desk.tell(RunEnded("first", api.Outcome.OK, 0.1, b"r"))
+    repeat(desk, after=30.051)
+    desk.tell(RunEnded("repeat", api.Outcome.OK, 0.1, b"r"))
+
+
+@pytest.mark.parametrize(("history", "runs", "verdict"), [
+    (held, "first", SERVED), (in_one_batch, "first", SERVED), (running, "first", SERVED),
+    (at_a_call, "first", SERVED), (given_up_while_it_ran, "first", SERVED),
+    (callers_gone_while_it_ran, "first", SERVED),
+    (ended(api.Outcome.OK), "first", SERVED), (ended(api.Outcome.ERROR), "first", FAILED),
+    (ended(api.Outcome.STOPPED), "first", FAILED), (ended(api.Outcome.BROKEN_OFF), "first", FAILED),
+    (its_result_dropped, "first", FAILED), (at_the_windows_last_millisecond, "first", SERVED),
+    # What never ran is no reason to keep a further try from running.
+    (gone_and_repeated_in_one_batch, "repeat", SERVED), (callers_gone_while_it_was_held, "repeat", SERVED),
+    (refused_when_it_was_due, "repeat", SERVED),
+])
+def test_a_key_runs_once_and_its_repeat_gets_what_came_of_it(
+    history: Callable[[Desk], None], runs: str, verdict: Verdict,
+) -> None:
+    desk = Desk(**BELOW)
+    history(desk)
+    assert [trace for trace in desk.launched() if not trace.isdigit()] == [runs]
+    assert verdicts("repeat") == [verdict]
+    assert desk.actor.open == 0
+
+
+@pytest.mark.parametrize("history", [
+    after_the_window, ended(api.Outcome.MOOT), ended(api.Outcome.REJECTED)])
+def test_after_its_window_or_if_it_never_ran_a_key_is_launched_again(history: Callable[[Desk], None]) -> None:
+    desk = Desk(**BELOW)
+    history(desk)
+    assert desk.launched() == ["first", "repeat"]
+
+
+def test_hundreds_of_repeats_of_what_runs_are_taken_in_at_once() -> None:
+    desk = Desk()
+    first(desk)
+    desk.tell(*(Taken(request(f"r{n}", "n", born=desk.now)) for n in range(300)))
+    assert len(desk.actor.book) == 301
+    desk.tell(RunEnded("first", api.Outcome.OK, 0.1, b"r"))
+    assert [verdicts(f"r{n}") for n in range(300)] == [[SERVED]] * 300
+    assert desk.launched() == ["first"]
+
+
+@pytest.mark.parametrize("klass", [0, 1, 2])
+@pytest.mark.parametrize(("late_s", "verdict"), [(0.0, REFUSED), (5.0, REFUSED), (11.0, FAILED)])
+def test_what_has_no_time_left_when_it_is_read_gets_one_answer_at_once_and_never_runs(
+    klass: int, late_s: float, verdict: Verdict,
+) -> None:
+    desk = Desk()
+    desk.tell(Taken(request("late", "n" if klass == 1 else None, born=desk.now - 9.0 - late_s, klass=klass)))
+    assert verdicts("late") == [verdict]
+    assert desk.launched() == []
+    assert (desk.actor.book, desk.actor.node.jobs, len(desk.actor.keys)) == ({}, {}, 0)
+
+
+def test_a_callers_end_that_crosses_the_answer_changes_nothing() -> None:
+    desk = Desk()
+    first(desk)
+    made = desk.actor.traces["first"]
+    desk.tell(RunEnded("first", api.Outcome.OK, 0.1, b"r"), Gone(made))
+    assert verdicts("first") == [SERVED]
+    desk.tell(Gone(made), RunEnded("first", api.Outcome.OK, 0.1, b"again"))
+    assert verdicts("first") == [SERVED]
+    assert desk.actor.tally.concurrent == 0
+
+
+@pytest.mark.parametrize("klass", [1, 2])
+def test_what_ran_is_failed_and_never_refused_by_a_drain_or_the_kill(klass: int) -> None:
+    desk = Desk()
+    ran = request("ran", "n" if klass == 1 else None, klass=klass)
+    desk.tell(Taken(ran))
+    desk.tell(CallWanted("ran", 1, b"c"))
+    desk.tell(Leave(4.0))
+    desk.tell(after=3.9)
+    assert verdicts("ran") == [FAILED]
