--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,89 @@
+"""Commands to the agent that cross a break of its link, or find no room."""
+
+import pytest
+from play import Stand, run, until
+
+from beechrock.core.requests import Answer, Request, RunEnded
+from beechrock.interface import Outcome
+from beechrock.net import commands
+from beechrock.net.agent import Agent
+
+UP = '%s = accept agent\n%s < "subscribe 0\\r\\n"\n%s > "greeting LOADED 5000\\r\\n"\nup agent\n'
+TRACE = "00000000000000aa"
+
+
+def request() -> Request:
+    def answer(said: Answer) -> None:
+        raise AssertionError(said)
+
+    return Request(trace=TRACE, klass=0, route="resolve", born=0.0, body=b"x", answer=answer, running=True)
+
+
+async def agent_of(stand: Stand) -> Agent:
+    await stand.open()
+    await stand.play(UP.replace("%s", "g"))
+    assert stand.program.agent is not None
+    return stand.program.agent
+
+
+def test_a_freeze_and_a_thaw_that_may_be_lost_go_out_again_in_their_order() -> None:
+    async def work(stand: Stand) -> None:
+        agent, made = await agent_of(stand), request()
+        agent.launch(made)
+        agent.stop(made)
+        await stand.play(f'g < "launch {TRACE} resolve 1\\r\\nx\\r\\nfreeze {TRACE}\\r\\n"\n'
+                         "g break\ncounter agent.ended_links 1\n")
+        agent.resume(made)
+        all_three = f"launch {TRACE} resolve 1\\r\\nx\\r\\nfreeze {TRACE}\\r\\nthaw {TRACE}\\r\\n"
+        await stand.play("clock 0.03\n" + UP.replace("%s", "h") + f'h < "{all_three}"\n')
+        # Read by now, as the answer to a later question shows: a break costs nothing.
+        agent.sample()
+        await until(lambda: not len(agent.unproved), lambda: "not settled")
+        await stand.play("h break\ncounter agent.ended_links 2\nclock 0.03\n" + UP.replace("%s", "i"))
+
+    run(work)
+
+
+def test_what_nobody_waits_for_any_more_is_not_launched_on_a_new_link_if_it_never_went_out() -> None:
+    async def work(stand: Stand) -> None:
+        agent, made = await agent_of(stand), request()
+        await stand.play("g break\ncounter agent.ended_links 1\n")
+        agent.launch(made)
+        agent.stop(made)
+        made.answered = True
+        stand.program.module.traces[TRACE] = stand.program.module.book[1] = made
+        await stand.play("clock 0.03\n" + UP.replace("%s", "h") + "counter runs.moot 1\n")
+        assert (len(agent.unproved), agent.runs) == (0, {})
+
+    run(work)
+
+
+def test_a_launch_that_finds_no_room_among_the_commands_is_said_to_have_never_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def work(stand: Stand) -> None:
+        agent = await agent_of(stand)
+        monkeypatch.setattr(commands, "MOST_COMMANDS", 0)
+        agent.launch(request())
+        [said] = [m for m in stand.program.module.mailbox.drain() if isinstance(m, RunEnded)]
+        assert said == RunEnded(TRACE, Outcome.REJECTED, 0.0)
+        assert (agent.runs, agent.dispatches) == ({}, 0)
+
+    run(work)
+
+
+def test_a_link_that_takes_no_more_commands_is_cut_and_the_next_one_carries_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def work(stand: Stand) -> None:
+        agent, made = await agent_of(stand), request()
+        assert agent.link is not None
+        monkeypatch.setattr(agent.link.mailbox, "capacity", 0)
+        agent.launch(made)
+        await until(lambda: stand.wires["g"].ended, lambda: "still open")
+        await until(lambda: stand.program.counters["agent.ended_links"] == 1, lambda: "not cut")
+        stand.now += 0.03
+        await stand.step(["h", "=", "accept", "agent"], "")
+        assert agent.unproved.launch_of(TRACE) is not None
+
+    run(work)
