Tests: noise, limits and ends of ledger connections, each order once

No fault found: noise of eleven kinds ends its connection and the calls on it once and no other; without a connection left nothing is sent; of a reply, an abandon and an end only the first counts; a link that does not close is cut after 2 s.

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,6 +1,7 @@
 """Where the end of a call crosses another event of its link, in an order that the test forces."""
 
-from play import Stand, run
+import pytest
+from play import Stand, run, until
 
 from beechrock.core.requests import Answer, CallDone, Request
 from beechrock.interface import Outcome
@@ -113,3 +114,70 @@
         assert ends(stand) == [Outcome.TIMED_OUT]
 
     run(work)
+
+
+def test_a_link_that_does_not_close_is_cut() -> None:
+    async def work(stand: Stand) -> None:
+        link = await free_link(stand)
+        link.settled = lambda: False    # type: ignore[method-assign]   # its last words never get out
+        link.finish()
+        await stand.play("clock 1.1\nclock 2.1\ncounter ledger.cut_not_closed 1\nl closed\n")
+        assert stand.program.ledger is not None
+        assert stand.program.ledger.links == []
+
+    run(work)
+
+
+@pytest.mark.parametrize("noise", [
+    "ID posted 3\r\nabcd\r\n", "ID posted 200001\r\n", "ID posted -1\r\n", "ID posted\r\n", "ID posted 1 1\r\nx\r\n",
+    "ID queue_full now\r\n", "ID full\r\n", "ID\r\n", "\r\n", "\xff\x00\r\n", "n" * 5000,
+])
+def test_noise_ends_its_connection_and_all_calls_on_it_once_and_no_other(noise: str) -> None:
+    async def work(stand: Stand) -> None:
+        await stand.open()
+        ledger = stand.program.ledger
+        assert ledger is not None
+        ledger.most = 2
+        for trace in (TRACE, "bb", "cc"):       # the third finds no connection of its own
+            ledger.call(request(trace), b"x", 1.0)
+        [shared] = [k for k in ledger.links if len(k.open) == 2]
+        await stand.play("l = accept ledger\nm = accept ledger\ncounter ledger.links 2\n")
+        wires = [stand.wires[name] for name in "lm"]
+        await until(lambda: sum(wire.got.count(b"post") for wire in wires) == 3, lambda: "not sent")
+        [bad] = [wire for wire in wires if wire.got.count(b"post") == 2]
+        bad.writer.write(noise.replace("ID", TRACE).encode("latin-1"))
+        await until(lambda: shared not in ledger.links, lambda: f"still there: {noise[:40]!r}")
+        assert [len(link.open) for link in ledger.links] == [1]
+        assert stand.program.counters["intake.ledger_malformed"] == 1
+        assert ends(stand) in ([], [Outcome.BROKEN_OFF] * 2)    # the module may have read them already
+        await until(lambda: bad.ended, lambda: "not closed")
+
+    run(work)
+
+
+def test_without_a_connection_left_a_call_is_turned_away_unsent() -> None:
+    async def work(stand: Stand) -> None:
+        await stand.open()
+        assert stand.program.ledger is not None
+        stand.program.ledger.most = 0
+        stand.program.ledger.call(request(), b"x", 1.0)
+        assert ends(stand) == [Outcome.REJECTED]
+
+    run(work)
+
+
+def test_of_a_reply_and_the_calls_end_only_the_first_counts() -> None:
+    async def work(stand: Stand) -> None:
+        link = await free_link(stand)
+        ledger = stand.program.ledger
+        assert ledger is not None
+        ledger.call(request("bb"), b"y", 1.0)
+        link.heard(["bb", "posted", "2"], b"ok")
+        ledger.abandon(request("bb"))
+        assert ends(stand) == [Outcome.OK]
+        link.drop()
+        await until(lambda: link not in ledger.links, lambda: "still there")
+        assert ends(stand) == []
+        assert stand.program.counters["sent.abandons"] == 0
+
+    run(work)
