--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -129,7 +129,8 @@
 
 
 @pytest.mark.parametrize("noise", [
-    "ID posted 3\r\nabcd\r\n", "ID posted 200001\r\n", "ID posted -1\r\n", "ID posted\r\n", "ID posted 1 1\r\nx\r\n",
+    "ID posted 3\r\nabcd\r\n", "ID posted 200001\r\n", "ID posted -1\r\n", "ID posted\r\n",
+    "ID posted 1 1\r\nx\r\n",
     "ID queue_full now\r\n", "ID full\r\n", "ID\r\n", "\r\n", "\xff\x00\r\n", "n" * 5000,
 ])
 def test_noise_ends_its_connection_and_all_calls_on_it_once_and_no_other(noise: str) -> None:
