--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -1,5 +1,7 @@
 """Commands to the agent that cross a break of its link, or find no room."""
 
+import random
+
 import pytest
 from play import Stand, run, until
 
@@ -7,6 +9,7 @@
 from beechrock.interface import Outcome
 from beechrock.net import commands
 from beechrock.net.agent import Agent
+from beechrock.net.peer import BadInputError
 
 UP = '%s = accept agent\n%s < "subscribe 0\\r\\n"\n%s > "greeting LOADED 5000\\r\\n"\nup agent\n'
 TRACE = "00000000000000aa"
@@ -87,3 +90,30 @@
         assert agent.unproved.launch_of(TRACE) is not None
 
     run(work)
+
+
+WORDS = [
+    "outcome", "request", "sampled", "greeting", "exercised", "refusal", "aside", "launch", "PASS", "NOOP",
+    "EMPTY", "quiet", "g1", "g9", "gx", "", "nan", "inf", "-inf", "-1", "1e309", "1e13", "0", "1", "2", "3", "4", "9" * 30,
+    "\u0663", "\u00b2", "\ufffd", "1_0", TRACE, "0000000000000001",
+]
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_no_line_of_any_words_is_more_than_a_cut_or_a_message_that_the_module_can_take(seed: int) -> None:
+    async def work(stand: Stand) -> None:
+        agent, draw = await agent_of(stand), random.Random(seed)
+        module = stand.program.module
+        for _ in range(400):
+            words = [draw.choice(WORDS[:7]), *draw.choices(WORDS, k=draw.randrange(6))]
+            before = agent.last_notice
+            try:
+                agent.heard(words, draw.choice([b"", b"x"]))
+            except BadInputError as error:
+                agent.unreadable(words, str(error))
+            assert agent.last_notice >= before or stand.program.counters["agent.restarts"] > 0
+            module.tick(stand.now)
+        assert module.book == {}
+        assert [line for line in stand.program.counters.lines() if line.startswith("trouble.")] == []
+
+    run(work)
