--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -94,8 +94,8 @@
 
 WORDS = [
     "outcome", "request", "sampled", "greeting", "exercised", "refusal", "aside", "launch", "PASS", "NOOP",
-    "EMPTY", "quiet", "g1", "g9", "gx", "", "nan", "inf", "-inf", "-1", "1e309", "1e13", "0", "1", "2", "3", "4", "9" * 30,
-    "\u0663", "\u00b2", "\ufffd", "1_0", TRACE, "0000000000000001",
+    "EMPTY", "quiet", "g1", "g9", "gx", "", "nan", "inf", "-inf", "-1", "1e309", "1e13", "0", "1", "2", "3", "4",
+    "9" * 30, "\u0663", "\u00b2", "\ufffd", "1_0", TRACE, "0000000000000001",
 ]
 
 
