--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -5,6 +5,7 @@
 import pytest
 from play import Stand, run, until
 
+from beechrock.core.link import State
 from beechrock.core.requests import Answer, Request, RunEnded
 from beechrock.interface import Outcome
 from beechrock.net import commands
@@ -116,3 +117,21 @@
         assert [line for line in stand.program.counters.lines() if line.startswith("trouble.")] == []
 
     run(work)
+
+
+def test_a_reply_is_not_sent_again_to_a_run_whose_next_call_was_read_with_the_word_to_send() -> None:
+    async def work(stand: Stand) -> None:
+        agent, made = await agent_of(stand), request()
+        agent.launch(made)
+        agent.deliver(made, b"r1")
+        await stand.play(f'g < "launch {TRACE} resolve 1\\r\\nx\\r\\ndeliver {TRACE} 2\\r\\nr1\\r\\n"\n'
+                         "g break\ncounter agent.ended_links 1\nclock 0.03\nh = accept agent\nh mute\n"
+                         'h < "subscribe 0\\r\\n"\nh > "greeting LOADED 5000\\r\\n"\n')
+        await until(lambda: agent.life.state is State.SYNCING, lambda: f"{agent.life.state}")
+        word, notice = f"sampled {agent.sync_tag} 1 1 1 1\r\n", f"request 1 {TRACE} 1\r\nd\r\n"
+        stand.wires["h"].writer.write((word + notice).encode())
+        await stand.play("up agent\ncounter agent.commands_sent_again 2\n")
+        agent.deliver(made, b"r2")
+        await stand.play(f'h < "deliver {TRACE} 2\\r\\nr2\\r\\n"\n')
+
+    run(work)
