--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -159,6 +159,16 @@
     assert desk.launched() == ["first", "repeat"]
 
 
+def test_another_body_under_a_key_fails_and_another_class_is_another_key() -> None:
+    desk = Desk()
+    first(desk)
+    changed, other = request("changed", "n"), request("other", "n")
+    changed.body, other.route = b"changed", "another"
+    desk.tell(Taken(changed), Taken(other))
+    assert verdicts("changed") == [FAILED]
+    assert desk.launched() == ["first", "other"]
+
+
 def test_hundreds_of_repeats_of_what_runs_are_taken_in_at_once() -> None:
     desk = Desk()
     first(desk)
