--- a/beechrock/core/link.py
+++ b/beechrock/core/link.py
@@ -59,42 +59,47 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Opened:
+class OfLink:
+    """An event of the link, or attempt, of this number; one dataclass for all, as each takes memory."""
+
     link: int
 
 
 @dataclass(frozen=True, slots=True)
-class Refused:
-    link: int
+class Bare:
+    """An event or action that says all by its name."""
 
 
-@dataclass(frozen=True, slots=True)
-class Greeted:
-    link: int
+class Opened(OfLink):
+    __slots__ = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Synced:
-    link: int
+class Refused(OfLink):
+    __slots__ = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Heard:
+class Greeted(OfLink):
+    __slots__ = ()
+
+
+class Synced(OfLink):
+    __slots__ = ()
+
+
+class Heard(OfLink):
     """A whole message came; needs to be told in ASKED only, elsewhere ``heard_at`` does."""
 
-    link: int
+    __slots__ = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Closing:
+class Closing(OfLink):
     """Nothing is open on the link any more, and it is being closed by us."""
 
-    link: int
+    __slots__ = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Ended:
-    link: int
+class Ended(OfLink):
+    __slots__ = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,10 +107,11 @@
     address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class Due:
+class Due(Bare):
     """``LinkLife.due`` has come."""
 
+    __slots__ = ()
+
 
 Event = Opened | Refused | Greeted | Synced | Heard | Closing | Ended | Moved | Due
 
@@ -116,20 +122,23 @@
     address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class Hail:
+class Hail(Bare):
     """Say the first message on the link."""
 
+    __slots__ = ()
 
-@dataclass(frozen=True, slots=True)
-class Sync:
+
+class Sync(Bare):
     """Ask for the word that comes after all that was missed."""
 
+    __slots__ = ()
 
-@dataclass(frozen=True, slots=True)
-class Ask:
+
+class Ask(Bare):
     """Ask anything that a peer who is there answers at once."""
 
+    __slots__ = ()
+
 
 @dataclass(frozen=True, slots=True)
 class Cut:
@@ -139,10 +148,11 @@
     why: Why
 
 
-@dataclass(frozen=True, slots=True)
-class Lost:
+class Lost(Bare):
     """No link could be had for some attempts: the address may be an old one."""
 
+    __slots__ = ()
+
 
 Action = Connect | Hail | Sync | Ask | Cut | Lost
 LOST_AFTER = 3      # attempts in a row without a link that was up
--- a/beechrock/net/commands.py
+++ b/beechrock/net/commands.py
@@ -9,7 +9,7 @@
 MOST_COMMANDS = 40_000
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Command:
     """One line to the agent. Those about a request are kept until the agent is known to have read them."""
 
--- a/beechrock/net/ledger.py
+++ b/beechrock/net/ledger.py
@@ -23,7 +23,7 @@
 LATE_REPLY_S = 0.02     # after a pause of this process, for what came meanwhile to be read
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class OpenCall:
     request: Request
     body: bytes
