Store: what no sync proved is rewritten from memory, and no full disk forgets a promise

Seen, each by a test over a disk that drops what a failed sync did not write (every step of a history failing once or for a while with EIO or ENOSPC, then a kill or a power cut): - a restart after a failed sync took what the kernel still showed as durable, as a sync of clean pages says yes: a head whose sync had failed lost all records behind it. Store.rewrite() brings a failed store back without a restart: proved part from the disk, the rest from memory, into another file. Until then everything is refused as before; no owner calls it yet.

--- a/beechrock/releases/marker.py
+++ b/beechrock/releases/marker.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from beechrock.store import rewrite
 from beechrock.store.files import Files
 
 OUT, WANTED = "out", "wanted"       # WANTED: the version that the supervisor is to start
@@ -33,13 +34,7 @@
             await asyncio.to_thread(work, *told)
 
     def _write(self, name: str, text: str) -> None:
-        new = f"{name}.new"
-        if new in self.files.names():
-            self.files.remove(new)
-        self.files.write(new, 0, text.encode())
-        self.files.sync(new)
-        self.files.replace(new, name)
-        self.files.sync_names()
+        rewrite.whole(self.files, name, text.encode())
 
     def _remove(self) -> None:
         if self.found():
--- a/beechrock/store/files.py
+++ b/beechrock/store/files.py
@@ -4,7 +4,9 @@
 or a ``remove`` after ``sync_names``. Calls may come from several threads, for different files.
 """
 
+import errno
 import os
+from contextlib import suppress
 from pathlib import Path
 
 LAB = "BEECHROCK_LAB_DISK"      # faults of the laboratory's disk; no operator sets it
@@ -15,7 +17,7 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
-        folder.mkdir(parents=True, exist_ok=True)
+        _make(folder)
         self.open: dict[str, int] = {}
 
     def names(self) -> list[str]:
@@ -29,7 +31,7 @@
     def read(self, name: str, at: int = 0, most: int | None = None) -> bytes:
         """From byte ``at``, all or at most so many bytes; less where the file ends."""
         if most is not None and (fd := self.open.get(name)) is not None:
-            return os.pread(fd, most, at)
+            return _read_all(fd, most, at)
         with (self.folder / name).open("rb") as file:
             file.seek(at)
             return file.read(-1 if most is None else most)
@@ -39,6 +41,8 @@
         fd = self._fd(name)
         while data:
             done = os.pwrite(fd, data, at)
+            if not done:
+                raise OSError(errno.EIO, "the disk takes nothing, and says no error", name)
             data, at = data[done:], at + done
 
     def sync(self, name: str) -> None:
@@ -47,11 +51,7 @@
 
     def sync_names(self) -> None:
         """What was made, replaced and removed stays so after it."""
-        fd = os.open(self.folder, os.O_RDONLY)
-        try:
-            os.fsync(fd)
-        finally:
-            os.close(fd)
+        _sync_folder(self.folder)
 
     def replace(self, old: str, new: str) -> None:
         """``old`` has the name ``new`` from here on, in one step."""
@@ -78,7 +78,33 @@
 
     def _forget(self, name: str) -> None:
         if (fd := self.open.pop(name, None)) is not None:
-            os.close(fd)
+            with suppress(OSError):     # what counts was synced, and its error told, before
+                os.close(fd)
+
+
+def _read_all(fd: int, most: int, at: int) -> bytes:
+    """Less than ``most`` only where the file ends: one read may be short anywhere."""
+    found = b""
+    while len(found) < most and (part := os.pread(fd, most - len(found), at + len(found))):
+        found += part
+    return found
+
+
+def _make(folder: Path) -> None:
+    """With the folders above it; each new name is durable, else a power cut takes all that is in it."""
+    if folder.is_dir():
+        return
+    _make(folder.parent)
+    folder.mkdir(exist_ok=True)
+    _sync_folder(folder.parent)
+
+
+def _sync_folder(folder: Path) -> None:
+    fd = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
 
 
 def at(folder: Path) -> Files:
--- a/beechrock/store/format.py
+++ b/beechrock/store/format.py
@@ -135,6 +135,16 @@
     return Header(number, first_seq, last) if whole else None
 
 
+def whole_segment(ident: bytes, data: bytes) -> bool:
+    """Whether it is a header and whole records, and nothing else."""
+    if header_of(ident, data, "") is None:
+        return False
+    at = HEADER.size
+    while at < len(data) and (one := record_at(ident, data, at)) is not None:
+        at += HEAD.size + len(one.data)
+    return at == len(data)
+
+
 def snapshot(ident: bytes, one: Snapshot) -> bytes:
     front = SNAP.pack(SNAPSHOT, VERSION, one.index, one.seq, len(one.data), ident, b"")[:-32]
     return front + _check(ident, front, one.data, size=32) + one.data
--- a/beechrock/store/log.py
+++ b/beechrock/store/log.py
@@ -1,22 +1,26 @@
 """The thin store round ``recover``: entries, one snapshot, and the mark, in files of one prefix.
 
 ``sync`` may run in a thread beside appends; all else is the owner's. An OSError that leaves open what is on
-disk makes the store fail for good: StoreFailedError until it is opened again.
+disk makes the store refuse everything: StoreFailedError, until ``rewrite`` has written anew what no sync had
+proved, or the store is opened again.
 """
 
 import errno
-import re
 import secrets
 import threading
 from array import array
+from collections import deque
+from contextlib import suppress
 from dataclasses import dataclass
 from enum import Enum
 
 from beechrock.store import format as form
+from beechrock.store import rewrite as anew
 from beechrock.store.errors import StoreFailedError, StoreFullError, StoreMisuseError
 from beechrock.store.files import Files
 from beechrock.store.format import Kind, Mark
 from beechrock.store.recover import PLACE, Recovery
+from beechrock.store.rewrite import NEW
 
 LOOK = "look at the disk, then start the node again"
 NO_ROOM = {errno.ENOSPC, errno.EDQUOT, errno.EFBIG}
@@ -54,6 +58,11 @@
         # Small enough that a full store gets room by a snapshot, as whole segments are dropped.
         self.segment_bytes = min(rules.segment_bytes, rules.most_bytes // 8)
         self.lock = threading.Lock()        # between a sync in a thread and a cut
+        # Linux reports a failed write-back to one sync of a descriptor: a second one beside it would succeed.
+        self.sync_lock = threading.Lock()
+        # What no sync has proved, by seq; all of it is in the newest segment, so segment_bytes bounds it.
+        self.unsynced: deque[tuple[int, bytes]] = deque()
+        self.past_log = False       # a snapshot past all entries stands, and the log does not follow it yet
         self.id = self.digest = b""
         self.openings: tuple[tuple[bytes, int], ...] = ()
         self.found = Found(Met.NEW)
@@ -149,6 +158,7 @@
 
     def sync(self) -> None:
         """All appended before the call is durable; StoreFailedError, and then nobody knows what is."""
+        self._check()
         # The cuts first: one that came between would else count as seen, and what it cut as synced.
         cuts, seq, last = self.cuts, self.seq, self.last
         if seq == self.synced_seq:
@@ -167,17 +177,47 @@
         self.sync()     # what a cut has dropped is not to come back under the snapshot
         name = f"{self.prefix}.snap"
         whole = form.snapshot(self.id, form.Snapshot(index, self.seq, data))
-        try:
-            self._whole(name, whole)
-        except OSError as error:
-            self.files.remove(name + ".new")
-            raise self._no_room(error) from None
+        # Seen: the disk was full right after the rename, and the log went on before the snapshot's index. The
+        # next opening began the log anew behind the snapshot, and forgot what had been promised meanwhile.
+        self.past_log = index > self.last
+        self._replace_snapshot(name, whole)
         self.snap_bytes = len(whole)
-        if index > self.last:
-            self._reset(index)
+        if self.past_log:
+            try:
+                self._reset(index)
+            except StoreFullError as error:
+                self.failed = str(error)
+                self._check()
+            self.past_log = False
         del self.places[:index + 1 - self.first]
         self._compact()
 
+    def rewrite(self) -> None:
+        """After StoreFailedError: what was not proved is written anew from memory, into another file.
+
+        The kernel may have dropped what it could not write and calls the file clean, so that a later sync of
+        it proves nothing. StoreFailedError: the disk still fails, or only an opening can tell what stands;
+        StoreDamagedError: what had been proved is gone.
+        """
+        if not self.failed:
+            return
+        if self.past_log:
+            self._check()
+        try:
+            # A segment that was begun while the disk failed: nothing is in it.
+            self.files.remove(self._name(self.number + 1))
+            self.files.sync_names()
+            if self.sizes:
+                anew.segment(self.files, self.id, self._name(self.number), self.sizes[self.number],
+                             b"".join(data for _, data in self.unsynced))
+        except OSError as error:
+            self.failed = str(error)
+            self._check()
+        self.failed = ""
+        with self.lock:
+            self.synced = self.last
+        self._durable(self.seq)
+
     def close(self) -> None:
         self.files.close()
 
@@ -189,11 +229,9 @@
     def _open(self) -> None:
         name, snap = f"{self.prefix}.mark", f"{self.prefix}.snap"
         names = self.files.names()
-        form_of = re.compile(re.escape(self.prefix) + r"-(\d{10})\.log")
-        numbers = sorted(int(match[1]) for match in map(form_of.fullmatch, names) if match)
-        for left in (name + ".new", snap + ".new"):
-            if left in names:
-                self.files.remove(left)
+        numbers, unfinished = anew.segments(self.prefix, names)
+        for left in unfinished:
+            self.files.remove(left)
         known = name in names or bool(numbers) or snap in names
         if known:
             if name not in names:
@@ -214,7 +252,11 @@
         reset = found.finish(self.prefix)
         self.seq, self.last, self.places = found.seq, found.last, found.places
         for number, size in good.items():
-            self._mend(number, size)
+            # What is read may be in the kernel's memory alone. Where no sync is known to have covered it, one
+            # before the restart may have failed, and another would say yes to what was dropped. All before
+            # the newest was synced before that was begun.
+            newest = number == numbers[-1]
+            self._mend(number, size, rewrite=newest and (not found.proved or bool(found.torn)))
         self.files.sync_names()
         self.number = max(self.sizes, default=0)
         self._begin_epoch(mark)
@@ -224,31 +266,35 @@
             self._reset(self.last)
         self._compact()
 
-    def _mend(self, number: int, size: int) -> None:
-        """Cut off what is torn, durably: else a later write could bring it back to life behind itself."""
+    def _mend(self, number: int, size: int, rewrite: bool) -> None:
+        """What is torn is gone, durably: else a later write could bring it back to life behind itself."""
         name = self._name(number)
         if size == 0:
-            self.files.remove(name)
-            return
-        if size < self.files.size(name):
-            self.files.truncate(name, size)
-        self.files.sync(name)       # what was read may be in the kernel's memory alone
+            return self.files.remove(name)
+        if rewrite:
+            anew.whole(self.files, name, self.files.read(name, 0, size))
         self.sizes[number] = size
         self.log_bytes += size
 
     def _begin_epoch(self, mark: Mark) -> None:
         self.epoch, self.digest = mark.epoch + 1, secrets.token_bytes(16)
         self.openings = (*mark.openings, (self.digest, self.seq))[-form.MOST_OPENINGS:]
-        self._whole(f"{self.prefix}.mark", form.mark(Mark(
+        anew.whole(self.files, f"{self.prefix}.mark", form.mark(Mark(
             self.id, self.epoch, self.seq, self.digest, self.openings)))
 
-    def _whole(self, name: str, data: bytes) -> None:
-        new = name + ".new"
-        self.files.remove(new)
-        self.files.write(new, 0, data)
-        self.files.sync(new)
-        self.files.replace(new, name)
-        self.files.sync_names()
+    def _replace_snapshot(self, name: str, whole: bytes) -> None:
+        try:
+            anew.beside(self.files, name, whole)
+        except OSError as error:
+            with suppress(OSError):     # the next one removes it first
+                self.files.remove(name + NEW)
+            self.past_log = False       # the old one stands
+            raise self._no_room(error) from None
+        try:
+            anew.rename(self.files, name)
+        except OSError as error:        # nobody knows which of them stands: the log keeps the entries of both
+            self.failed = str(error)
+            self._check()
 
     def _write(self, kind: Kind, index: int, data: bytes) -> None:
         self._check()
@@ -265,6 +311,7 @@
                 self.failed = f"{error}, and the half of it could not be cut off"
             raise self._no_room(error) from None
         self.seq += 1
+        self.unsynced.append((self.seq, whole))
         self.sizes[self.number] = at + len(whole)
         self.log_bytes += len(whole)
 
@@ -279,12 +326,21 @@
             self.files.sync(name)
             self.files.sync_names()
         except OSError as error:
-            self.files.remove(name)
+            self._unroll(name, error)
             raise self._no_room(error) from None
         self.number += 1
         self.sizes[self.number] = len(head)
         self.log_bytes += len(head)
 
+    def _unroll(self, name: str, why: OSError) -> None:
+        """Take the new segment away, durably: come back after a power cut, it would not follow what the one
+        before it got meanwhile, and that would be taken for damage."""
+        try:
+            self.files.remove(name)
+            self.files.sync_names()
+        except OSError:
+            self.failed = f"{why}, and the new segment could not be taken away"
+
     def _reset(self, index: int) -> None:
         self._write(Kind.RESET, index, b"")
         del self.places[:]
@@ -300,23 +356,32 @@
             if self.sizes and self.sizes[self.number] > self.segment_bytes // 2:
                 self._roll()
             keep = self.number
-        if dropped := [number for number in self.sizes if number < keep]:
-            for number in dropped:      # the oldest first: a cut between leaves no gap
+        for number in [number for number in self.sizes if number < keep]:
+            try:
                 self.files.remove(self._name(number))
-                self.files.sync_names()
-                self.log_bytes -= self.sizes.pop(number)
+                self.files.sync_names()     # the oldest first: a cut between leaves no gap
+            except OSError as error:
+                if error.errno in NO_ROOM:
+                    return      # dropped with the next snapshot
+                self.failed = str(error)
+                self._check()
+            self.log_bytes -= self.sizes.pop(number)
 
     def _sync(self, name: str) -> None:
-        self._check()
-        try:
-            self.files.sync(name)
-        except OSError as error:    # the kernel may have dropped what it could not write: a second try lies
-            self.failed = str(error)
+        with self.sync_lock:
             self._check()
+            try:
+                self.files.sync(name)
+            except OSError as error:    # what it could not write may be dropped: a second try lies
+                self.failed = str(error)
+                self._check()
 
     def _durable(self, seq: int) -> None:
         """In place and not synced: it comes to disk late or never, but never before what it tells."""
-        self.synced_seq = max(self.synced_seq, seq)
+        with self.lock:
+            self.synced_seq = max(self.synced_seq, seq)
+            while self.unsynced and self.unsynced[0][0] <= self.synced_seq:
+                self.unsynced.popleft()
         try:
             self.files.write(f"{self.prefix}.mark", form.HINT_AT, form.hint(self.mark(), self.synced_seq))
         except OSError:
--- a/beechrock/store/recover.py
+++ b/beechrock/store/recover.py
@@ -26,6 +26,7 @@
     seq: int = 0            # of the newest good record
     last: int = 0           # index of the newest entry
     number: int = 0         # of the newest segment
+    first_seq: int = 0      # of that
     torn: str = ""          # where
     places: "array[int]" = field(default_factory=lambda: array("Q"))   # of the newest entries, in order
 
@@ -56,7 +57,15 @@
             self.seq, self.last = head.first_seq - 1, head.last
         elif (number, head.first_seq, head.last) != (self.number + 1, self.seq + 1, self.last):
             raise form.damaged("does not follow the segment before", name)
-        self.number = number
+        self.number, self.first_seq = number, head.first_seq
+
+    @property
+    def proved(self) -> bool:
+        """Whether a sync is known to have covered the newest segment: all its records, and so its head.
+
+        Seen with a head alone, whose sync had failed: later records were synced behind it, and all were lost.
+        """
+        return self.first_seq <= self.synced >= self.seq
 
     def _take(self, name: str, at: int, one: form.Record) -> None:
         fits = {Kind.ENTRY: one.index == self.last + 1, Kind.CUT: one.index <= self.last, Kind.RESET: True}
--- /dev/null
+++ b/beechrock/store/rewrite.py
@@ -0,0 +1,47 @@
+"""Files that are written anew: whole under another name, then renamed. OSError as the disk gives it."""
+
+import re
+
+from beechrock.store import format as form
+from beechrock.store.files import Files
+
+NEW = ".new"    # what a file is called until it is whole and synced
+
+
+def segments(prefix: str, names: list[str]) -> tuple[list[int], list[str]]:
+    """The numbers of the segments, in order, and the files of this prefix that were never renamed."""
+    form_of = re.compile(re.escape(prefix) + r"-(\d{10})\.log")
+    numbers = sorted(int(match[1]) for match in map(form_of.fullmatch, names) if match)
+    finished = [name.removesuffix(NEW) for name in names if name.endswith(NEW)]
+    return numbers, [name + NEW for name in finished
+                     if name in (f"{prefix}.mark", f"{prefix}.snap") or form_of.fullmatch(name)]
+
+
+def beside(files: Files, name: str, data: bytes) -> None:
+    """Write and sync it under the other name, as another file than any that failed before."""
+    files.remove(name + NEW)
+    files.write(name + NEW, 0, data)
+    files.sync(name + NEW)
+
+
+def rename(files: Files, name: str) -> None:
+    """Put what ``beside`` wrote in place, durably."""
+    files.replace(name + NEW, name)
+    files.sync_names()
+
+
+def whole(files: Files, name: str, data: bytes) -> None:
+    """After an error the old content stands, or the new; whichever it is, it is whole."""
+    beside(files, name, data)
+    rename(files, name)
+
+
+def segment(files: Files, ident: bytes, name: str, size: int, unsynced: bytes) -> None:
+    """A segment of ``size`` bytes: its proved part from the disk, the rest as memory has it.
+
+    StoreDamagedError: the proved part is not there any more.
+    """
+    proved = files.read(name, 0, size - len(unsynced))
+    if len(proved) + len(unsynced) != size or not form.whole_segment(ident, proved):
+        raise form.damaged("what had been synced does not fit its checksum", name)
+    whole(files, name, proved + unsynced)
--- a/beechrock/store/witness.py
+++ b/beechrock/store/witness.py
@@ -11,6 +11,7 @@
 import msgpack
 from blake3 import blake3
 
+from beechrock.store import rewrite
 from beechrock.store.files import Files
 from beechrock.store.format import Mark, damaged
 
@@ -89,15 +90,16 @@
 
     def forget(self, peer: str) -> None:
         """An operator's word: whatever it comes with next is believed."""
-        if self.known.pop(peer, None) is not None:
+        before = self.known.pop(peer, None)
+        if before is None:
+            return
+        try:
             self.save()
+        except OSError:     # not forgotten on disk: said again, it has to be tried again
+            self.known[peer] = before
+            raise
 
     def save(self) -> None:
         packed: bytes = msgpack.packb({peer: mark.to_bytes() for peer, mark in self.known.items()})
-        new = self.name + ".new"
-        self.files.remove(new)
-        self.files.write(new, 0, blake3(packed).digest() + packed)
-        self.files.sync(new)
-        self.files.replace(new, self.name)
-        self.files.sync_names()
+        rewrite.whole(self.files, self.name, blake3(packed).digest() + packed)
         self.saved = {peer: mark.synced for peer, mark in self.known.items()}
