Way out: the backlog is emptied, and each connection ends once nothing waits on it

Seen in tests that fail on the tree before: connections in the accept backlog were reset with the requests written on them as the listening socket was closed; for the last 0.17 s nothing was read, and the process ended over unread bytes, which resets; what asyncio had accepted and not handed on was dropped; with a notice under 2.5 s the module's last answers came after the close.

Ruled out: runs after the grace (the policy settles before it starts runs, in the same batch).

connections/leaving.py gives the moments, pure. From 0.30 s before the kill the backlog is accepted to EAGAIN and the socket closed in the same step, each connection is ended in the step that finds nothing owed and nothing unread, and all is read on until 0.17 s before the kill. The last resort for what nobody answered is 'failed' from the front.

An SCGI connection that has not asked yet hears 503 before its end, as its request may be on the way.

--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -268,6 +268,14 @@
         payload = bytes([message.code]) + fields(dict(message.values)) + message.body
         return frame(message.kind, message.stream, payload)
 
+    def answer_all(self) -> None:
+        for stream, request in list(self.open.items()):
+            if request is None:
+                self._checked(stream, False)
+            else:       # it may have run
+                self.counters.add("answered.at_exit")
+                self._answer(stream, Answer(Verdict.FAILED, b"the node ends"))
+
     def bad_input(self, problem: str) -> None:
         self.post(Reply(ANSWER, 0, FAILED, body=problem.encode()))
 
--- a/beechrock/net/front.py
+++ b/beechrock/net/front.py
@@ -10,6 +10,8 @@
 
 P = TypeVar("P", bound=Peer[Any])
 SWEEP_S = 0.5
+DEPART_STEP_S = 0.004   # a tick of the module, whose answers are waited for
+SET_UP_TURNS = 8        # of the loop, in which an accepted connection comes into ``peers`` (it takes 4)
 LINGERING_PART = 16     # 1 / this of the places: connections ended for others that still hold a descriptor
 
 
@@ -71,6 +73,28 @@
             self.server.close()
             self.server = None
 
+    async def depart(self, cut_at: float, exit_at: float) -> None:
+        """Take no more connections and end all, so that each whole request read before has its answer.
+
+        ``cut_at``, ``exit_at``: of the loop's time; from the first on connections are ended whatever is open.
+        """
+        loop = asyncio.get_running_loop()
+        turns = 0       # since the last connection was accepted
+        while loop.time() < exit_at and (self.server is not None or self.peers or turns < SET_UP_TURNS):
+            if self.server is not None and self.server.close_empty():
+                self.server = None
+            self._dismiss_all(loop.time() >= cut_at)
+            turns = turns + 1 if self.server is None else 0
+            await asyncio.sleep(0 if turns < SET_UP_TURNS else DEPART_STEP_S)
+        self.close()
+
+    def _dismiss_all(self, cut: bool) -> None:
+        """End all connections that owe nothing; with ``cut`` the others too, after a last answer to each."""
+        for peer in [peer for peer in self.peers if not peer.closing]:
+            if not self.dismiss(peer) and cut:
+                peer.answer_all()
+                peer.finish()
+
     def _relieve(self) -> None:
         """End the connection that is missed least, as accept finds no descriptor or memory for a new one."""
         least = next(iter(self._lingering), None) or victim(self.peers, self.most, self.module.clock())
--- a/beechrock/net/listener.py
+++ b/beechrock/net/listener.py
@@ -83,18 +83,29 @@
         self._retry = None
         self._loop.add_reader(self._sock.fileno(), self._accept_ready)
 
-    def _accept_ready(self) -> None:
-        """Accept up to ``at_once`` connections in this turn of the loop."""
+    def close_empty(self) -> bool:
+        """Accept what waits, and close in the same step if that was all; whether it is closed.
+
+        Seen in a probe: a listening socket that is closed resets the connections in its backlog, with the
+        requests that were written on them.
+        """
+        if not self._accept_ready():
+            return False
+        self.close()
+        return True
+
+    def _accept_ready(self) -> bool:
+        """Accept up to ``at_once`` connections in this turn of the loop; whether none is left."""
         taken = errors = 0
         for _ in range(self.at_once):
             try:
                 connection, _ = self._sock.accept()
             except BlockingIOError:
-                return
+                return True
             except OSError as error:
                 if error.errno not in CONNECTION_ERRORS:
                     self._rest(error)
-                    return
+                    return False
                 errors += 1
                 self.counters.add(f"intake.{self.where}_accept_errors")
                 continue
@@ -103,6 +114,7 @@
             self.counters.spawn(self._set_up(connection), f"{self.where}.accept")
         if errors and not taken:    # the error stays, whatever it says: without a rest it would take a core
             self._pause()
+        return False
 
     def _rest(self, error: OSError) -> None:
         """After an error of the process or the system: try again soon, as the backlog goes on waiting."""
--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -60,6 +60,9 @@
         """Whether nothing is owed on this connection."""
         return True
 
+    def answer_all(self) -> None:
+        """Give what is open an answer of last resort, as the process ends."""
+
     def owes(self) -> bool:
         return not (self.settled() and self.flushed)
 
--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -12,6 +12,8 @@
 from beechrock.interface import Effect
 from beechrock.net.front import Front
 from beechrock.net.peer import Peer
+from beechrock.net.scgi_reply import Reply as Reply
+from beechrock.net.scgi_reply import reply_to as reply_to
 
 if TYPE_CHECKING:
     from beechrock.inventory.model import Inventory
@@ -22,9 +24,6 @@
 # A request that is not whole after this part of the shortest due time, or after this long, gets its answer.
 STALL_PART, STALL_S = 0.5, 2.5
 HELD_KB = 4.0           # memory of a request beside its body
-REASONS = {200: "OK", 202: "Accepted", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
-           408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large",
-           500: "Internal Server Error", 503: "Service Unavailable"}
 
 
 class ScgiError(Exception):
@@ -67,39 +66,6 @@
     return f"{len(block)}:".encode() + block + b"," + body
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
-    status: int
-    body: bytes = b""
-    headers: tuple[tuple[str, str], ...] = ()
-
-    def encode(self) -> bytes:
-        media = () if any(k == "Content-Type" for k, _ in self.headers) else (("Content-Type", "text/plain"),)
-        lines = [f"Status: {self.status} {REASONS.get(self.status, 'Unknown')}"]
-        lines += [f"{k}: {v}" for k, v in (*media, *self.headers, ("Content-Length", str(len(self.body))))]
-        return "\r\n".join(lines).encode("latin-1", "replace") + b"\r\n\r\n" + self.body
-
-
-def reply_to(answer: Answer) -> Reply:
-    """A final answer in the words of SCGI."""
-    headers: tuple[tuple[str, str], ...] = ()
-    if answer.advice is not None:
-        headers = (("X-Advice", f"{answer.advice:.4f}"),)
-    if answer.verdict is Verdict.SERVED:
-        media = answer.media or "application/octet-stream"
-        return Reply(200, answer.body, (("Content-Type", media), *headers))
-    if answer.verdict is Verdict.FAILED:
-        return Reply(500, answer.body or b"failed\n", headers)
-    if answer.retry_after_s:
-        # Retry-After has whole seconds only. Seen in the overload scenario: rounded up, pauses of a third of
-        # a second cost SCGI callers 3% of the service that frames got; the exact pause stands beside it.
-        headers += (("Retry-After", str(math.ceil(answer.retry_after_s))),
-                    ("X-Retry-After-Ms", str(max(1, round(1000 * answer.retry_after_s)))))
-    if answer.no_retry:
-        headers += (("X-Retry-Elsewhere", "no"),)
-    return Reply(503, answer.body or b"turned away; it never ran\n", headers)
-
-
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -358,6 +324,14 @@
     def settled(self) -> bool:
         return self.said or self.request is None
 
+    def answer_all(self) -> None:
+        """What ran, or may have, has failed; what is not whole never ran."""
+        if self.request is not None and not self.said:
+            self.counters.add("answered.at_exit")
+            self._say(Reply(500, b"the node ends\n"))
+        elif not self.said:
+            self.reject(ScgiError(503, "the node ends; nothing ran"))
+
 
 class ScgiFront(Front[ScgiPeer]):
     """Listens for SCGI callers."""
@@ -377,6 +351,13 @@
     def no_room(self, peer: ScgiPeer) -> None:
         peer.reject(ScgiError(503, "too many connections"))
 
+    def dismiss(self, peer: ScgiPeer) -> bool:
+        """One that has not asked yet gets its answer before: its request may be on the way."""
+        if peer.request is None and not peer.said and not peer.input_waits():
+            peer.reject(ScgiError(503, "this connection ends; nothing ran"))
+            return True
+        return peer.shut()
+
     def ended(self, peer: ScgiPeer) -> None:
         peer.stall.cancel()
         if peer.team is not None:
--- a/beechrock/program.py
+++ b/beechrock/program.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from beechrock import config
+from beechrock.connections.leaving import Schedule, schedule
 from beechrock.core.counters import Counters
 from beechrock.core.module import ModuleActor
 from beechrock.core.requests import Leave, Work
@@ -34,7 +35,6 @@
     from beechrock.trace.recorder import Recorder
 
 log = logging.getLogger("beechrock")
-EXIT_MARGIN_S = 0.25    # the process has ended this long before it would be killed
 # So often a process that has a successor looks whether anything is left to do, and how many times in a row
 # there was nothing: a connection that has just been accepted shows up some turns of the loop later.
 LOOK_S, IDLE_LOOKS = 0.05, 3
@@ -67,7 +67,8 @@
         if told.trace is not None:
             self._record(told.trace, clock)
         self.tasks: list[asyncio.Task[None]] = []
-        self.leaving = asyncio.Event()
+        self.leaving, self.left_at = asyncio.Event(), 0.0   # the notice, and when it came, of the loop's time
+        self.way_out: Schedule = schedule(told.stop_s)
         # Front ends use up to half of the descriptors; the agent, the ledger and SCGI share the rest.
         self.frames = FramesFront(self.module, told.sockets * 5 // 8) if told.listen else None
         self.agent = Agent(self.module, told.gauges, told.agent) if told.agent else None
@@ -231,6 +232,7 @@
         if self.leaving.is_set():
             return
         self.leaving.set()
+        self.left_at = asyncio.get_running_loop().time()
         if self.serving is not None:
             self.serving.leave()
         self.replaced = self.handover is not None and self.handover.leave()
@@ -246,7 +248,7 @@
 
     def _tell_leave(self) -> None:
         """The module, and unless another process goes on as this node, the registry."""
-        self.module.post(Leave(self.told.stop_s, self.replaced))
+        self.module.post(Leave(self.way_out.module_s, self.replaced))
         if self.registry is not None:
             self.registry.mailbox.put("ready" if self.replaced else "draining")
 
@@ -316,7 +318,7 @@
         await self.listen()
         actors = {"module": self.module, "registry": self.registry, "inventory": self.keeper,
                   "trace": self.recorder, "handover": self.handover, "members": self.members, **self.parts}
-        self.tasks = [self.counters.spawn(a.run(), name) for name, a in actors.items() if a is not None]
+        self.tasks += [self.counters.spawn(a.run(), name) for name, a in actors.items() if a is not None]
         if self.agent is not None:
             self.agent.begin()
 
@@ -342,10 +344,9 @@
         await self.start()
         gc.freeze()     # what is here now stays; full collections look at the rest only, and so come in time
         await self.leaving.wait()
-        # Requests in the backlog of a listening socket are ours too: it stays open, and read, to the end.
         await self._worked_off()
+        await self._end_connections()
         self.close()
-        await asyncio.sleep(EXIT_MARGIN_S / 3)
         for task in self.tasks:
             if task.get_name() != "trace":
                 task.cancel()
@@ -360,7 +361,17 @@
     async def _worked_off(self) -> None:
         """Until the process has to end; with a successor, until nothing is left to do."""
         loop = asyncio.get_running_loop()
-        end, idle = loop.time() + self.told.stop_s - EXIT_MARGIN_S, 0
+        end, idle = self.left_at + self.way_out.close_s, 0
         while (left := end - loop.time()) > 0 and idle < IDLE_LOOKS:
             await asyncio.sleep(left if self.handover is None else min(left, LOOK_S))
             idle = idle + 1 if self.handover is not None and self.handover.may_go() else 0
+
+    async def _end_connections(self) -> None:
+        """Answer what was read, and end each connection in order; in time for the process to end by itself.
+
+        Requests in the backlog of a listening socket are ours too: it is read to its end before it is closed.
+        """
+        if self.handover is not None:   # what comes now is the other's, or the next one's
+            self.handover.end()
+        cut_at, exit_at = (self.left_at + at for at in (self.way_out.cut_s, self.way_out.exit_s))
+        await asyncio.gather(*(front.depart(cut_at, exit_at) for front in (self.frames, self.scgi) if front))
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -1,9 +1,13 @@
 """Connections that the node ends, and requests that come in that moment."""
 
+import asyncio
+
 from callers import Caller, request, turns
 from play import Stand, run, until
 
+from beechrock.connections.leaving import MODULE_MARGIN, schedule
 from beechrock.net.frames import CHECK, MOST_BAD, FramesFront, FramesPeer, frame
+from beechrock.policy.books import DRAIN_MARGIN
 
 CHECK_1, CHECK_2 = (frame(CHECK, stream, b"\0") for stream in (1, 2))
 
@@ -119,3 +123,74 @@
         await caller.closed()
 
     run(work)
+
+
+# --- the way out
+
+
+def leave(stand: Stand) -> None:
+    """The notice, and the moment at which the module has answered all and the closes begin."""
+    stand.program.leave()
+    stand.program.left_at -= stand.program.way_out.close_s
+    stand.now += stand.program.way_out.close_s
+
+
+def connect(front: FramesFront) -> Caller:
+    assert front.server is not None
+    return Caller(front.server.sockets[0].getsockname()[:2])
+
+
+def test_requests_in_the_backlog_are_answered_before_the_listening_socket_is_closed() -> None:
+    async def work(stand: Stand) -> None:
+        front, _ = await node(stand, 0)
+        leave(stand)
+        callers = [connect(front) for _ in range(40)]   # more than a turn of the loop accepts
+        for caller in callers:
+            caller.send(CHECK_1 + request(2))
+        ending = asyncio.ensure_future(stand.program._end_connections())
+        for caller in callers:
+            await caller.closed()
+            caller.socket.close()
+        await ending
+        assert not front.peers and front.server is None
+
+    run(work)
+
+
+def test_what_comes_in_the_last_moments_on_silent_connections_is_answered_or_met_the_end() -> None:
+    async def work(stand: Stand) -> None:
+        front, callers = await node(stand, 8)
+        leave(stand)
+        ending = asyncio.ensure_future(stand.program._end_connections())
+        for turn, caller in enumerate(callers):     # one each turn: before, amid and after the closes
+            caller.send(request(2, trace=turn + 1))
+            await asyncio.sleep(0)
+        for caller in callers:
+            await caller.closed()
+            caller.socket.close()
+        await ending
+        assert not front.peers and sum(caller.owed[2, 2] for caller in callers) > 0
+
+    run(work)
+
+
+def test_what_nobody_answered_has_an_answer_before_the_end() -> None:
+    """The last resort, should the module not do it: here its clock does not move on."""
+    async def work(stand: Stand) -> None:
+        _, [caller] = await node(stand)
+        stand.program.leave()
+        stand.program.left_at -= stand.program.way_out.close_s
+        caller.send(request(2))
+        await stand.program._end_connections()
+        await caller.closed()
+        assert stand.program.counters["answered.at_exit"] == 1
+
+    run(work)
+
+
+def test_the_module_answers_before_the_closes_and_the_process_ends_before_it_is_killed() -> None:
+    for stop_s in (0.05, 0.3, 0.5, 1.0, 2.0, 3.0, 3.2, 3.7, 4.0, 30.0):
+        found = schedule(stop_s)
+        assert 0 < (1 - MODULE_MARGIN) * found.module_s < found.close_s < found.cut_s < found.exit_s < stop_s
+        assert found.module_s <= stop_s and (found.module_s == stop_s or stop_s < 3.2)
+    assert MODULE_MARGIN == DRAIN_MARGIN
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -6,10 +6,13 @@
 import socket
 import subprocess
 import sys
+import time
 import tomllib
+from itertools import count
 from pathlib import Path
 
 import ujson
+from callers import Caller, request
 from play import SETTINGS
 
 from beechrock.net.scgi import request_bytes
@@ -71,6 +74,44 @@
         node.stderr.close()
 
 
+def test_to_the_last_moment_each_whole_request_is_answered_or_crossed_the_end(tmp_path: Path) -> None:
+    """Callers that heed no "no more requests" write to the end, on old connections and new ones."""
+    told = {"name": "n1", "listen": "127.0.0.1:0", "agent": "127.0.0.1:1", "seed": "1", "stop_ms": 800,
+            "settings": SETTINGS}
+    (tmp_path / "config.json").write_text(ujson.dumps(told))
+    with subprocess.Popen(
+            [sys.executable, "-m", "beechrock"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+            env={**os.environ, "LB_CONFIG": str(tmp_path / "config.json")}) as node:
+        try:
+            found = re.search(r"frames on 127\.0\.0\.1:(\d+)", line_with(node, "frames on"))
+            assert found is not None
+            address, callers, refused = ("127.0.0.1", int(found[1])), list[Caller](), False
+            written: dict[tuple[Caller, int], float] = {}
+            node.send_signal(signal.SIGTERM)
+            for turn in count():
+                try:
+                    callers += [] if refused else [Caller(address)]
+                except ConnectionRefusedError:
+                    refused = True
+                for caller in callers:      # the moment of each end is seen at once
+                    caller.read()
+                for caller in callers[turn % 8::8]:     # a node beyond its load would prove nothing
+                    if not caller.ended:
+                        stream = len(caller.owed) + 1
+                        written[caller, stream] = time.monotonic()
+                        caller.send(request(stream, round(time.time() * 1000), len(written)))
+                if refused and all(caller.ended for caller in callers):
+                    break
+                time.sleep(0.01)
+            assert node.wait(30) == 0 and len(written) > len(callers) > 10
+        finally:
+            node.kill()
+    for caller in callers:
+        assert not caller.reset and max(caller.answers().values(), default=1) == 1
+        for _, stream in caller.owed - caller.answers():
+            assert caller.ended_at - written[caller, stream] < 0.05, "read, or to be read, and not answered"
+
+
 def test_a_reload_takes_a_good_file_and_outlives_a_bad_one(tmp_path: Path) -> None:
     told = {"name": "n1", "listen": "127.0.0.1:0", "agent": "127.0.0.1:1", "seed": "1", "stop_ms": 500,
             "settings": SETTINGS}
