Who finds no place is refused on each stream, and what finds no descriptor waits in the backlog

Seen in tests that fail on the tree before: with all places needed, a connection was accepted, told "too many connections" on stream 0 and closed; a request that had lain in the backlog with it, for longer than a caller sends again what crossed a close, got no answer. Beyond 16 such the oldest was aborted over what it had not read.

Now such a connection gets type 6, each request on it a refusal on its stream without the module, and it ends when its caller ends it or after 1 s of silence with nothing unread. table.acceptable, pure, bounds them at 16 with those that are being set up; the rest waits in the backlog and is looked at every 10 ms.

A notice under 1 s shortens the way out, not one under 3 s.

--- a/beechrock/connections/leaving.py
+++ b/beechrock/connections/leaving.py
@@ -17,7 +17,7 @@
 CLOSE_S = 0.13      # to end connections, and to read for 50 ms more, as what crosses an end is sent again
 CUT_S = 0.08        # of these, how long before the exit the last connections are ended
 ANSWER_S = 0.02     # a few ticks, from the module's last answers to the first closes
-USUAL_S = 3.0       # a shorter notice shortens all of these alike
+USUAL_S = 1.0       # a shorter notice shortens all of these alike
 MODULE_MARGIN = 0.1     # the module answers all this share of its time before its end
 
 
--- a/beechrock/connections/table.py
+++ b/beechrock/connections/table.py
@@ -15,7 +15,8 @@
 Invariants, whatever the history (``tests/test_connections.py``):
 
 1. What is ``NEEDED`` is ended neither for another nor for being idle.
-2. Places taken stay within ``most``, those that are only told that there is none within ``MOST_TURNED``.
+2. Places taken stay within ``most``, those that are only told that there is none within ``MOST_TURNED``: what
+   would go beyond it waits in the kernel's backlog (``acceptable``).
 3. A caller that was asked to come back finds its connection open at that time, unless the table is full of
    such and needed ones, or callers close idle ones before it.
 4. What has carried one message only is ended before what returns, unless those that return have more than
@@ -28,7 +29,8 @@
 
 CROSSING_S = 0.05   # a request that crosses a close goes again where it was written within this time
 KEPT_PART = 0.8     # of the places: a segmented LRU's protected part, the rest stays open to new callers
-MOST_TURNED = 16    # connections that are being told that there is no room: as many as one turn accepts
+MOST_TURNED = 16    # connections whose requests are refused, for want of room: as many as one turn accepts
+TURNED_REST_S = 1.0     # how long these may stay and say nothing; who heeds type 6 closes at once
 LATE_PART = 0.25    # of the time a caller was asked to stay away: how much later than asked it may return
 SILENT_SWEEPS = 4   # sweeps (not seconds, as a machine may pause) without anything whole
 UNREAD_SWEEPS = 40  # and in which nothing of what waits to be sent was read
@@ -43,7 +45,7 @@
     back_from: float    # when its caller was last refused and asked to come back, and until when
     back_at: float      # it was asked to stay away; 0 where it was not, or has come since
     closing: bool
-    turned: bool        # was only told that there is no room
+    turned: bool        # found no room: each of its requests is refused at once
 
     def owes(self) -> bool:
         """Whether an answer, or a part of one, is still to be sent."""
@@ -115,17 +117,32 @@
 
 
 def room_for_one(connections: Collection[C], most: int, now: float) -> tuple[Room, C | None]:
-    """Whether a new connection gets a place, and which one has to end for that.
-
-    With ``Room.NONE`` a connection may come along as well: the oldest of those that are being told so.
-    """
-    turned = [c for c in connections if c.turned]
-    if len(connections) - len(turned) < most:
+    """Whether a new connection gets a place, and which one has to end for that."""
+    if sum(not c.turned for c in connections) < most:
         return Room.FREE, None
     if (least := victim(connections, most, now)) is not None:
         return Room.REPLACE, least
-    oldest = min(turned, key=lambda c: c.opened_at) if len(turned) >= MOST_TURNED else None
-    return Room.NONE, oldest
+    return Room.NONE, None
+
+
+def acceptable(
+    connections: Collection[C], most: int, arriving: int, at_once: int, now: float,
+) -> tuple[int, C | None]:
+    """How many connections may be accepted now, while ``arriving`` are on the way; and one that ends for it.
+
+    Seen in a probe: where all places were needed, connections were accepted, told so and cut, and requests
+    that had lain in the backlog with them got no answer. Each accepted one is read; the others wait.
+    """
+    if len(connections) + arriving < most:
+        return at_once, None
+    turned = [c for c in connections if c.turned]
+    left = MOST_TURNED - len(turned) - arriving
+    if left > 0:
+        return min(left, at_once), None
+    spare = [c for c in turned if not (c.owes() or c.input_waits())
+             and (c.uses or c.closing or now - c.opened_at > CROSSING_S)]
+    oldest = min(spare, key=lambda c: c.opened_at, default=None)
+    return min(at_once, max(0, left + (oldest is not None))), oldest
 
 
 def idle_until(c: Connection, idle_s: float, callers_idle_s: float) -> float:
@@ -144,6 +161,9 @@
         return None
     if silent > SILENT_SWEEPS:      # on a loop that lags its message may lie there whole
         return None if c.input_waits() else End.STALE
+    if c.turned:
+        rests = now - c.spoke_at > TURNED_REST_S and not (c.owes() or c.input_waits())
+        return End.IDLE if rests else None
     if not idle_s or c.owes() or now <= idle_until(c, idle_s, callers_idle_s) or c.input_waits():
         return None
     return End.IDLE
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -184,7 +184,7 @@
                 self.module.tally.by_front(error.route, Verdict.FAILED)
             self._bad(stream, str(error))
             return
-        if len(self.open) >= MOST_OPEN or not self.module.post(Taken(request)):
+        if self.turned or len(self.open) >= MOST_OPEN or not self.module.post(Taken(request)):
             self.counters.add("intake.frames_beyond_limit")
             self.module.tally.by_front(request.route, Verdict.REFUSED)
             self.post(Reply(ANSWER, stream, REFUSED, _advice(self.module.advice)))
@@ -313,7 +313,7 @@
 
     def no_room(self, peer: FramesPeer) -> None:
         peer.post(Reply(ANSWER, 0, REFUSED, body=b"too many connections"))
-        peer.finish()
+        peer.post(Reply(NO_MORE))
 
     def ended(self, peer: FramesPeer) -> None:
         for request in peer.open.values():
--- a/beechrock/net/front.py
+++ b/beechrock/net/front.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any, Generic, TypeVar
 
-from beechrock.connections.table import UNREAD_SWEEPS, Room, room_for_one, victim
+from beechrock.connections.table import UNREAD_SWEEPS, Room, acceptable, room_for_one, victim
 from beechrock.core.module import ModuleActor
 from beechrock.net.listener import MOST_AT_ONCE, Listener, listen
 from beechrock.net.peer import Peer
@@ -34,7 +34,7 @@
         raise NotImplementedError
 
     def no_room(self, peer: P) -> None:
-        """Say so on a connection that is one too many, and finish it."""
+        """Say so on a connection that is one too many; each request on it is to be refused."""
         raise NotImplementedError
 
     def ended(self, peer: P) -> None:
@@ -54,7 +54,7 @@
         """Listen; after ``pause``, again."""
         self.server = await listen(
             self._accepted, host, port, self.module.counters, self.where, fd,
-            at_once=self.at_once, relieve=self._relieve)
+            at_once=self.at_once, relieve=self._relieve, room=self._room)
         if not self._sweeping:
             self._sweeping = True
             self._sweep()
@@ -89,11 +89,12 @@
         self.close()
 
     def _dismiss_all(self, cut: bool) -> None:
-        """End all connections that owe nothing; with ``cut`` the others too, after a last answer to each."""
+        """End all connections that owe nothing; with ``cut`` what is open, and what comes, is answered."""
         for peer in [peer for peer in self.peers if not peer.closing]:
             if not self.dismiss(peer) and cut:
+                peer.turned = True
                 peer.answer_all()
-                peer.finish()
+                peer.end()
 
     def _relieve(self) -> None:
         """End the connection that is missed least, as accept finds no descriptor or memory for a new one."""
@@ -125,6 +126,15 @@
             self._lingering.pop(peer, None)
             self.ended(peer)
 
+    def _room(self, arriving: int) -> int:
+        """How many connections may be accepted now, for which one that was refused before may have to end."""
+        most, spare = acceptable(self.peers, self.most, arriving, self.at_once, self.module.clock())
+        if spare is not None:
+            self._evict(spare)
+        if not most:
+            self.module.counters.add(f"intake.{self.where}_left_in_backlog")
+        return most
+
     def _make_room(self) -> bool:
         """Whether there is a place, for which the connection that is missed least may have to end.
 
--- a/beechrock/net/listener.py
+++ b/beechrock/net/listener.py
@@ -49,15 +49,18 @@
 class Listener:
     """Accepts from ``sock``, which it owns, and hands the streams of each connection to ``accepted``.
 
-    ``relieve`` is called at each try of a shortage that lasts, to free a descriptor and memory.
+    ``relieve`` is called at each try of a shortage that lasts, to free a descriptor and memory. ``room``
+    says how many more may be accepted while so many arrive; what finds none waits in the backlog.
     """
 
     def __init__(
         self, sock: socket.socket, accepted: Accepted, counters: Counters, where: str,
         at_once: int = MOST_AT_ONCE, relieve: Callable[[], None] = lambda: None,
+        room: Callable[[int], int] = lambda arriving: MOST_AT_ONCE,
     ) -> None:
         self.accepted, self.counters, self.where = accepted, counters, where
-        self.at_once, self.relieve = at_once, relieve
+        self.at_once, self.relieve, self.room = at_once, relieve, room
+        self.arriving = 0       # accepted, and not yet handed on
         self._sock = sock
         self._loop = asyncio.get_running_loop()
         self._retry: asyncio.TimerHandle | None = None
@@ -97,7 +100,11 @@
     def _accept_ready(self) -> bool:
         """Accept up to ``at_once`` connections in this turn of the loop; whether none is left."""
         taken = errors = 0
-        for _ in range(self.at_once):
+        most = min(self.at_once, self.room(self.arriving))
+        if most <= 0:
+            self._pause()
+            return False
+        for _ in range(most):
             try:
                 connection, _ = self._sock.accept()
             except BlockingIOError:
@@ -110,6 +117,7 @@
                 self.counters.add(f"intake.{self.where}_accept_errors")
                 continue
             taken += 1
+            self.arriving += 1
             self._failures = 0
             self.counters.spawn(self._set_up(connection), f"{self.where}.accept")
         if errors and not taken:    # the error stays, whatever it says: without a rest it would take a core
@@ -144,6 +152,8 @@
             if not isinstance(error, OSError):
                 raise
             self.counters.add(f"intake.{self.where}_set_up_errors")
+        finally:
+            self.arriving -= 1
 
 
 def send_at_once(connection: socket.socket) -> None:
--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -325,12 +325,10 @@
         return self.said or self.request is None
 
     def answer_all(self) -> None:
-        """What ran, or may have, has failed; what is not whole never ran."""
+        """What ran, or may have, has failed."""
         if self.request is not None and not self.said:
             self.counters.add("answered.at_exit")
             self._say(Reply(500, b"the node ends\n"))
-        elif not self.said:
-            self.reject(ScgiError(503, "the node ends; nothing ran"))
 
 
 class ScgiFront(Front[ScgiPeer]):
