--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -162,7 +162,7 @@
         front._sweep()
         await turned.closed()
         module = stand.program.module
-        await until(lambda: not module.mailbox and module.last_id == 2, lambda: f"{module.last_id} reached it")
+        await until(lambda: not module.mailbox and module.last_id == 2, lambda: f"{module.last_id}")
 
     run(work)
 
