--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -184,7 +184,7 @@
                 self.module.tally.by_front(error.route, Verdict.FAILED)
             self._bad(stream, str(error))
             return
-        if len(self.open) >= MOST_OPEN or not self.module.post(Taken(request)):
+        if self.turned or len(self.open) >= MOST_OPEN or not self.module.post(Taken(request)):
             self.counters.add("intake.frames_beyond_limit")
             self.module.tally.by_front(request.route, Verdict.REFUSED)
             self.post(Reply(ANSWER, stream, REFUSED, _advice(self.module.advice)))
@@ -270,6 +270,14 @@
         payload = bytes([message.code]) + fields(dict(message.values)) + message.body
         return frame(message.kind, message.stream, payload)
 
+    def answer_all(self) -> None:
+        for stream, request in list(self.open.items()):
+            if request is None:
+                self._checked(stream, False)
+            else:       # it may have run
+                self.counters.add("answered.at_exit")
+                self._answer(stream, Answer(Verdict.FAILED, b"the node ends"))
+
     def bad_input(self, problem: str) -> None:
         self.post(Reply(ANSWER, 0, FAILED, body=problem.encode()))
 
@@ -307,7 +315,7 @@
 
     def no_room(self, peer: FramesPeer) -> None:
         peer.post(Reply(ANSWER, 0, REFUSED, body=b"too many connections"))
-        peer.finish()
+        peer.post(Reply(NO_MORE))
 
     def ended(self, peer: FramesPeer) -> None:
         for request in peer.open.values():
--- a/beechrock/net/front.py
+++ b/beechrock/net/front.py
@@ -3,13 +3,15 @@
 import asyncio
 from typing import Any, Generic, TypeVar
 
-from beechrock.connections.table import UNREAD_SWEEPS, Room, room_for_one, victim
+from beechrock.connections.table import UNREAD_SWEEPS, Room, acceptable, room_for_one, victim
 from beechrock.core.module import ModuleActor
 from beechrock.net.listener import MOST_AT_ONCE, Listener, listen
 from beechrock.net.peer import Peer
 
 P = TypeVar("P", bound=Peer[Any])
 SWEEP_S = 0.5
+DEPART_STEP_S = 0.004   # a tick of the module, whose answers are waited for
+SET_UP_TURNS = 8        # of the loop, in which an accepted connection comes into ``peers`` (it takes 4)
 LINGERING_PART = 16     # 1 / this of the places: connections ended for others that still hold a descriptor
 
 
@@ -32,7 +34,7 @@
         raise NotImplementedError
 
     def no_room(self, peer: P) -> None:
-        """Say so on a connection that is one too many, and finish it."""
+        """Say so on a connection that is one too many; each request on it is to be refused."""
         raise NotImplementedError
 
     def ended(self, peer: P) -> None:
@@ -52,7 +54,7 @@
         """Listen; after ``pause``, again."""
         self.server = await listen(
             self._accepted, host, port, self.module.counters, self.where, fd,
-            at_once=self.at_once, relieve=self._relieve)
+            at_once=self.at_once, relieve=self._relieve, room=self._room)
         if not self._sweeping:
             self._sweeping = True
             self._sweep()
@@ -71,6 +73,29 @@
             self.server.close()
             self.server = None
 
+    async def depart(self, cut_at: float, exit_at: float) -> None:
+        """Take no more connections and end all, so that each whole request read before has its answer.
+
+        ``cut_at``, ``exit_at``: of the loop's time; from the first on connections are ended whatever is open.
+        """
+        loop = asyncio.get_running_loop()
+        turns = 0       # since the last connection was accepted
+        while loop.time() < exit_at and (self.server is not None or self.peers or turns < SET_UP_TURNS):
+            if self.server is not None and self.server.close_empty():
+                self.server = None
+            self._dismiss_all(loop.time() >= cut_at)
+            turns = turns + 1 if self.server is None else 0
+            await asyncio.sleep(0 if turns < SET_UP_TURNS else DEPART_STEP_S)
+        self.close()
+
+    def _dismiss_all(self, cut: bool) -> None:
+        """End all connections that owe nothing; with ``cut`` what is open, and what comes, is answered."""
+        for peer in [peer for peer in self.peers if not peer.closing]:
+            if not self.dismiss(peer) and cut:
+                peer.turned = True
+                peer.answer_all()
+                peer.end()
+
     def _relieve(self) -> None:
         """End the connection that is missed least, as accept finds no descriptor or memory for a new one."""
         least = next(iter(self._lingering), None) or victim(self.peers, self.most, self.module.clock())
@@ -101,6 +126,15 @@
             self._lingering.pop(peer, None)
             self.ended(peer)
 
+    def _room(self, arriving: int) -> int:
+        """How many connections may be accepted now, for which one that was refused before may have to end."""
+        most, spare = acceptable(self.peers, self.most, arriving, self.at_once, self.module.clock())
+        if spare is not None:
+            self._evict(spare)
+        if not most:
+            self.module.counters.add(f"intake.{self.where}_left_in_backlog")
+        return most
+
     def _make_room(self) -> bool:
         """Whether there is a place, for which the connection that is missed least may have to end.
 
--- a/tests/test_handover_crossings.py
+++ b/tests/test_handover_crossings.py
@@ -256,6 +256,15 @@
 # --- the shared socket, and the folder
 
 
+def descriptors_of(sock: socket.socket) -> int:
+    """How many descriptors of this process stand for the same socket."""
+    inode, found = os.fstat(sock.fileno()).st_ino, 0
+    for name in os.listdir("/proc/self/fd"):
+        with contextlib.suppress(OSError):      # the one that lists the folder is gone by now
+            found += os.fstat(int(name)).st_ino == inode
+    return found
+
+
 def test_two_starts_of_a_listener_at_once_leave_one(folder: Path) -> None:
     async def work(pair: Pair) -> None:
         one = await pair.start()
@@ -263,9 +272,11 @@
         frames = one.program.frames
         assert frames is not None
         frames.pause()
+        before = descriptors_of(pair.shared)
         await asyncio.gather(one.program._take_connections(), one.program._take_connections())
+        assert descriptors_of(pair.shared) == before + 1
         frames.pause()
-        assert len(frames._paused) == 2
+        assert descriptors_of(pair.shared) == before    # no second listener is left that would go on accepting
         with socket.create_connection(pair.shared.getsockname()):
             await asyncio.sleep(0.05)
             assert not frames.peers     # it waits in the queue, for whoever takes connections
