Drawn settings and whole histories: calls that come back, repeats, skips, shares of 0

Seen in the first 200: a run that must call was told to skip (the mean of calls of its class was 0), one skip told twice after an uncertain call, repeats alone went over the memory, calls under a share told as 0 where no linger is told, two runs for over 2 s on a core that survives 1.5, as each run in a call made room for a next one and nothing holds up what comes back, CloseIdle of 5 ms, a timer each tick from nine tenths of the notice on, answers due at the very due time where no tick is told, a quota of 0 taken as none told. Each has its test and its guard.

test_calls_are_bounded_without_a_told_share_too: first one short run is completed. Before any run is over, 16 in calls at a node whose 2 cores survive 10 for 2 s may take them all down when they come back; the number it asserts is as it was. Ruled out on the way as faults of the world: results shared within the batch, callers gone in the batch of their arrival, requests read at the kill itself.

--- a/beechrock/policy/__init__.py
+++ b/beechrock/policy/__init__.py
@@ -96,6 +96,9 @@
     def _advance(self, now: float) -> None:
         passed, self.now = now - self.now, now
         self.cores.advance(passed, self.count[RUNNING] / self._rest(self.limit, self.other.runs))
+        if self.s.crowd_over_s:
+            part = 1 - math.exp(-passed / self.s.crowd_over_s)
+            self.crowd_mean += part * (self.count[RUNNING] - self.crowd_mean)
         # Below one call at a time, the pause between calls is full use too while someone waits for it.
         self.calls.advance(passed, self.count[IN_CALL] / max(1.0, self.call_limit)
                            or self.count[AT_CALL] * (self.call_limit < 1))
@@ -116,7 +119,7 @@
                 if self.now + self._rest_s(job) > job.useful_until or self._past_grace(job):
                     self._turn_away(job)
                     continue
-                if (self.count[RUNNING] >= self._run_limit()
+                if (self.count[RUNNING] >= self._run_limit() or not self._room_on_cores()
                         or (job.must_call and self.count[AT_CALL] > self.call_limit)
                         or self._memory_full(job.req.kb * (self.kb_factor[RUNNING] - 1), MEMORY_RUN)):
                     break
@@ -142,7 +145,8 @@
 
     def _set_timer(self) -> None:
         """One timer, for the earliest moment at which something falls due."""
-        at = min(self.slot_end, self.dues[0][0] if self.dues else math.inf, self.kill_at,
+        at = min(self.slot_end, self.dues[0][0] if self.dues else math.inf,
+                 self.kill_at if self.kill_at > self.now else math.inf,     # once over: a timer each tick
                  self.calls_from if self.count[AT_CALL] and self.calls_from > self.now else math.inf)
         if at < self.timer_at:
             self.timer_at = at
--- a/beechrock/policy/admission.py
+++ b/beechrock/policy/admission.py
@@ -4,7 +4,17 @@
 from heapq import heappush
 
 from beechrock import interface as api
-from beechrock.policy.books import HELD, MEMORY_HELD, RUNNING, SHARING, STEPS, TENANT_KEPT, Books, Job
+from beechrock.policy.books import (
+    HELD,
+    MEMORY_HELD,
+    MEMORY_RUN,
+    RUNNING,
+    SHARING,
+    STEPS,
+    TENANT_KEPT,
+    Books,
+    Job,
+)
 
 LAMBDA_SLOTS = 6.0       # lambda is averaged over this many slots
 PEAK_KEPT = 0.995        # r_t kept from slot to slot, so that the peak of better days is unlearned
@@ -13,6 +23,9 @@
 READ_PART = 0.05         # of a run: what reading may cost on one more node before a further try is a loss
 MOVE, SHED = (0.15, 0.55), (0.25, 0.75)     # predicted wait / mean aim: callers send less, and nothing
 AILING, DROWNED = 0.5, 0.5      # rate / r_t, unread wait / mean aim: at these an ailing node leaves the list
+SHORTEST_IDLE_S = 0.01   # connections are closed after no less, nor after more than they are told to last
+LEAST_QUOTA = 1e-6       # requests a second: stands for a quota of 0 where it is divided by
+UNTOLD_TICK_S = 0.004    # where none is told: an answer at the due time is late by the batch that carries it
 DUE_MARGIN_TICKS = 3.0   # answers go out this many batches before they are due
 
 
@@ -31,7 +44,7 @@
         job = self.jobs[req.id] = Job(
             req, c, self.now, req.work_s or self.works[req.klass], may_call * self.calls_per[req.klass])
         self._move(job, HELD)
-        heappush(self.dues, (job.due - DUE_MARGIN_TICKS * (self.s.tick_s or 0.0), req.id))
+        heappush(self.dues, (job.due - DUE_MARGIN_TICKS * (self.s.tick_s or UNTOLD_TICK_S), req.id))
         if req.repeats is not None and self._repeat(job):
             return
         if (over_s := self._over_budget_s(job)) > 0:    # the same on every node: no use to try another
@@ -55,6 +68,11 @@
         never_ran = first is not None and first.answered and not first.ran     # then this one may
         if not self.s.fresh_s if job.c.effect is api.Effect.SAFE else never_ran:
             return False
+        # Seen: repeats alone filled the memory, as each was let in. One of the tries may have run.
+        if self._memory_full(0.0, MEMORY_RUN):
+            job.ran = job.c.effect is not api.Effect.SAFE
+            self._give_up(job)
+            return True
         self.out.append(api.Share(job.req.id))
         self._move(job, SHARING)
         job.ran = job.c.effect is not api.Effect.SAFE
@@ -97,7 +115,9 @@
         s, total = self.s, sum(self.tenants)
         if s.over_share_worth is None or tenant is None or tenant >= len(self.tenants):
             return 1.0
-        over = [n / (total or 1.0) * self.lam * (s.fleet_size or 1) / t.quota_per_s if t.quota_per_s else 1.0
+        # Told as 0 all of a tenant's requests are beyond its share; absent, they are at it.
+        over = [1.0 if t.quota_per_s is None
+                else n / (total or 1.0) * self.lam * (s.fleet_size or 1) / max(t.quota_per_s, LEAST_QUOTA)
                 for n, t in zip(self.tenants, s.tenants, strict=True)]
         least = min((n for n, t in zip(over, s.tenants, strict=True) if not t.gone), default=1.0)
         inside = min(1.0, max(1.0, least) / max(1.0, over[tenant]))
@@ -165,6 +185,7 @@
     def _close_idle(self) -> None:
         """Against a full table: connections whose callers seldom return in time are kept for a retry only."""
         idle_s = self.s.idle_s or 0.0
-        if idle_s and self.rare_callers != (self.lam * idle_s < (self.s.callers or 0)):
+        if idle_s >= SHORTEST_IDLE_S and self.rare_callers != (self.lam * idle_s < (self.s.callers or 0)):
             self.rare_callers = not self.rare_callers
-            self.out.append(api.CloseIdle(min(self.mean_aim, idle_s) if self.rare_callers else 0.0))
+            after_s = max(SHORTEST_IDLE_S, min(self.mean_aim, idle_s))
+            self.out.append(api.CloseIdle(after_s if self.rare_callers else 0.0))
--- a/beechrock/policy/books.py
+++ b/beechrock/policy/books.py
@@ -56,6 +56,7 @@
         self.aim_at = min(self.arrived + c.aim_s + (c.aim_stretch or 0.0) * work, self.due)
         self.useful_until = self.due if c.late_share > 0 else self.aim_at
         self.phase, self.calls, self.ran, self.answered = OVER, 0, False, False
+        self.unsure = False                 # its latest call may have had its effect: never again
         self.spent_in: float | None = None  # the budget period that paid for it
 
 
@@ -92,6 +93,7 @@
         self.call_times = [0.0] * (int((s.calls_over_s or 0.0) / self.slot_s / self.call_stride) + 2)
         self.slots = 0
         self.lingering: list[float] = []
+        self.crowd_mean = 0.0   # runs on the cores, over the time for which a crowd is survived
         self.spent, self.periods = ([0.0] * len(s.tenants) for _ in range(2))   # in which budget period
 
     def _buckets(self) -> list[int]:
@@ -161,6 +163,26 @@
         crowd = CROWD_MARGIN * s.cores * (1 + ((s.crowd_multiple or 1e9) - 1) * share)
         return max(1, int(self._rest(crowd if crowding else min(self.limit, crowd), self.other.runs)))
 
+    def _most_out(self) -> float:
+        """Rule: runs on the cores and in calls; what is in calls may come back in one moment, unheld.
+
+        So their time on the cores beyond the crowd has to fit the told time, and where the mean is near
+        the crowd already, none may be beyond it. Seen with drawn settings: two on a core that survives 1.5,
+        as each run in a call made room for a next one.
+        """
+        crowd = self._run_limit(crowding=True)
+        if not self.s.crowd_over_s:
+            return math.inf
+        if self.crowd_mean > CROWD_MARGIN * crowd:
+            return crowd
+        # Those that come back leave at a run's time, shared by the cores; the aim bounds what is not known.
+        beyond = self.s.crowd_over_s * self.s.cores / (2 * (self.run_s or self.mean_aim))
+        return crowd + beyond if beyond < crowd else 2 * math.sqrt(crowd * beyond)
+
+    def _room_on_cores(self) -> bool:
+        """Whether one more may run, or make a call after which it runs on."""
+        return self.count[RUNNING] + self.count[IN_CALL] + 1 <= self._most_out()
+
     def _learn_limit(self, gauges: api.Gauges) -> None:
         """Runs wait for disks unseen: more are let in while cores idle, fewer once they queue for cores."""
         self.timer_at, cores, busy, queue = math.inf, self.s.cores, gauges.cpu_busy, gauges.runnable
--- a/beechrock/policy/calls.py
+++ b/beechrock/policy/calls.py
@@ -9,6 +9,7 @@
 CALLS_WINDOW = 0.9       # share of the told calls over the told time that may be used or promised
 CALL_GATE = 0.5          # share of the time left that the predicted wait for a call may fill
 SLOW_CALL = 2.0          # calls this many times slower than they were lately mean crowding below
+SHORTEST_CALL_S = 0.01   # a call is given no less; so much of a share has to be left for it
 SKIP_TICKS = 5.0         # a skip comes this many before its last moment, as its answer takes some to get out
 
 
@@ -16,9 +17,12 @@
 
     def _ask(self, job: Job, calls_left: float) -> None:
         """Stop at a call; what can do without it goes on at once where the predicted wait is too long."""
+        # It calls, whatever was learnt of its class. Seen: after 15,000 runs without a call the mean of a
+        # class was 0, and it was taken as one that can do without.
+        job.must_call = not job.c.skip_worth
         late = self.calls.wait(self.count[AT_CALL]) > CALL_GATE * (self._skip_at(job) - self.now)
         self._move(job, AT_CALL, calls_left)
-        if late and not job.must_call and self.count[RUNNING] < self._run_limit(crowding=True):
+        if late and not job.must_call and self._may_skip():
             return self._go_without(job)
         return heappush(self.asks, (job.aim_at, job.req.id))
 
@@ -30,25 +34,32 @@
         while (job := self._first(self.asks, AT_CALL)) is not None:
             end, room = job.useful_until if job.must_call else self._skip_at(job), self._call_room_s()
             # Where none is in hand one goes all the same: only a call can show that they are fast again.
-            late = self.now + self.call_s > end and (self.now >= end or self.count[IN_CALL])
-            if late and (job.must_call or self.count[RUNNING] < self._run_limit(crowding=True)):
+            late = job.unsure or (self.now + self.call_s > end and (self.now >= end or self.count[IN_CALL]))
+            if late and (job.must_call or self._may_skip()):
                 self._go_without(job)       # as far as there is room: else many come back in one moment
-            elif (late or self.now < self.calls_from or room < self.call_s
+            elif (late or not self._room_on_cores()
+                  or self.now < self.calls_from or room < max(self.call_s, SHORTEST_CALL_S)
                   or self.load()[2] + 1 > max(1.0, self._rest(self.call_limit, self.other.calls))):
                 break
             else:
                 self._move(job, IN_CALL)
                 job.calls += 1
-                self.out.append(api.Call(job.req.id, max(0.01, min(end - self.now, room))))
+                self.out.append(api.Call(job.req.id, max(SHORTEST_CALL_S, min(end - self.now, room))))
+
+    def _may_skip(self) -> bool:
+        return self.count[RUNNING] < self._run_limit(crowding=True) and self._room_on_cores()
 
     def _go_without(self, job: Job) -> None:
         if job.must_call:
             return self._give_up(job)
+        job.unsure = False      # that call is left out; a further one is another
         self.out.append(api.Skip(job.req.id))
         return self._move(job, RUNNING, job.calls_left - 1)
 
     def _call_room_s(self) -> float:
         """Rule: a share below one call is kept in the mean only if even a slow, abandoned call still fits."""
+        if self.most_calls == 0:    # told as 0. Seen: with no linger told, calls went out one at a time
+            return -math.inf
         if self.most_calls >= 1 or not self.s.calls_over_s:
             return math.inf
         used = self.call_time_s - self.call_times[0] + (1 + len(self.lingering)) * (self.s.linger_s or 0.0)
@@ -70,8 +81,9 @@
             self._ask(job, job.calls_left)
             if late:
                 heappush(self.lingering, self.now + (self.s.linger_s or 0.0))
-            if not outcome.never_ran and job.c.effect is not api.Effect.SAFE and not job.answered:
-                self._go_without(job)
+            # Seen: one that had gone on in _ask was told so twice; and many went on beyond the crowd.
+            job.unsure = (
+                not outcome.never_ran and job.c.effect is not api.Effect.SAFE and job.phase == AT_CALL)
             self.call_limit *= 0.7
             self.calls_from = self.now + (not late) * min(1.0, 0.02 * 2 ** min(self.call_fails, 6))
         self.call_limit = min(max(self.call_limit, CALLS_FLOOR * self.most_calls), self.most_calls)
--- /dev/null
+++ b/tests/test_histories.py
@@ -0,0 +1,48 @@
+"""Whole histories under drawn settings: every rule of the pages, held by a checker that takes no part."""
+
+import hashlib
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from drawn import Model, deployments
+from histories import History, drawn_history
+from hypothesis import HealthCheck, given
+from hypothesis import settings as options
+from hypothesis import strategies as st
+
+HERE = Path(__file__).parent
+
+
+@options(max_examples=120, suppress_health_check=list(HealthCheck))
+@given(deployments, st.integers(0, 2**32))
+def test_no_rule_breaks_under_any_settings(drawn: tuple[dict[str, Any], Model], seed: int) -> None:
+    """The wide search is ``python benchmarks/histories.py``."""
+    assert History(seed, *drawn, arrivals=80).play().told_again()
+
+
+@pytest.mark.parametrize("seed", [2, 13, 18, 28, 29, 69, 72])
+def test_histories_that_once_broke_a_rule_keep_it(seed: int) -> None:
+    """Seen: a call left out where none may be, repeats that filled the memory, runs that came back from calls
+    together, calls under a share of 0, one skip told twice, a notice of 0.4 s, too early a close."""
+    drawn_history(seed).play()
+
+
+def digest(seeds: range) -> str:
+    found = hashlib.blake2b()
+    for seed in seeds:
+        found.update(repr(drawn_history(seed, 60).play().said).encode())
+    return found.hexdigest()
+
+
+def test_equal_events_give_equal_actions_whatever_the_order_of_hashes() -> None:
+    words = "from test_histories import digest; print(digest(range(40, 46)))"
+    found = set()
+    for salt in ("1", "2"):
+        env = {**os.environ, "PYTHONHASHSEED": salt, "PYTHONPATH": f"{HERE}:{HERE.parent}"}
+        found.add(subprocess.run([sys.executable, "-c", words], cwd=HERE, text=True, check=True, env=env,
+                                 capture_output=True).stdout)
+    assert len(found) == 1 and len(found.pop()) > 100
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -309,3 +309,48 @@
     stopped = ids(api.Stop, said)
     assert stopped == ([] if mode is api.StopMode.NONE else running)
     assert all(i in ids(api.Refuse, said) for i in stopped)
+
+
+# What drawn settings showed.
+
+
+def test_repeats_that_wait_for_their_first_do_not_fill_the_memory() -> None:
+    """Seen: every repeat was let in, and a storm of tries of one key went over the memory."""
+    driver = Driver(settings(memory_kb=200.0, key_kb=0.0, run_factor=1.0))
+    first, _ = driver.arrive(1)
+    repeats = [driver.arrive(1, repeats=first)[0] for _ in range(30)]
+    assert driver.node.memory_kb <= 200.0
+    assert ids(api.Share, driver.said) + ids(api.Fail, driver.said) == repeats
+    assert ids(api.Refuse, driver.said) == []       # one of the tries ran
+
+
+@pytest.mark.parametrize("tick", [None, 0.0])
+def test_an_answer_is_out_before_it_is_due_where_no_tick_is_told(tick: float | None) -> None:
+    driver = Driver(settings(tick_s=tick))
+    ident, _ = driver.arrive(remaining_s=1.0)
+    assert ids(api.Refuse, driver.tell(after=0.99)) == [ident]
+
+
+def test_after_the_kill_is_due_no_timer_is_set_for_it_again() -> None:
+    """Seen: from nine tenths of the notice on a timer each tick, for as long as the process stood."""
+    driver = Driver()
+    driver.tell(api.Leaving(4.0))
+    said = driver.tell(api.TimerFired(0), after=3.7)
+    assert all(timer.delay_s > 0 for timer in of(api.SetTimer, said))
+
+
+@pytest.mark.parametrize(("idle_s", "closed"), [(0.005, []), (0.01, [0.01]), (30.0, [3.0])])
+def test_connections_are_closed_within_what_they_may_be_told(idle_s: float, closed: list[float]) -> None:
+    driver = Driver(settings(idle_s=idle_s, callers=9))
+    driver.tell(after=2.0)
+    assert [action.after_s for action in of(api.CloseIdle, driver.said)] == closed
+
+
+def test_a_quota_told_as_0_is_no_share_at_all_and_an_absent_one_is_no_bound() -> None:
+    tenants = (api.TenantSettings(0.5, 0.0), api.TenantSettings(0.5, None), api.TenantSettings(0.5, 100.0))
+    driver = Driver(settings(tenants=tenants, over_share_worth=0.1))
+    for _ in range(40):
+        driver.arrive(tenant=0)
+        driver.tell(after=0.2)
+    assert driver.node._in_share(0) == pytest.approx(0.1, abs=0.01)
+    assert driver.node._in_share(1) == driver.node._in_share(2) == 1.0
--- a/tests/test_rules_calls.py
+++ b/tests/test_rules_calls.py
@@ -1,12 +1,13 @@
 """Calls below, and every setting that changes what a node may do."""
 
 import weakref
+from dataclasses import replace
 
 import pytest
 from world import KEYED, SAFE, Driver, ids, of, settings
 
 from beechrock import interface as api
-from beechrock.policy.books import Job
+from beechrock.policy.books import RUNNING, Job
 
 CALLING = api.ClassSettings(aim_s=3.0, give_up_s=9.0, calls=True)
 SKIPPING = api.ClassSettings(aim_s=3.0, give_up_s=9.0, calls=True, skip_worth=0.5)
@@ -49,11 +50,53 @@
 def test_calls_are_bounded_without_a_told_share_too(below: api.Downstream, most: int) -> None:
     """Seen over a tier: two in hand a core left cores idle behind requests that waited for a call's turn."""
     driver = Driver(settings(**{**BELOW, "downstream": below, "calls_share": None}))
+    driver.complete([driver.arrive()[0]], after=0.05)   # runs are short: all may come back from calls at once
     for _ in range(20):
         at_call(driver)
     assert len(of(api.Call, driver.said)) == most
 
 
+def test_runs_in_calls_that_come_back_together_stay_inside_the_crowd() -> None:
+    """Seen with drawn settings: each run in a call made room for a next one, and all came back at once."""
+    told = {**BELOW, "downstream": api.Downstream.TIER, "calls_share": None, "crowd_multiple": 2.0}
+    driver = Driver(settings(**told))
+    for _ in range(20):
+        at_call(driver)
+    called = ids(api.Call, driver.said)
+    driver.tell(*(api.CallEnded(ident, api.Outcome.OK, 0.1) for ident in called), after=0.1)
+    assert driver.node.count[RUNNING] <= 2 * 2.0    # cores, and what each survives
+    driver.tell(after=20.0)
+    assert driver.node.crowd_mean < 4.0
+
+
+def test_a_run_that_must_call_is_not_told_to_skip_whatever_was_learnt() -> None:
+    """Seen on a long day: a class that may call, but seldom does, had a mean of 0 calls after 15,000 runs."""
+    driver = Driver(settings(**BELOW))
+    driver.node.calls_per[0] = 0.0
+    driver.node.call_best = driver.node.call_s = 60.0
+    at_call(driver)
+    driver.tell(after=2.9)
+    assert ids(api.Skip, driver.said) == []
+
+
+def test_a_share_told_as_0_makes_no_call_with_no_linger_told_either() -> None:
+    driver = Driver(settings(**{**BELOW, "calls_share": 0.0, "linger_s": None}))
+    at_call(driver)
+    driver.tell(after=1.0)
+    assert ids(api.Call, driver.said) == []
+
+
+def test_an_unsure_call_is_left_out_once() -> None:
+    """Seen: one whose wait was too long went on at once, and was told to go on a second time."""
+    keyed = replace(KEYED_CALLING, skip_worth=0.5, aim_s=0.05)
+    driver = Driver(settings(**{**BELOW, "classes": (CALLING, SKIPPING, keyed)}))
+    ident, _ = at_call(driver, 2)
+    driver.node.calls.add(0.001)
+    driver.node.calls.busy_s = 60.0
+    said = driver.tell(api.CallEnded(ident, api.Outcome.BROKEN_OFF, 0.01), after=0.01)
+    assert ids(api.Skip, said) == [ident]
+
+
 def test_waits_for_calls_are_bounded_by_what_they_are_good_for() -> None:
     driver = Driver(settings(**BELOW))
     _, said = at_call(driver)
--- a/tests/test_unusable_settings.py
+++ b/tests/test_unusable_settings.py
@@ -15,7 +15,8 @@
     "extra": {"callers": 3, "callsOverS": 5.0, "cancelSeen": True, "classCalls": [True, False],
               "classSkipWorth": [0.3, 0.0], "cpus": 6, "depShare": 6.25, "downstream": "one_for_all",
               "freshS": 0.5, "freshStart": True, "heardForS": 1.0, "idleS": 30.0, "keyKb": 19.0,
-              "lingerS": 0.2, "memLimitKb": 63876.0, "ownStats": ["cpu_busy", "runnable"], "runFactor": 16.0, "say": "floor",
+              "lingerS": 0.2, "memLimitKb": 63876.0, "ownStats": ["cpu_busy", "runnable"], "runFactor": 16.0,
+              "say": "floor",
               "stopMode": "freeze"},
     "grades": [{"effect": "safe", "giveUpS": 7.1, "lateShare": 0.1, "promiseS": 1.8, "worth": 1.0,
                 "aimStretch": 1.0, "price": 1.0},
@@ -103,5 +104,6 @@
     told["extra"] |= {"depShare": 0.5, "callsOverS": 36_000.0}
     node = Node(settings_from(told)[0], 1, 0.0)
     assert max(len(node.tokens), len(node.call_times)) < 5000
+    assert node.slot_s >= 0.01
     node.decide(1e6, [])        # a pause of days takes no more shifts than there are slots
     assert node.slot_end > 1e6
