--- /dev/null
+++ b/tests/checker.py
@@ -0,0 +1,124 @@
+"""The rules of the operators' pages over a whole history; told of what was read, done and answered."""
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+
+from beechrock import interface as api
+
+
+@dataclass(slots=True, eq=False)
+class Try:
+    """One request in the world: where it stands, and what the checker must know of it."""
+
+    id: int
+    klass: int
+    kb: float
+    arrived: float
+    due: float
+    c: api.ClassSettings
+    key: int | None
+    first: "Try | None"
+    parts: list[float]          # seconds on a core that are left, a call between two
+    state: str = "held"
+    ran: bool = False
+    answered: bool = False
+    gone: bool = False
+    sure: bool = True           # no call of it may have had its effect
+    served: bool = False        # with a result that repeats may share
+    ended_at: float = math.inf
+    call_end: float = 0.0
+    outcome: api.Outcome = api.Outcome.OK
+    waiters: "list[Try]" = field(default_factory=list)
+
+
+class Window:
+    """The mean of a level over a sliding time, against a limit that may change."""
+
+    def __init__(self, over_s: float) -> None:
+        self.over_s, self.sum, self.room = over_s, 0.0, 0.0
+        self.parts: deque[tuple[float, float, float]] = deque()     # seconds, level, limit
+
+    def add(self, seconds: float, level: float, limit: float) -> None:
+        self.parts.append((seconds, level, limit))
+        self.sum, self.room = self.sum + seconds * level, self.room + seconds * limit
+        length = sum(part[0] for part in self.parts) if len(self.parts) < 8 else self.length + seconds
+        self.length = length
+        while self.length > self.over_s:
+            old, was, most = self.parts[0]
+            cut = min(old, self.length - self.over_s)
+            self.sum, self.room, self.length = self.sum - cut * was, self.room - cut * most, self.length - cut
+            self.parts.popleft()
+            if cut < old:
+                self.parts.appendleft((old - cut, was, most))
+                break
+
+    def over(self) -> bool:
+        """At a start the time that is not yet over counts as idle, under the limit of now."""
+        now = self.parts[-1][2] if self.parts else 0.0
+        most = self.room + max(0.0, self.over_s - self.length) * now
+        return self.sum > most * (1 + 1e-9) + 1e-9
+
+
+class Checker:
+    """The rules of the wire's page, over a whole history."""
+
+    def __init__(self, told: api.Settings, started: float) -> None:
+        self.told, self.started, self.grace_end, self.kill_at = told, started, math.inf, math.inf
+        self.slack_s = told.answer_slack_s or 0.0
+        self.owed: dict[int, Try] = {}
+        self.dues: list[tuple[float, int]] = []
+        self.ran: dict[int, list[Try]] = {}     # by key
+        self.stalled_s = 0.0
+        self.crowd = Window(told.crowd_over_s) if told.crowd_over_s and told.crowd_multiple else None
+        shared = told.downstream is api.Downstream.SHARED and told.calls_share is not None
+        self.below = Window(told.calls_over_s) if shared and told.calls_over_s else None
+
+    def read(self, one: Try) -> None:
+        self.owed[one.id] = one
+        heappush(self.dues, (one.due + self.slack_s - self.stalled_s, one.id))
+
+    def over(self, one: Try) -> None:
+        """Answered, or gone: nothing is owed."""
+        self.owed.pop(one.id, None)
+
+    def run(self, one: Try) -> None:
+        assert one.arrived <= self.grace_end, f"drain: {one.id} arrived after the grace and runs"
+        assert not one.ran, f"duplicate: {one.id} runs again"
+        assert not one.answered, f"{one.id} runs after its answer"
+        if one.c.effect is api.Effect.KEYED and one.key is not None:
+            for other in self.ran.setdefault(one.key, []):
+                window = other.c.window_s or 0.0
+                after_s = one.arrived - other.arrived
+                assert not 0 <= after_s <= window, f"duplicate: {one.id} after {other.id}"
+            self.ran[one.key].append(one)
+
+    def refused(self, one: Try, action: api.Refuse) -> None:
+        ran = one.ran and one.c.effect is not api.Effect.SAFE
+        assert not ran, f"duplicate: {one.id} ran and is refused"
+        after = action.retry_after_s
+        assert after is None or (self.told.retry_after and 0 <= after < 1e9), f"stay away for {after}"
+
+    def passed(self, seconds: float, now: float, running: int, calls: int) -> None:
+        """So long that many were on the cores, and in calls."""
+        s = self.told
+        if self.crowd is not None:
+            share = 1.0
+            if s.cold_start and s.ramp_s:
+                cold = s.cold_from or 0.0
+                share = min(1.0, cold + (1 - cold) * (now - seconds - self.started) / s.ramp_s)
+            most = s.cores * (1 + ((s.crowd_multiple or 0.0) - 1) * share)
+            self.crowd.add(seconds, running, max(most, 1.0))
+            assert not self.crowd.over(), f"fall-over: {running} on {s.cores} cores, {most:.2f} survive"
+        if self.below is not None:
+            self.below.add(seconds, calls, s.calls_share or 0.0)
+            assert not self.below.over(), f"fall-over: {calls} calls in hand, {s.calls_share} allowed"
+
+    def batch_done(self, now: float, memory_kb: float) -> None:
+        while self.dues and (self.dues[0][1] not in self.owed or self.dues[0][0] < now - self.stalled_s):
+            due, ident = heappop(self.dues)
+            assert ident not in self.owed, (
+                f"lost: {ident} {self.owed[ident].state}, due {now - self.stalled_s - due:.4f} s ago")
+        assert memory_kb <= self.told.memory_kb * (1 + 1e-9), f"fall-over: memory {memory_kb:.1f} KB"
+        assert now < self.kill_at or not self.owed, f"drain: {sorted(self.owed)[:5]} owed at the kill"
