What can never run is refused at once; heaps and timers drop what is long over

Seen by drawn settings and by reading: a run that needs more than the memory waited at the head of the hold, and all behind it with it; an entry that outlived its window stood for 10 ms uncounted, though one may take most of the memory; refused requests with deadlines of minutes lay in the heaps of due times, and their cancelled timers in the wheel, until those minutes were over.

--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -315,5 +315,6 @@
     def _sweep(self) -> None:
         now = self.clock()
         self.keys.sweep(now)
+        self.wheel.sweep()
         self.counters.add("keys.results_dropped", self.keys.trim(self.most_results))
         self.wheel.at(now + SWEEP_S, self._sweep)
--- a/beechrock/core/wheel.py
+++ b/beechrock/core/wheel.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 SLOTS = 1024
+SWEEP_FROM = 8192       # timers: fewer cost less to keep than to look through
 
 
 class Timer:
@@ -57,6 +58,17 @@
                     timer.action()
         return fired
 
+    def sweep(self) -> None:
+        """Drop what was cancelled; to be called now and then.
+
+        Seen: a cancelled timer lay in its slot until it was due, and deadlines of minutes kept one for each
+        request of those minutes.
+        """
+        if self._armed < SWEEP_FROM:
+            return
+        self._slots = [[timer for timer in slot if timer.action is not _nothing] for slot in self._slots]
+        self._armed = sum(len(slot) for slot in self._slots)
+
     def worked_off(self, now: float) -> bool:
         """Whether all that falls due by ``now`` has fired."""
         return self._done >= int(now / self.tick_s)
--- a/beechrock/policy/__init__.py
+++ b/beechrock/policy/__init__.py
@@ -140,6 +140,8 @@
             if job is not None and job.phase == RUNNING:    # it holds a core that someone waits for
                 self._give_up(job)
                 self.out.append(api.Stop(job.req.id))
+        self.dues, self.uses = self._swept(self.dues, self.jobs), self._swept(self.uses, self.jobs)
+        self.ends = self._swept(self.ends, self.keys)
         for job in list(self.jobs.values()) if self.now >= self.kill_at else ():
             self._give_up(job)
 
--- a/beechrock/policy/admission.py
+++ b/beechrock/policy/admission.py
@@ -49,6 +49,8 @@
             return
         if (over_s := self._over_budget_s(job)) > 0:    # the same on every node: no use to try another
             return self._answer(job, api.Refuse(req.id, over_s if self.s.retry_after else None, True))
+        if self._never_fits(job):       # nor on another node
+            return self._answer(job, api.Refuse(req.id, None, True))
         # An error of a safe run is no worse than a refusal; of another it is the answer to all its repeats.
         full = self._memory_full(0.0, MEMORY_HELD) or self._past_grace(job) or (
             self.failing > 0.5 and c.effect is not api.Effect.SAFE)
--- a/beechrock/policy/books.py
+++ b/beechrock/policy/books.py
@@ -1,7 +1,8 @@
 """What a node holds, the totals that follow it, and the guards of the rules that go by them."""
 
 import math
-from heapq import heappop, heappush
+from collections.abc import Container
+from heapq import heapify, heappop, heappush
 
 from beechrock import interface as api
 
@@ -22,6 +23,9 @@
 CALLS_MARGIN, CALLS_FLOOR = 0.8, 0.5    # shares of the told calls in hand: at most, and always used
 DRAIN_MARGIN = 0.1       # share of the notice, and of the grace, kept free
 
+SHORTEST_ENTRY_S = 0.01     # of the table of keys
+MOST_STALE = 4096        # entries of a heap that are over and lie behind others, beside four a request
+
 OVER, HELD, SHARING, RUNNING, AT_CALL, IN_CALL = range(6)
 AHEAD = (0, 1, 0, 0.5, 0.5, 0.5)     # a phase's part in the predicted waits: runs are half done in the mean
 Queue = list[tuple[float, int]]     # a heap of (moment, request)
@@ -144,11 +148,32 @@
         """Remember the request, so that its repeats are known, if memory has room for that."""
         if self._memory_full(self.s.key_kb or 0.0, MEMORY_HELD):
             return False
-        self.out.append(api.Keep(job.req.id, max(0.01, ttl)))
+        ttl = max(SHORTEST_ENTRY_S, ttl)    # seen: what had waited past its window was kept, but not counted
+        self.out.append(api.Keep(job.req.id, ttl))
         self.keys.add(job.req.id)
         heappush(self.ends, (self.now + ttl, job.req.id))
         return True
 
+    def _never_fits(self, job: Job) -> bool:
+        """Whether its run takes more than there is, alone on the node.
+
+        Seen: it waited at the head of the hold until it was of no use, and all behind it with it.
+        """
+        entry_kb = (self.s.key_kb or 0.0) * (job.c.effect is api.Effect.KEYED)
+        run_kb = job.req.kb * max(1.0, self.kb_factor[RUNNING])
+        return run_kb + entry_kb > MEMORY_RUN * self.s.memory_kb
+
+    def _swept(self, queue: Queue, known: Container[int]) -> Queue:
+        """Without what is over, once that is most of it.
+
+        Seen: a deadline of minutes beside refusals at thousands a second kept an entry of each for minutes.
+        """
+        if len(queue) <= MOST_STALE + 4 * len(self.jobs):
+            return queue
+        left = [entry for entry in queue if entry[1] in known]
+        heapify(left)
+        return left
+
     def _memory_full(self, more_kb: float, share: float) -> bool:
         return self.load()[1] + self.other.kb + more_kb > share * self.s.memory_kb
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -74,6 +74,19 @@
     return [answer.verdict for answer in SAID[trace]]
 
 
+def test_cancelled_timers_do_not_lie_about_until_they_are_due() -> None:
+    fired: list[int] = []
+    wheel = Wheel(0.004, 50.0)
+    for number in range(20_000):
+        timer = wheel.at(50.0 + number % 600, lambda number=number: fired.append(number))
+        if number % 100:
+            timer.cancel()
+    wheel.sweep()
+    assert sum(map(len, wheel._slots)) == 200
+    wheel.advance(700.0)
+    assert sorted(fired) == list(range(0, 20_000, 100))
+
+
 def test_timers_fire_once_in_the_tick_after_they_fall_due_and_over_many_turns() -> None:
     draw, fired = random.Random(3), []
     wheel = Wheel(0.004, 50.0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -354,3 +354,28 @@
         driver.tell(after=0.2)
     assert driver.node._in_share(0) == pytest.approx(0.1, abs=0.01)
     assert driver.node._in_share(1) == driver.node._in_share(2) == 1.0
+
+
+def test_what_can_never_run_is_refused_at_once_and_holds_nobody_up() -> None:
+    """Seen: a run beyond the memory waited at the head of the hold, and nothing behind it was served."""
+    driver = Driver(settings(memory_kb=100.0, run_factor=4.0, key_kb=0.0))
+    large, said = driver.arrive(kb=30.0)
+    assert [(a.id, a.no_retry) for a in of(api.Refuse, said)] == [(large, True)]
+    small, said = driver.arrive(kb=20.0)
+    assert ids(api.Run, said) == [small]
+
+
+def test_an_entry_that_outlived_its_window_is_counted_while_it_stands() -> None:
+    short = api.ClassSettings(aim_s=3.0, give_up_s=9.0, effect=api.Effect.KEYED, window_s=0.5)
+    driver = Driver(settings(memory_kb=100.0, run_factor=1.0, key_kb=60.0, classes=(short,)))
+    driver.arrive(0, waited_s=1.0, kb=1.0)
+    driver.arrive(0, waited_s=1.0, kb=1.0)
+    assert len(of(api.Keep, driver.said)) == 1      # the second would have no room
+
+
+def test_heaps_do_not_grow_with_what_is_long_over() -> None:
+    """Deadlines of minutes, and all is refused at once."""
+    driver = Driver(settings(memory_kb=100.0, key_kb=1.0))
+    for _ in range(9000):
+        driver.arrive(1, kb=90.0, remaining_s=600.0)
+    assert len(driver.node.dues) < 5000
