A cold node launches no more in a window than its settings allow, whatever ends its runs

Change: policy/slow_start.py counts the launches of the last window while a node is cold, and lets no more begin than that N with its allowance, from what was begun and served within the window, and never less than the crowd survived. Where the budget is spent, requests wait for its next place or are refused with a pause until then.

--- a/beechrock/policy/__init__.py
+++ b/beechrock/policy/__init__.py
@@ -68,6 +68,8 @@
             case api.Finished(_, outcome, _):
                 if job.phase >= RUNNING and outcome in (api.Outcome.OK, api.Outcome.ERROR):
                     self.cores.add(job.work)
+                    if job.launch is not None:
+                        job.launch.served = outcome is api.Outcome.OK
                     self.failing += 0.2 * ((outcome is api.Outcome.ERROR) - self.failing)
                     took = max(0.001, job.cores_s + (self.now - job.moved) * (job.phase == RUNNING))
                     self.run_s += 0.05 * (took - self.run_s) if self.run_s else took
@@ -104,11 +106,12 @@
                 if self.now + self._rest_s(job) > job.useful_until or self._past_grace(job):
                     self._turn_away(job)
                     continue
-                if (self.count[RUNNING] >= self._run_limit()
+                if (self.count[RUNNING] >= self._run_limit() or self._launches_left() < 1
                         or (job.must_call and self.count[AT_CALL] > self.call_limit)
                         or self._memory_full(job.req.kb * (self.kb_factor[RUNNING] - 1), MEMORY_RUN)):
                     break
                 self.out.append(api.Run(job.req.id))
+                job.launch = self.launch_budget.begin(self.now)
                 self._move(job, RUNNING)
                 job.ran = True
                 if self.s.fresh_s and job.c.effect is api.Effect.SAFE and job.req.key and not job.req.write:
@@ -130,8 +133,10 @@
 
     def _set_timer(self) -> None:
         """One timer, for the earliest moment at which something falls due."""
+        launch_wait_s = self._launch_wait_s(0) if self.count[HELD] else 0.0
         at = min(self.slot_end, self.dues[0][0] if self.dues else math.inf, self.kill_at,
-                 self.calls_from if self.count[AT_CALL] and self.calls_from > self.now else math.inf)
+                 self.calls_from if self.count[AT_CALL] and self.calls_from > self.now else math.inf,
+                 self.now + launch_wait_s if launch_wait_s else math.inf)
         if at < self.timer_at:
             self.timer_at = at
             self.out.append(api.SetTimer(0, max(0.0, at - self.now)))
--- a/beechrock/policy/admission.py
+++ b/beechrock/policy/admission.py
@@ -78,7 +78,10 @@
         share = GATE * self._in_share(job.req.tenant) * value
         if job.must_call and self.calls.wait(self.calls_ahead) > share * (job.aim_at - self.now):
             return False
-        if self.count[HELD] <= 1 and self.count[RUNNING] < self._run_limit():
+        launch_wait_s = self._launch_wait_s(self.count[HELD] - 1)
+        if launch_wait_s and launch_wait_s > share * (job.aim_at - self.now):
+            return False
+        if not launch_wait_s and self.count[HELD] <= 1 and self.count[RUNNING] < self._run_limit():
             return True
         extra = self.cores.wait(max(0.0, job.work - self.mean_work) * self.s.cores)
         # Held work starts by its aims: who has a short one overtakes. So the whole line is held to the mean
@@ -105,6 +108,8 @@
 
     def _turn_away(self, job: Job, elsewhere: bool = False) -> None:
         """Refuse in the words the abacus finds; ``elsewhere``: this node is the trouble, not the load."""
+        if not elsewhere and self.s.retry_after and (wait_s := self._launch_wait_s(self.count[HELD] - 1)):
+            return self._answer(job, api.Refuse(job.req.id, min(wait_s, self.away_s)))
         if not elsewhere and self.peak_rate and self.cores.wait(self.work_ahead) < GATE * self.mean_aim:
             # Only this class is full: its caller may bring others. Trying on costs as much as reading does.
             room = 1 + READ_PART * self.run_s / (self.read_s or 1e-9)
--- a/beechrock/policy/books.py
+++ b/beechrock/policy/books.py
@@ -4,6 +4,7 @@
 from heapq import heappop, heappush
 
 from beechrock import interface as api
+from beechrock.policy.slow_start import Launch, LaunchBudget, crowd_survived, speed_share
 
 FIRST_OFFSET_S = 3.0     # d0 of the design; the told longest retry-after replaces it where that is shorter,
 OFFSET_AIMS = 0.6        # and this part of the mean aim: who stays away for longer comes back in a rush
@@ -54,6 +55,7 @@
         self.useful_until = self.due if c.late_share > 0 else self.aim_at
         self.phase, self.calls, self.ran, self.answered = OVER, 0, False, False
         self.spent_in: float | None = None  # the budget period that paid for it
+        self.launch: Launch | None = None
 
 
 class Books:
@@ -61,6 +63,7 @@
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         s = self.s = settings
         self.now, self.started, self.rare_callers = now, now, False
+        self.launch_budget = LaunchBudget()
         self.out: list[api.Action] = [api.Health(True)]
         self.jobs: dict[int, Job] = {}
         self.keys: set[int] = set()     # entries of the node's table, which outlive their jobs
@@ -149,12 +152,22 @@
 
     def _run_limit(self, crowding: bool = False) -> int:
         """Rule: runs on the cores stay under the crowd survived; as many are let in as keep these busy."""
-        s, cold, share = self.s, self.s.cold_from or 0.0, 1.0
-        if s.cold_start and s.ramp_s:
-            share = min(1.0, cold + (1 - cold) * (self.now - self.started) / s.ramp_s)
-        crowd = CROWD_MARGIN * s.cores * (1 + ((s.crowd_multiple or 1e9) - 1) * share)
+        crowd = CROWD_MARGIN * crowd_survived(self.s, self._speed_share())
         return max(1, int(self._rest(crowd if crowding else min(self.limit, crowd), self.other.runs)))
 
+    def _speed_share(self) -> float:
+        return speed_share(self.s, self.now - self.started)
+
+    def _launches_left(self) -> float:
+        """Rule: a cold node launches no more in a window than its settings allow; others' runs count."""
+        return self.launch_budget.left(self.s, self.now, self.started) - self.other.runs
+
+    def _launch_wait_s(self, ahead: int) -> float:
+        """Seconds until the launch budget, where that is spent, has room behind this many held requests."""
+        if (left := self._launches_left()) >= 1 or not self.launch_budget.launches:
+            return 0.0
+        return max(0.0, self.launch_budget.frees_at(self.s.crowd_over_s or 0.0, int(ahead - left)) - self.now)
+
     def _learn_limit(self, gauges: api.Gauges) -> None:
         """Runs wait for disks unseen: more are let in while cores idle, fewer once they queue for cores."""
         self.timer_at, cores, busy, queue = math.inf, self.s.cores, gauges.cpu_busy, gauges.runnable
--- /dev/null
+++ b/beechrock/policy/slow_start.py
@@ -0,0 +1,84 @@
+"""Slow start: what the settings promise of a node that came up cold, and what it may launch until it is warm.
+
+The operators' rule: a cold node falls when it gets more than N, with an allowance for chance, in the time
+that the settings name. Taken here as: launches in any ``crowd_over_s``; N is what a warm node can do in that
+time, times the crowd multiple, times the part of its speed that is promised at the window's start, and never
+under the crowd that the cores survive at once. A warm node's speed is not told: it can do at least what was
+begun and served here in the window. docs/crossings/slow-start.md has the other readings, each measured.
+"""
+
+import math
+from collections import deque
+from dataclasses import dataclass
+
+from beechrock import interface as api
+
+MANY = 30           # the rule's allowance is wider below this many requests
+UNBOUNDED = 1e9     # runs a core where no multiple is told: the crowd is no bound then
+
+
+def speed_share(settings: api.Settings, age_s: float) -> float:
+    """Return the part of its full speed that a node has at least at this age; 1 once it is warm."""
+    if not settings.cold_start or not settings.ramp_s:
+        return 1.0
+    cold_from = settings.cold_from or 0.0
+    return min(1.0, cold_from + (1 - cold_from) * max(0.0, age_s) / settings.ramp_s)
+
+
+def crowd_survived(settings: api.Settings, share: float) -> float:
+    """Return the runs on the cores at once that a node with this share of its speed survives."""
+    return settings.cores * (1 + ((settings.crowd_multiple or UNBOUNDED) - 1) * share)
+
+
+def most_requests(expected: float) -> float:
+    """Return how many requests may come where this many are expected: the rule's allowance for chance."""
+    root = math.sqrt(expected)
+    return expected + 2 * root + 2 if expected >= MANY else expected + 3 * root + 3
+
+
+def most_launches(settings: api.Settings, share: float, served: int) -> float:
+    """Return how many runs may begin in a window at this share of speed, with this many served in it.
+
+    The allowance falls where N passes ``MANY``; N may be higher than known: the less holds.
+    """
+    work = (settings.crowd_multiple or UNBOUNDED) * share * served
+    expected = max(crowd_survived(settings, share), work)
+    most = most_requests(expected)
+    return math.floor(most if expected >= MANY else min(most, most_requests(MANY)))
+
+
+@dataclass(slots=True)
+class Launch:
+    """One run that began, and whether it was served since."""
+
+    at: float
+    served: bool = False
+
+
+class LaunchBudget:
+    """What a cold node launched in the last window, and how many runs it may begin now."""
+
+    def __init__(self) -> None:
+        self.launches: deque[Launch] = deque()      # of the last window; emptied on a warm node
+
+    def begin(self, now: float) -> Launch:
+        """Count a run that begins now."""
+        self.launches.append(launch := Launch(now))
+        return launch
+
+    def left(self, settings: api.Settings, now: float, started: float) -> float:
+        """Return how many runs may begin now; infinite for a warm node, and where no window is told."""
+        window_s = settings.crowd_over_s or 0.0
+        share = speed_share(settings, now - window_s - started)
+        if not window_s or share >= 1:
+            self.launches.clear()
+            return math.inf
+        while self.launches and self.launches[0].at <= now - window_s:
+            self.launches.popleft()
+        served = sum(launch.served for launch in self.launches)
+        return max(0.0, most_launches(settings, share, served) - len(self.launches))
+
+    def frees_at(self, window_s: float, place: int) -> float:
+        """Return when the run of this place (0 the oldest) leaves the window; past the last, a later one."""
+        windows, place = divmod(place, len(self.launches))
+        return self.launches[place].at + (1 + windows) * window_s
