--- a/beechrock/policy/admission.py
+++ b/beechrock/policy/admission.py
@@ -157,7 +157,9 @@
         """Callers hear of the predicted wait before they send, so that little is read in vain."""
         first, full = SHED if self.s.say is api.Say.FLOOR else MOVE
         strain = (self.cores.wait(self.work_ahead) + self.unread_s) / self.mean_aim
-        strain = 1.0 if self.now >= self.full_at else min(max((strain - first) / (full - first), 0.0), 1.0)
+        strain = min(max((strain - first) / (full - first), 0.0), 1.0)
+        if self.now >= self.full_at or self._launch_wait_s(0):
+            strain = 1.0
         value = strain if self.s.say is api.Say.FLOOR else 1.0 - strain
         if self.s.say is api.Say.ALLOWANCE:
             value *= (self.limit + (self.peak_rate or self.s.cores) * self.mean_aim) / (self.s.callers or 1)
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from world import Driver, ids, of, settings
+from world import SAFE, Driver, ids, of, settings
 
 from beechrock import interface as api
 from beechrock.policy.slow_start import LaunchBudget, most_launches, most_requests, speed_share
@@ -174,18 +174,50 @@
     left = driver.node._launches_left()
     driver.tell(api.Elsewhere(runs=3))
     assert driver.node._launches_left() == left - 3
+    driver.tell(after=0.1)
     while driver.node._launches_left() >= 1:
         ident, said = driver.arrive()
         assert ids(api.Run, said) == [ident]
         driver.tell(api.Finished(ident, api.Outcome.ERROR, 0.001))
     driver.tell(after=1.5)
     held, said = driver.arrive()
-    # It waits for the oldest launch to leave the window; a timer is set for that moment.
+    # It waits for the oldest launch to leave the window.
     assert ids(api.Run, said) + ids(api.Refuse, said) == []
-    assert driver.node._launch_wait_s(0) == pytest.approx(1.5) and driver.node.timer_at <= driver.now + 1.5
+    assert driver.node._launch_wait_s(0) == pytest.approx(1.5)
     late, said = driver.arrive(remaining_s=1.0)
     assert of(api.Refuse, said) == [api.Refuse(late, pytest.approx(1.5))]    # type: ignore[arg-type]
-    assert ids(api.Run, driver.tell(after=1.501)) == [held]
+    said = driver.tell(api.TimerFired(0), after=1.45)
+    assert ids(api.Run, said) == [] and of(api.SetTimer, said)[-1].delay_s == pytest.approx(0.05)
+    assert ids(api.Run, driver.tell(after=0.051)) == [held]
+
+
+@pytest.mark.parametrize(("say", "nothing"), [
+    (api.Say.FLOOR, 1.0), (api.Say.WEIGHT, 0.0), (api.Say.ALLOWANCE, 0.0)])
+def test_callers_hear_that_nothing_is_wanted_while_the_budget_is_spent(say: api.Say, nothing: float) -> None:
+    driver = Driver(settings(cold_start=True, say=say, callers=4))
+    while driver.node._launches_left() >= 1:
+        assert all(a.value != nothing for a in of(api.Advertise, driver.said))
+        ident, _ = driver.arrive()
+        driver.tell(api.Finished(ident, api.Outcome.ERROR, 0.001))
+    assert of(api.Advertise, driver.said)[-1].value == nothing
+    driver.tell(after=driver.node.s.crowd_over_s or 0.0)
+    assert of(api.Advertise, driver.said)[-1].value == of(api.Advertise, driver.said)[0].value != nothing
+
+
+def test_a_request_past_its_aim_is_still_taken_by_a_cold_node_with_free_cores() -> None:
+    driver = Driver(settings(cold_start=True, classes=(replace(SAFE, late_share=0.5),)))
+    ident, said = driver.arrive(waited_s=4.0)
+    assert ids(api.Run, said) == [ident]
+
+
+def test_callers_that_heed_a_pause_bring_a_cold_fleet_far_less_than_others() -> None:
+    told = settings(cold_start=True, cores=6, cold_from=0.21, ramp_s=18.0, crowd_over_s=3.0, fleet_size=3)
+    brought = []
+    for heed in (True, False):
+        fleet = Fleet(told, 3, Cores(told, 14.0, 0.21, failing=True), heed, seed=1)
+        fleet.play(4.0)
+        brought.append(fleet.arrived)
+    assert brought[0] < brought[1] / 2
 
 
 def test_runs_that_were_served_within_the_window_widen_it_and_none_is_remembered_for_long() -> None:
