--- a/beechrock/policy/admission.py
+++ b/beechrock/policy/admission.py
@@ -98,7 +98,10 @@
         share = GATE * self._in_share(job.req.tenant) * value
         if job.must_call and self.calls.wait(self.calls_ahead) > share * (job.aim_at - self.now):
             return False
-        if self.count[HELD] <= 1 and self.count[RUNNING] < self._run_limit():
+        launch_wait_s = self._launch_wait_s(self.count[HELD] - 1)
+        if launch_wait_s and launch_wait_s > share * (job.aim_at - self.now):
+            return False
+        if not launch_wait_s and self.count[HELD] <= 1 and self.count[RUNNING] < self._run_limit():
             return True
         extra = self.cores.wait(max(0.0, job.work - self.mean_work) * self.s.cores)
         # Held work starts by its aims: who has a short one overtakes. So the whole line is held to the mean
@@ -127,6 +130,8 @@
 
     def _turn_away(self, job: Job, elsewhere: bool = False) -> None:
         """Refuse in the words the abacus finds; ``elsewhere``: this node is the trouble, not the load."""
+        if not elsewhere and self.s.retry_after and (wait_s := self._launch_wait_s(self.count[HELD] - 1)):
+            return self._answer(job, api.Refuse(job.req.id, min(wait_s, self.away_s)))
         if not elsewhere and self.peak_rate and self.cores.wait(self.work_ahead) < GATE * self.mean_aim:
             # Only this class is full: its caller may bring others. Trying on costs as much as reading does.
             room = 1 + READ_PART * self.run_s / (self.read_s or 1e-9)
@@ -176,7 +181,9 @@
         """Callers hear of the predicted wait before they send, so that little is read in vain."""
         first, full = SHED if self.s.say is api.Say.FLOOR else MOVE
         strain = (self.cores.wait(self.work_ahead) + self.unread_s) / self.mean_aim
-        strain = 1.0 if self.now >= self.full_at else min(max((strain - first) / (full - first), 0.0), 1.0)
+        strain = min(max((strain - first) / (full - first), 0.0), 1.0)
+        if self.now >= self.full_at or self._launch_wait_s(0):
+            strain = 1.0
         value = strain if self.s.say is api.Say.FLOOR else 1.0 - strain
         if self.s.say is api.Say.ALLOWANCE:
             value *= (self.limit + (self.peak_rate or self.s.cores) * self.mean_aim) / (self.s.callers or 1)
--- a/tests/test_handover_crossings.py
+++ b/tests/test_handover_crossings.py
@@ -1,6 +1,7 @@
 """A replacement in which two events cross: each test forces one order of them."""
 
 import asyncio
+import contextlib
 import errno
 import os
 import socket
