--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -99,7 +99,6 @@
 # Who reads the wall clock beside ``clocks.py``, and why a step does no harm there.
 WALL_CLOCK_USERS = {
     "beechrock/program.py": "hands it to the core, for stamps of other processes only; number of a life",
-    "beechrock/handover/channel.py": "the order of processes in the names of their sockets",
     "beechrock/edges/part.py": "Unix times of queued writes, which outlive a machine",
     "beechrock/edges/member.py": "Unix times of queued writes, which outlive a machine",
     "beechrock/talk/part.py": "number of a life, which has to grow over restarts",
--- a/tests/test_handover_crossings.py
+++ b/tests/test_handover_crossings.py
@@ -277,7 +277,7 @@
         await asyncio.gather(one.program._take_connections(), one.program._take_connections())
         assert descriptors_of(pair.shared) == before + 1
         frames.pause()
-        assert descriptors_of(pair.shared) == before    # no second listener is left that would go on accepting
+        assert descriptors_of(pair.shared) == before     # no second listener goes on accepting
         with socket.create_connection(pair.shared.getsockname()):
             await asyncio.sleep(0.05)
             assert not frames.peers     # it waits in the queue, for whoever takes connections
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -21,7 +21,7 @@
 @options(max_examples=120, suppress_health_check=list(HealthCheck))
 @given(deployments, st.integers(0, 2**32))
 def test_no_rule_breaks_under_any_settings(drawn: tuple[dict[str, Any], Model], seed: int) -> None:
-    """The wide search is ``python benchmarks/histories.py``."""
+    """The wide search is ``python benchmarks/policy_histories.py``."""
     assert History(seed, *drawn, arrivals=80).play().told_again()
 
 
