--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -179,13 +179,12 @@
             self.mailbox.wake()
 
     def _repeats_a_kept_try(self, request: Request) -> bool:
-        """Whether a try can only be a repeat; such are taken in at once, however many they are.
+        """Whether its key is kept already; such tries are taken in at once, however many they are.
 
         Seen: one a batch, some hundreds of one key came up after their due time, and the module's memory did
-        not know of them meanwhile. A read whose first one is over may still need a run of its own.
+        not know of them meanwhile. Reads whose first one is over may each run, which does them no harm.
         """
-        first = self.keys.find(request)
-        return first is not None and (first.running or request.nonce is not None)
+        return self.keys.find(request) is not None
 
     # --- what happened
 
