--- a/tests/test_rules_calls.py
+++ b/tests/test_rules_calls.py
@@ -351,3 +351,13 @@
     driver.arrive()
     driver.tell(after=1.0)
     assert ids(api.Stop, driver.said) == [ident]
+
+
+def test_where_the_mean_is_near_the_crowd_already_none_is_let_beyond_it() -> None:
+    """Seen: each that came back from its call was replaced by a next one, so that the mean stayed beyond."""
+    driver = Driver(settings(**{**BELOW, "downstream": api.Downstream.TIER, "crowd_multiple": 2.0}))
+    driver.complete([driver.arrive()[0]], after=0.05)
+    driver.node.crowd_mean = 2.9
+    for _ in range(6):
+        at_call(driver)
+    assert len(ids(api.Call, driver.said)) == 3     # of 4 that two cores survive
