--- a/benchmarks/histories.py
+++ b/benchmarks/drawn_histories.py
@@ -4,7 +4,7 @@
 callers gone, stalls, notices to leave and other settings at drawn moments; a checker over the whole history
 (tests/histories.py). A finding is printed with its seed, which plays the same again: ``--seed N --count 1``.
 
-    python benchmarks/histories.py [--short] [--actor] [--seed 0] [--count 10000] [--jobs 2]
+    python benchmarks/drawn_histories.py [--short] [--actor] [--seed 0] [--count 10000] [--jobs 2]
 """
 
 import argparse
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -25,7 +25,7 @@
 @options(max_examples=80, **PLAYED)
 @given(deployments, st.integers(0, 2**32))
 def test_no_rule_breaks_under_any_settings(drawn: tuple[dict[str, Any], Model], seed: int) -> None:
-    """The wide search is ``python benchmarks/histories.py``."""
+    """The wide search is ``python benchmarks/drawn_histories.py``."""
     assert History(seed, *drawn, arrivals=80).play().told_again()
 
 
