A front started twice within one shortage keeps one listener

Seen in a test: where a handover goes to and fro while the first start still waits for a descriptor, the second start's listener took the first one's place, and the first went on accepting from the shared socket after the next pause. The later one now closes the earlier.

--- a/beechrock/net/front.py
+++ b/beechrock/net/front.py
@@ -44,9 +44,11 @@
 
     async def start(self, host: str, port: int, fd: int | None = None) -> None:
         """Listen; after ``pause``, again."""
-        self.server = await listen(
+        server = await listen(
             self._accepted, host, port, self.module.counters, self.where, fd,
             at_once=self.at_once, relieve=self._relieve)
+        self.close()    # of a start in the same shortage, before a pause: it would outlive the next one
+        self.server = server
         if not self._sweeping:
             self._sweeping = True
             self._sweep()
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -193,6 +193,24 @@
     run(work)
 
 
+def test_two_starts_within_one_shortage_leave_one_listener() -> None:
+    """A handover that goes to and fro starts the front a second time while the first start still waits."""
+    async def work(stand: Stand) -> None:
+        await stand.open()
+        frames = stand.program.frames
+        assert frames is not None
+        with socket.create_server(("127.0.0.1", 0)) as shared, socket.socket() as caller:
+            with faults("listen", errno.ENOMEM, times=2):
+                await asyncio.gather(*(frames.start("127.0.0.1", 0, shared.fileno()) for _ in range(2)))
+            frames.pause()
+            caller.connect(shared.getsockname())
+            await asyncio.sleep(5 * listener.RETRY_S)
+            shared.setblocking(False)
+            shared.accept()[0].close()      # nobody has taken it
+
+    run_node(work)
+
+
 def test_a_connection_that_cannot_be_set_up_is_closed_and_counted() -> None:
     async def work(echo: Echo, server: Listener) -> None:
         address = server.sockets[0].getsockname()
