--- a/beechrock/lab/pair.py
+++ b/beechrock/lab/pair.py
@@ -38,6 +38,7 @@
     def __init__(self, seed: int) -> None:
         self.draw = random.Random(seed)
         self.launched: Counter[bytes] = Counter()
+        self.tries: dict[bytes, set[str]] = {}      # of each body: the traces of the tries that were launched
         self.free = [0.0] * CORES
         self.servers: list[asyncio.Server] = []
 
@@ -64,6 +65,7 @@
 
     def _run(self, ident: bytes, body: bytes, notices: list[int], writer: asyncio.StreamWriter) -> None:
         self.launched[body] += 1
+        self.tries.setdefault(body, set()).add(ident.decode())
         work, now = self.draw.expovariate(1 / WORK_S), time.monotonic()
         end = max(now, heapq.heappop(self.free)) + work
         heapq.heappush(self.free, end)
@@ -86,6 +88,7 @@
         # When each try was sent, whether it was keyed, and seconds to its answer.
         self.took: list[tuple[float, bool, float]] = []
         self.numbers = 0
+        self.born: dict[str, float] = {}            # by trace, as each try told it
 
     async def load(
         self, rate_per_s: float, seconds: float, connections: int = 8, again: float = 0.3,
@@ -134,6 +137,7 @@
             stream, body = self.streams, b"key %d" % number
             told = {"route": "submit" if keyed else "resolve", "trace": f"{random.getrandbits(64):016x}",
                     "born": str(int(1000 * time.time())), "client": "1", "size": "20", "order": "0.5"}
+            self.callers.born[told["trace"]] = int(told["born"]) / 1000
             if keyed:
                 told["nonce"] = f"{number:032x}"
             self.open[stream] = waiting = asyncio.get_running_loop().create_future()
