--- a/beechrock/lab/pair.py
+++ b/beechrock/lab/pair.py
@@ -11,6 +11,7 @@
 import sys
 import time
 from collections import Counter
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -32,46 +33,63 @@
 }
 
 
+class FarmAddress:
+    """What the farm keeps for one process: the notices, which a new link asks for again, and that link."""
+
+    def __init__(self) -> None:
+        self.notices: list[bytes] = []
+        self.link: asyncio.StreamWriter | None = None
+
+
 class Farm:
     """Stands in for the farm agent: one set of cores, an address and a numbering for each process."""
 
     def __init__(self, seed: int) -> None:
         self.draw = random.Random(seed)
         self.launched: Counter[bytes] = Counter()
+        self.tries: dict[bytes, set[str]] = {}      # of each body: the traces of the tries that were launched
         self.free = [0.0] * CORES
         self.servers: list[asyncio.Server] = []
 
     async def address(self) -> str:
-        self.servers.append(await asyncio.start_server(self._serve, "127.0.0.1", 0))
+        address = FarmAddress()
+        self.servers.append(await asyncio.start_server(partial(self._serve, address), "127.0.0.1", 0))
         return "{}:{}".format(*self.servers[-1].sockets[0].getsockname())
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        notices = [0]
+    async def _serve(
+        self, address: FarmAddress, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+    ) -> None:
+        address.link = writer
         try:
             while line := await reader.readline():
                 match line.split():
-                    case [b"subscribe", _]:
-                        writer.write(b"greeting LOADED 99000\r\n")
+                    case [b"subscribe", last]:
+                        writer.write(b"greeting LOADED 99000\r\n" + b"".join(address.notices[int(last):]))
                     case [b"sample", tag]:
                         writer.write(b"sampled " + tag + b" 0.9 3 0.1 3\r\n")
                     case [b"launch", ident, _, size]:
                         body = await reader.readexactly(int(size) + 2)
-                        self._run(ident, body[:-2], notices, writer)
+                        self._run(ident, body[:-2], address)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
 
-    def _run(self, ident: bytes, body: bytes, notices: list[int], writer: asyncio.StreamWriter) -> None:
+    def _run(self, ident: bytes, body: bytes, address: FarmAddress) -> None:
+        # Seen beside full load: a node whose link fell silent says its launches again on the next one.
+        if ident.decode() in self.tries.get(body, ()):
+            return
         self.launched[body] += 1
+        self.tries.setdefault(body, set()).add(ident.decode())
         work, now = self.draw.expovariate(1 / WORK_S), time.monotonic()
         end = max(now, heapq.heappop(self.free)) + work
         heapq.heappush(self.free, end)
 
         def over() -> None:
-            notices[0] += 1
-            writer.write(b"outcome %d %s PASS %d %d\r\n%s\r\n" % (
-                notices[0], ident, 1000 * work, len(body) + 4, b"did " + body))
+            address.notices.append(b"outcome %d %s PASS %d %d\r\n%s\r\n" % (
+                len(address.notices) + 1, ident, 1000 * work, len(body) + 4, b"did " + body))
+            if address.link is not None:
+                address.link.write(address.notices[-1])
 
         asyncio.get_running_loop().call_later(end - now, over)
 
@@ -86,6 +104,7 @@
         # When each try was sent, whether it was keyed, and seconds to its answer.
         self.took: list[tuple[float, bool, float]] = []
         self.numbers = 0
+        self.born: dict[str, float] = {}            # by trace, as each try told it
 
     async def load(
         self, rate_per_s: float, seconds: float, connections: int = 8, again: float = 0.3,
@@ -134,6 +153,7 @@
             stream, body = self.streams, b"key %d" % number
             told = {"route": "submit" if keyed else "resolve", "trace": f"{random.getrandbits(64):016x}",
                     "born": str(int(1000 * time.time())), "client": "1", "size": "20", "order": "0.5"}
+            self.callers.born[told["trace"]] = int(told["born"]) / 1000
             if keyed:
                 told["nonce"] = f"{number:032x}"
             self.open[stream] = waiting = asyncio.get_running_loop().create_future()
