--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -218,13 +218,13 @@
                 number, trace, outcome = int(words[1]), words[2], ENDS[words[3]]
                 elapsed_s = _seconds(words[4])
                 if outcome is Outcome.OK and len(words) != 6:
-                    raise ValueError("a result without its length")
+                    raise BadInputError("a result without its length")
                 if self._fresh(number):
                     self._run_over(trace, outcome, elapsed_s, body)
             case "request":
                 number, trace = int(words[1]), words[2]
                 if len(words) != 4:
-                    raise ValueError("a call without the length of its body")
+                    raise BadInputError("a call without the length of its body")
                 if self._fresh(number):
                     self.unproved.settle_read(trace, over=False)
                     self.module.post(CallWanted(trace, number, body))
@@ -303,7 +303,7 @@
             return False
         missed = 0 if self.renumbered else number - self.last_notice - 1
         if missed > MOST_AHEAD:
-            raise ValueError(f"{missed} notices are missing")
+            raise BadInputError(f"{missed} notices are missing")
         self.last_notice, self.renumbered = number, False
         if missed:
             self._missed(missed)
@@ -332,7 +332,7 @@
         elif tag[:1] == "g":    # all that went out before this sample was asked for has been read
             asked = int(tag[1:])
             if asked > self.last_sample:
-                raise ValueError("an answer to a question that was not asked")
+                raise BadInputError("an answer to a question that was not asked")
             self.unproved.settle_before(asked)
 
     def _send_again(self) -> None:
@@ -350,12 +350,12 @@
 def _finite(word: str) -> float:
     value = float(word)
     if not math.isfinite(value):
-        raise ValueError(f"{word}: not finite")
+        raise BadInputError(f"{word}: not finite")
     return value
 
 
 def _seconds(milliseconds: str) -> float:
     value = _finite(milliseconds)
     if not 0 <= value <= MOST_MS:
-        raise ValueError(f"{milliseconds}: no time that has passed")
+        raise BadInputError(f"{milliseconds}: no time that has passed")
     return value / 1000
