Agent: after its restart the link is made anew, from its first notice

A link that had asked for what comes after notice 500 of the agent before would hear nothing of a new one's first 500, as the wire has it ('all notices after N follow').

--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -251,6 +251,9 @@
             self.last_notice = self.unreadable_notice = 0
             self.renumbered = True
             self._lose([r for r in self.runs.values() if not self.unproved.never_sent(r.trace)])
+            if self.link is not None:       # asked for what comes after a number that it never gave
+                self.link.drop()
+            return
         self.module.post(WorkUp(cold, age_s))
         self.tell(life.Greeted(self.life.link))
 
