Agreed log, spending and copies go on after a disk that failed, without a restart

One failed write or sync (EIO) ended the agreed log and the copies of a node for good, and left the teams of [limits] without a piece of budget until a restart. Each now writes anew what no sync had proved and tries again with its waits for a full disk; until then a voter tells nothing as written, no ceiling counts, and a replica says nothing that rests on it. Seen on the way: after a failed sync a replica had nothing pending, so its next turn would have told others what was not proved. Events: agree.disk_full, replica.disk_full/_room, limits.disk_full/_room (was limits.disk), with the folder, what failed and what to do. The laboratory's disk fails writes, syncs and directory syncs by an errno; what a failed sync did not write is lost with the process, as on Linux.

--- a/beechrock/agree/disk.py
+++ b/beechrock/agree/disk.py
@@ -1,8 +1,8 @@
 """The journal on its store: writes in order in a thread, many to a sync; told to the core when they last.
 
 One task alone touches the store, so that a slow sync holds up no message that promises nothing. A disk that
-fails ends the part: nobody knows then what lasts. One that is full is a slow one: what it has no room for was
-not written, nothing is told of it, and it is tried again.
+is full, or fails for a while, is a slow one: nothing is told of what it did not take, and it is tried again,
+after a failed sync by writing anew all that no sync had proved. Damage ends the part.
 """
 
 import asyncio
@@ -13,7 +13,7 @@
 from beechrock.agree.codec import decode_records, encode_records
 from beechrock.agree.journal import Found, read, whole
 from beechrock.agree.messages import Persist, Snap
-from beechrock.store.errors import StoreFullError
+from beechrock.store.errors import StoreFailedError, StoreFullError
 from beechrock.store.files import Files
 from beechrock.store.log import Rules as StoreRules
 from beechrock.store.log import Store
@@ -33,6 +33,7 @@
         self.queue: deque[tuple[int, bytes, bool]] = deque()
         self.more = asyncio.Event()
         self.syncs = 0
+        self.refused = 0        # tries that the disk did not take
         self.had = 0            # of the writes in hand, those that had room
 
     def _read(self) -> Found:
@@ -82,9 +83,10 @@
         while True:
             try:
                 await asyncio.to_thread(self._write, work[done:])
-            except StoreFullError as error:
-                if len(work) > MOST_QUEUED:
+            except (StoreFullError, StoreFailedError) as error:
+                if len(work) > MOST_QUEUED or self.store.stopped:
                     raise
+                self.refused += 1
                 if wait_s == FIRST_S:
                     logs.event("agree.disk_full", "warning", **error.fields())
                 # What had room is not written twice.
@@ -99,6 +101,7 @@
 
     def _write(self, work: list[tuple[int, bytes, bool]]) -> None:
         self.had = 0
+        self.store.rewrite()
         last_whole = max((at for at, one in enumerate(work) if one[2]), default=-1)
         if last_whole >= 0:     # it holds all before it
             self.store.save_snapshot(self.store.last, work[last_whole][1])
--- a/beechrock/lab/fleet/disk.py
+++ b/beechrock/lab/fleet/disk.py
@@ -33,6 +33,9 @@
     dies_at: int = 0            # SIGKILL in the middle of this write or sync, since it was told or was opened
     dies_in: str = ""           # counted in the folder of this name alone
     dies_from: str = ""         # counted from the first write to a file whose name holds this
+    fails: str = ""             # "write", "sync" and "sync_names", by spaces: these end with an error
+    fails_as: str = "EIO"       # the name of its errno
+    fails_in: str = ""          # in the folder of this name alone
 
 
 class LyingFiles(Files):
@@ -72,6 +75,11 @@
         logs.event("disk.dies", step=self.steps, what=what, name=name, data=data[:MOST_TOLD].hex())
         return True
 
+    def _fails(self, what: str) -> None:
+        if what in self.faults.fails.split() and self.faults.fails_in in ("", self.folder.name):
+            number = getattr(errno, self.faults.fails_as)
+            raise OSError(number, os.strerror(number))
+
     def _piece(self, name: str, at: int, data: bytes) -> None:
         """Any piece is on the disk, and the process is gone."""
         low, high = sorted(self.random.randrange(len(data) + 1) for _ in range(2))
@@ -94,6 +102,7 @@
         room = self.faults.full_bytes - sum(map(len, self.held.values()))
         if max(0, at + len(data) - len(held)) > max(0, room):
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        self._fails("write")
         if self._dies("write", name, data):
             self._piece(name, at, data)
         if self.random.random() < self.faults.tear:
@@ -109,6 +118,10 @@
         time.sleep(self.faults.stall_s)
         if self.faults.lose:
             return
+        if "sync" in self.faults.fails.split():
+            # As Linux: what was not written back is clean from here on, and no later sync brings it to disk.
+            self.dirty.pop(name, None)
+            self._fails("sync")
         # A removal that waits would else take away the file of the same name that came after it.
         if any(name in pair for pair in self.renames):
             self._rename()
@@ -122,6 +135,7 @@
         self._look()
         if self.faults.lose:
             return
+        self._fails("sync_names")
         if self._dies("sync_names", " ".join(new or old for old, new in self.renames), b""):
             del self.renames[self.random.randrange(len(self.renames) + 1):]
             self._rename()
--- a/beechrock/limits/disk.py
+++ b/beechrock/limits/disk.py
@@ -24,8 +24,9 @@
             self.states |= journal.read(self.store.entry(index))
 
     def write(self, data: bytes) -> None:
-        """Durable when it returns."""
+        """Durable when it returns. StoreFailedError: it may come to last, and counts as not given."""
         try:
+            self.store.rewrite()        # where the disk failed before
             self.store.append(data)
             self.store.sync()
         except StoreFullError as error:
@@ -39,6 +40,7 @@
     def compact(self, data: bytes, wall: float) -> None:
         """``data`` of ``journal.snapshot``, made after the newest write was synced, takes the log's place.
         What is gone is kept until its periods are over."""
+        self.store.rewrite()
         fresh = journal.read(data)
         for team, state in self.states.items():
             ends = max((one.period + 2 for one in state.accounts), default=0) * state.period_s
--- a/beechrock/limits/part.py
+++ b/beechrock/limits/part.py
@@ -52,6 +52,7 @@
         self.clock, self.wall = clocks.boot, context.module.clock
         self.gate = Gate(self.clock(), self.wall(), self._terms(program.meaning), told.state is not None)
         self.disk: SpendingDisk | None = None
+        self.refused = False        # the disk did not take the newest write
         self.book, self.low = Journal(), asyncio.Event()
         if told.state is not None:
             try:
@@ -161,6 +162,9 @@
             try:
                 await asyncio.to_thread(self.disk.write, data)
                 self.book.synced()
+                if self.refused:
+                    self.refused = False
+                    logs.event("limits.disk_room")
                 if self.disk.long:
                     data = journal.snapshot(self.gate.budgets.values())
                     await asyncio.to_thread(self.disk.compact, data, self.wall())
@@ -168,7 +172,8 @@
                 # Nothing is spent that is not on the disk: those teams are told to come back.
                 self.book.failed()
                 self.counters.add("trouble.spending")
-                logs.event("limits.disk", **error.fields())
+                self.refused = True
+                logs.event("limits.disk_full", "warning", **error.fields())
                 await asyncio.sleep(FULL_S)
                 self.gate.low |= self.gate.budgets.keys()
                 self.low.set()
--- a/beechrock/replica/disk.py
+++ b/beechrock/replica/disk.py
@@ -81,11 +81,13 @@
     def append(self, core: Core) -> bool:
         """Note what changed since; whether there is anything to write."""
         self.pending += journal.entries(core)
-        return bool(self.pending) or self.heard
+        # After a failed sync nothing is pending, and what was written is not proved.
+        return bool(self.pending) or self.heard or self.store.synced_seq < self.store.seq
 
     def sync(self) -> None:
         """Write and sync what was noted; in a thread, if wanted. StoreFullError: a snapshot makes room.
-        StoreFailedError."""
+        StoreFailedError: nothing may be said that rests on it; the next call tries again."""
+        self.store.rewrite()
         while self.pending:
             self.store.append(self.pending[0])
             del self.pending[0]
@@ -104,4 +106,5 @@
 
     def save(self, index: int, parts: list[bytes]) -> None:
         """A snapshot that was begun when the log ended there; not beside ``sync``."""
+        self.store.rewrite()
         self.store.save_snapshot(index, b"".join(parts))
--- a/beechrock/replica/part.py
+++ b/beechrock/replica/part.py
@@ -22,7 +22,7 @@
 from beechrock.replica.messages import Formats, Hello, Message, decode, encode
 from beechrock.replica.table import named, spending_key
 from beechrock.replica.told import Told
-from beechrock.store.errors import StoreError, StoreFullError
+from beechrock.store.errors import StoreError, StoreFailedError, StoreFullError
 from beechrock.store.files import at
 
 if TYPE_CHECKING:
@@ -55,6 +55,7 @@
         self.synced = 0
         self.more = asyncio.Event()
         self.broken: OperatorError | None = None
+        self.refused = False        # the disk did not take the newest changes
         self.shown: tuple[Any, ...] = ()
         self.sent: Counter[str] = Counter()     # bytes by message
         self.heard: Counter[str] = Counter()
@@ -232,13 +233,12 @@
             if self.disk.append(self.core):
                 try:
                     await asyncio.to_thread(self.disk.sync)
-                except StoreFullError as error:
-                    self.counters.add("replica.disk_full")
-                    logs.event(error.event, "warning", **error.fields())
-                    if not await self._compact():
-                        await asyncio.sleep(FULL_S)
-                        self.more.set()
+                except (StoreFullError, StoreFailedError) as error:
+                    await self._refused(error)
                     continue
+                if self.refused:
+                    self.refused = False
+                    logs.event("replica.disk_room")
             self.synced = max(self.synced, seq)
             out = [one for one in self.waiting if one.after <= self.synced]
             self.waiting = [one for one in self.waiting if one.after > self.synced]
@@ -248,6 +248,18 @@
             if self.disk.long:
                 await self._compact()
 
+    async def _refused(self, error: StoreFullError | StoreFailedError) -> None:
+        """The disk did not take what was noted: a snapshot makes room in a full store, else it is tried
+        again. StoreFailedError: only a start can tell what stands."""
+        if self.disk.store.stopped:
+            raise error
+        self.refused = True
+        self.counters.add("replica.disk_full")
+        logs.event("replica.disk_full", "warning", **error.fields())
+        if isinstance(error, StoreFailedError) or not await self._compact():
+            await asyncio.sleep(FULL_S)
+            self.more.set()
+
     async def _compact(self) -> bool:
         """What changes meanwhile is noted after it; what waits to be written is written behind it."""
         index, parts, aside = self.disk.store.last, list[bytes](), len(self.core.aside)
@@ -259,7 +271,9 @@
                 return False        # records were set aside under way: the next one is whole again
         try:
             await asyncio.to_thread(self.disk.save, index, parts)
-        except StoreFullError as error:
+        except (StoreFullError, StoreFailedError) as error:
+            if self.disk.store.stopped:
+                raise
             logs.event(error.event, "warning", **error.fields())
             return False
         del self.disk.pending[:noted]
--- a/beechrock/store/files.py
+++ b/beechrock/store/files.py
@@ -15,6 +15,8 @@
 class Files:
     """The files of a folder, which is made if it is missing."""
 
+    folder = Path()
+
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         _make(folder)
--- a/beechrock/store/log.py
+++ b/beechrock/store/log.py
@@ -11,8 +11,6 @@
 from array import array
 from collections import deque
 from contextlib import suppress
-from dataclasses import dataclass
-from enum import Enum
 
 from beechrock.store import format as form
 from beechrock.store import rewrite as anew
@@ -21,34 +19,15 @@
 from beechrock.store.format import Kind, Mark
 from beechrock.store.recover import PLACE, Recovery
 from beechrock.store.rewrite import NEW
+from beechrock.store.rules import Found as Found
+from beechrock.store.rules import Met as Met
+from beechrock.store.rules import Rules as Rules
 
-LOOK = "look at the disk, then start the node again"
+REOPEN = "look at the disk, then start the node again"
+RETRY = "look at the disk and the kernel's log; it is tried again, and goes on by itself"
 NO_ROOM = {errno.ENOSPC, errno.EDQUOT, errno.EFBIG}
 
 
-@dataclass(frozen=True, slots=True)
-class Rules:
-    """Bounds, in bytes."""
-
-    most_bytes: int = 256 << 20     # of all segments and the snapshot; beyond it StoreFullError
-    segment_bytes: int = 4 << 20    # then the next one begins
-    most_entry: int = 2 << 20       # of one entry
-
-
-class Met(Enum):
-    NEW = "new"
-    CLEAN = "clean"
-    TORN = "torn"       # its end, which nobody had been promised; it was cut off
-
-
-@dataclass(frozen=True, slots=True)
-class Found:
-    """What the opening met, and where; damage is raised instead."""
-
-    met: Met
-    where: str = ""
-
-
 class Store:
     """``Store.open(files, prefix, rules)``; entries at indices from 1 that grow by one."""
 
@@ -192,6 +171,11 @@
         del self.places[:index + 1 - self.first]
         self._compact()
 
+    @property
+    def stopped(self) -> bool:
+        """Failed so that only another opening can tell what stands."""
+        return bool(self.failed) and self.past_log
+
     def rewrite(self) -> None:
         """After StoreFailedError: what was not proved is written anew from memory, into another file.
 
@@ -389,11 +373,15 @@
 
     def _check(self) -> None:
         if self.failed:
-            raise StoreFailedError(self.failed, where=self.prefix, do=LOOK)
+            raise StoreFailedError(self.failed, where=self._where, do=REOPEN if self.past_log else RETRY)
+
+    @property
+    def _where(self) -> str:
+        return str(self.files.folder / self.prefix)
 
     def _no_room(self, error: OSError) -> Exception:
         if error.errno in NO_ROOM and not self.failed:
-            return StoreFullError(str(error), where=self.prefix, wanted="room on the disk",
+            return StoreFullError(str(error), where=self._where, wanted="room on the disk",
                                   do="make room on the disk")
         self.failed = self.failed or str(error)
-        return StoreFailedError(self.failed, where=self.prefix, do=LOOK)
+        return StoreFailedError(self.failed, where=self._where, do=REOPEN if self.past_log else RETRY)
--- a/tests/agree/test_disk.py
+++ b/tests/agree/test_disk.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import shutil
 from dataclasses import fields
 from pathlib import Path
 
@@ -12,6 +13,7 @@
 from beechrock.agree import codec
 from beechrock.agree.disk import Disk
 from beechrock.agree.errors import BadMessageError
+from beechrock.agree.journal import Found
 from beechrock.agree.messages import (
     Barred,
     Entry,
@@ -136,3 +138,50 @@
         again = Disk(Files(folder), 64 << 20)
         assert again.found == disk.mirror == again.mirror
         again.close()
+
+
+@pytest.mark.parametrize("fails", ["write", "sync", "write sync sync_names"])
+def test_nothing_is_told_as_written_that_a_failing_disk_may_have_dropped(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, fails: str,
+) -> None:
+    monkeypatch.setattr("beechrock.agree.disk.FIRST_S", 0.002)
+    monkeypatch.setattr("beechrock.agree.disk.MOST_S", 0.002)
+    control, folder = tmp_path / "disk.json", tmp_path / "state"
+    tell(control, Faults())
+    disk = Disk(LyingFiles(folder, control), 64 << 20)
+    told: list[int] = []
+
+    def durable() -> Found:
+        """As a start finds it after a kill, which takes all that was never written."""
+        copy = tmp_path / "copy"
+        shutil.rmtree(copy, ignore_errors=True)
+        shutil.copytree(folder, copy)
+        again = Disk(Files(copy), 64 << 20)
+        again.close()
+        return again.found
+
+    async def run() -> None:
+        writing = asyncio.ensure_future(disk.run(told.append))
+        for number in range(100, 600, 100):
+            disk.put(Persist(number, (Hard(number, "b"),)))
+            if number == 300:
+                disk.compact(Snap(1, 1, 0, ("a",), b"d" * 16, b"state"), number)
+            while not told or told[-1] < number:
+                await asyncio.sleep(0.001)
+            assert durable().term == number
+            tell(control, Faults(fails=fails))
+            disk.put(Persist(number + 10, (Hard(number + 10, "b"),)))
+            disk.put(Persist(number + 20, (Hard(number + 20, "b"),)))
+            tried = disk.refused
+            while disk.refused < tried + 3:
+                assert not writing.done()
+                await asyncio.sleep(0.001)
+            assert told[-1] == number == durable().term
+            tell(control, Faults())
+            while told[-1] < number + 20:
+                await asyncio.sleep(0.001)
+            assert durable().term == number + 20
+        writing.cancel()
+
+    asyncio.run(asyncio.wait_for(run(), 30))
+    disk.close()
