Edges: a step of the wall clock by an hour forgets no key that may come again

A key's end is a Unix time, as it outlasts the process. With a full table a clock stepped ahead an hour forgot keys within keep_s, and their next try would have run again: kept an hour longer (60 s before). The slack after which lives are closed stays 60 s; closed early, a life's late writes end and never run.

--- a/beechrock/edges/marks.py
+++ b/beechrock/edges/marks.py
@@ -39,7 +39,9 @@
 MOST_KEYS = 100_000     # beyond it what is new is told to come later, unless an old one's time is over
 MOST_DEPENDS = 16       # dots told with HELD and GONE
 MOST_CLOSED_TOLD = 64   # names of closed lives in one answer
-KEY_SLACK_S = 60.0      # a key is kept that much longer than any write of it may come
+WALL_STEP_S = 3600.0    # a wall clock may be stepped so far: forgotten early, a key would run twice
+KEY_SLACK_S = 60.0 + WALL_STEP_S    # a key is kept that much longer than any write of it may come
+LIFE_SLACK_S = 60.0     # a life that is over is closed so much later; its late writes end, and never run
 
 
 class Verdict(Enum):
@@ -79,7 +81,7 @@
     fences: dict[str, int] = field(default_factory=dict)
     differ: Differ = field(default_factory=Differ)
     longest_s: float = 0.0      # the longest ``keep_s`` that any write has
-    slack_s: float = KEY_SLACK_S
+    slack_s: float = LIFE_SLACK_S
     lives: dict[str, str] = field(default_factory=dict)         # by member, the newest heard
     over: dict[str, float] = field(default_factory=dict)        # lives, and since when (Unix seconds)
     closings: int = 0
