A close waits until the other side's kernel has the answers, and keeps no place for what comes late

Seen in a test that fails before: after our end a connection was read for 1 s and closed; with bytes still unread that is a reset, and the kernel threw away the answers that a slow reader with a small window had no room for.

Now it is read until the other side ends, or until nothing of ours is unsent (TIOCOUTQ), for 20 s at most. What comes after our end is not ours any more and does not make a connection needed, so a full table still ends it.

--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -74,6 +74,8 @@
         """
         if self._reader is None or self._writer is None or self._writer.transport.is_closing():
             return False
+        if self._shut:      # what comes after our end is not ours, and must not keep a place in a full table
+            return False
         if getattr(self._reader, "_buffer", b""):   # asyncio has no public word for it
             return True
         import fcntl  # only a full table asks: the two take 0.1 MB of a started node
@@ -143,8 +145,8 @@
         receiving = self.counters.spawn(self._receive(reader), self.where + ".receive")
         try:
             await asyncio.wait((sending, receiving), return_when=asyncio.FIRST_COMPLETED)
-            if sending.done() and not receiving.done():
-                await asyncio.wait((receiving,), timeout=LINGER_S)
+            if sending.done():
+                await self._linger(receiving, writer)
             # The end of what comes in is no reason to keep back what is owed: half a close is allowed.
             while not sending.done() and not self.broken:
                 await asyncio.wait((sending,), timeout=UNREAD_S)
@@ -159,6 +161,17 @@
             # A close waits for what is still unsent; the other side may never read it, so the rest is cut.
             writer.close() if whole else writer.transport.abort()
 
+    async def _linger(self, receiving: "asyncio.Task[None]", writer: asyncio.StreamWriter) -> None:
+        """Read until the other side ends too, or has had the time to read what we sent.
+
+        Seen in a probe: a close over unread bytes resets the connection, and the kernel throws away the
+        answers that a slow reader had no room for yet.
+        """
+        for _ in range(round(UNREAD_S / LINGER_S)):
+            await asyncio.wait((receiving,), timeout=LINGER_S)
+            if receiving.done() or self.broken or not _unsent(writer):
+                return
+
     async def _receive(self, reader: asyncio.StreamReader) -> None:
         try:
             while data := await reader.read(CHUNK):
@@ -232,6 +245,20 @@
             self.written += len(data)
 
 
+def _unsent(writer: asyncio.StreamWriter) -> bool:
+    """Whether the kernel still holds bytes that the other side's kernel has not taken."""
+    if writer.transport.is_closing():
+        return False
+    import fcntl
+    import termios
+
+    sock = writer.get_extra_info("socket")
+    try:
+        return int.from_bytes(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)), sys.byteorder) > 0
+    except OSError:
+        return False
+
+
 class LinesPeer(Peer[T]):
     """A peer that speaks in lines of words; some are followed by as many bytes as their last word says."""
 
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -20,8 +20,13 @@
 class Caller:
     """One connection, whose every step is a system call of its own: nothing happens between two of them."""
 
-    def __init__(self, address: tuple[str, int]) -> None:
-        self.socket = socket.create_connection(address, 5)
+    def __init__(self, address: tuple[str, int], window: int = 0) -> None:
+        """``window``: bytes that the kernel holds for a reader that is slow; 0 for as many as it likes."""
+        self.socket = socket.socket()
+        if window:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
+        self.socket.settimeout(5)
+        self.socket.connect(address)
         self.socket.setblocking(False)
         self.got, self.owed = b"", Counter[tuple[int, int]]()
         self.ended = self.reset = False
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -1,8 +1,10 @@
 """Connections that the node ends, and requests that come in that moment."""
 
 import asyncio
+import contextlib
 from dataclasses import replace
 
+import pytest
 from callers import Caller, request, turns
 from play import Stand, run, until
 
@@ -24,9 +26,9 @@
 CHECK_1, CHECK_2, CHECK_3 = (frame(CHECK, stream, b"\0") for stream in (1, 2, 3))
 
 
-def connect(front: FramesFront) -> Caller:
+def connect(front: FramesFront, window: int = 0) -> Caller:
     assert front.server is not None
-    return Caller(front.server.sockets[0].getsockname()[:2])
+    return Caller(front.server.sockets[0].getsockname()[:2], window)
 
 
 async def node(stand: Stand, callers: int = 1) -> tuple[FramesFront, list[Caller]]:
@@ -189,6 +191,38 @@
     run(work)
 
 
+def test_a_close_over_unread_bytes_waits_for_a_slow_reader_to_have_its_answers(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its bytes come faster than they are read in vain, and its window is small."""
+    async def work(stand: Stand) -> None:
+        front, _ = await node(stand, 0)
+        caller = connect(front, window=4096)
+        caller.send(b"".join(frame(CHECK, stream, b"\0") for stream in range(1, 4001)))
+        await until(lambda: any(peer.uses == 4000 for peer in front.peers), lambda: "unread")
+        [peer] = front.peers
+        monkeypatch.setattr("beechrock.net.peer.LINGER_S", 0.02)
+        with contextlib.suppress(BlockingIOError):
+            caller.socket.send(bytes(1 << 20))      # a length of 0: nothing after it can be understood
+        await until(lambda: peer._shut, lambda: "its last words wait")
+        await asyncio.sleep(0.2)    # ten times as long as it would be waited for
+        await caller.closed()
+
+    run(work)
+
+
+def test_what_comes_after_an_end_keeps_no_place_in_a_full_table() -> None:
+    async def work(stand: Stand) -> None:
+        front, [caller] = await node(stand)
+        front.most = 1
+        [peer] = front.peers
+        assert peer.shut()
+        caller.socket.send(bytes(65_536))
+        await until(lambda: peer.received > 1, lambda: "unread")
+        assert front._make_room() and not front.peers
+
+    run(work)
+
+
 def test_a_listener_that_finds_no_room_rests() -> None:
     async def work(stand: Stand) -> None:
         front, _ = await node(stand, 0)
