--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -342,7 +342,8 @@
         """Ask for no new requests on any connection, those to come included; go on reading all the same."""
         self.leaving = True
         for peer in self.peers:
-            peer.post(Reply(NO_MORE))
+            if not peer.turned:     # those were told when they came
+                peer.post(Reply(NO_MORE))
 
 
 def _number(told: dict[str, str], name: str, least: float, below: float) -> float:
--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -324,6 +324,9 @@
     def settled(self) -> bool:
         return self.said or self.request is None
 
+    def end(self) -> None:
+        """Its one answer ends it, and without one it must not end: there is nothing to do."""
+
     def answer_all(self) -> None:
         """What ran, or may have, has failed."""
         if self.request is not None and not self.said:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -7,6 +7,7 @@
 import pytest
 from callers import Caller, request, turns
 from play import Stand, run, until
+from test_exchanges import open_both
 
 from beechrock.connections.leaving import MODULE_MARGIN, schedule
 from beechrock.connections.table import MOST_TURNED
@@ -314,3 +315,29 @@
         assert 0 < (1 - MODULE_MARGIN) * found.module_s < found.close_s < found.cut_s < found.exit_s < stop_s
         assert found.module_s <= stop_s and (found.module_s == stop_s or stop_s < 3.2)
     assert MODULE_MARGIN == DRAIN_MARGIN
+
+
+def test_each_scgi_connection_has_its_answer_before_its_end() -> None:
+    """One that said nothing, one that said half of it, one in the backlog, and one whose run goes on."""
+    async def work(stand: Stand) -> None:
+        await open_both(stand)
+        await stand.play("a = connect scgi\nb = connect scgi\nb > \"66:CONTENT\"\nc = connect scgi\n"
+                         "c ask pack releases x key\ncounter sent.launches 1\n"
+                         "server = accept server\nserver ... \"x\"\n"
+                         "counter intake.scgi_connections 3\n")
+        front = stand.program.scgi
+        assert front is not None and front.server is not None
+        leave(stand, 0.0, answered=False)
+        late = Caller(front.server.sockets[0].getsockname()[:2])
+        late.socket.sendall(b"66:CONTENT")
+        ending = asyncio.ensure_future(stand.program._end_connections())
+        await stand.play("a ... \"nothing ran\\n\"\nb ... \"nothing ran\\n\"\nc answered 500\n")
+        for name in "abc":
+            stand.wires[name].writer.close()
+        await until(lambda: late.read() or late.ended, lambda: "still open")
+        assert late.got.endswith(b"nothing ran\n") and not late.reset
+        late.socket.close()
+        await ending
+        assert not front.peers
+
+    run(work)
