Guards of refused connections and of the last accepted one have tests that fail without them

The way out's wait for what was accepted last is now tried with a single connection, the bounds of refused connections on their own, beside the random histories.

--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -257,11 +257,12 @@
     stand.now += close_s * answered
 
 
-def test_requests_in_the_backlog_are_answered_before_the_listening_socket_is_closed() -> None:
+@pytest.mark.parametrize("count", [1, 40])     # as many as are accepted in one turn of the loop, and more
+def test_requests_in_the_backlog_are_answered_before_the_listening_socket_is_closed(count: int) -> None:
     async def work(stand: Stand) -> None:
         front, _ = await node(stand, 0)
         leave(stand)
-        callers = [connect(front) for _ in range(40)]   # more than a turn of the loop accepts
+        callers = [connect(front) for _ in range(count)]
         for caller in callers:
             caller.send(CHECK_1 + request(2))
         ending = asyncio.ensure_future(stand.program._end_connections())
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -142,6 +142,25 @@
     assert all(c in connections for c in front_ends)
 
 
+def test_those_without_a_place_make_room_for_others_once_nothing_waits_on_them() -> None:
+    busy = [one(1, open=1) for _ in range(MOST)]
+    answered, silent, new = (
+        One(at, at, uses, turned=True) for at, uses in ((99.99, 1), (99.9, 0), (99.99, 0)))
+    owed, unread = (One(90.0, 90.0, 1, turned=True, **more) for more in ({"open": 1}, {"unread": True}))
+    others = [One(90.0, 90.0, 1, turned=True, open=1) for _ in range(table.MOST_TURNED - 3)]
+
+    def acceptable(*turned: One, arriving: int = 0) -> tuple[int, One | None]:
+        return table.acceptable([*busy, *others, *turned], MOST, arriving, 16, 100.0)
+
+    assert table.acceptable(busy[1:], MOST, 0, 16, 100.0) == (16, None)
+    assert acceptable() == (3, None) and acceptable(owed, arriving=1) == (1, None)
+    assert acceptable(owed, unread, new) == acceptable(owed, unread, arriving=1) == (0, None)
+    assert acceptable(owed, unread, silent) == (1, silent)
+    assert acceptable(owed, unread, answered) == (1, answered)
+    rests = [table.ends_at_sweep(c, 0, 101.1, IDLE_S, CALLERS_IDLE_S) for c in (answered, owed, unread)]
+    assert rests == [End.IDLE, None, None]
+
+
 def test_where_those_that_return_hold_nearly_all_age_alone_counts() -> None:
     returning = [one(9, 50.0 + n) for n in range(MOST - 1)]
     newest = one(1, 99.0)
