--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -1,10 +1,13 @@
 """Connections that the node ends, and requests that come in that moment."""
 
 import asyncio
+import contextlib
 from dataclasses import replace
 
+import pytest
 from callers import Caller, request, turns
 from play import Stand, run, until
+from test_exchanges import open_both
 
 from beechrock.connections.leaving import MODULE_MARGIN, schedule
 from beechrock.connections.table import MOST_TURNED
@@ -24,9 +27,9 @@
 CHECK_1, CHECK_2, CHECK_3 = (frame(CHECK, stream, b"\0") for stream in (1, 2, 3))
 
 
-def connect(front: FramesFront) -> Caller:
+def connect(front: FramesFront, window: int = 0) -> Caller:
     assert front.server is not None
-    return Caller(front.server.sockets[0].getsockname()[:2])
+    return Caller(front.server.sockets[0].getsockname()[:2], window)
 
 
 async def node(stand: Stand, callers: int = 1) -> tuple[FramesFront, list[Caller]]:
@@ -189,6 +192,38 @@
     run(work)
 
 
+def test_a_close_over_unread_bytes_waits_for_a_slow_reader_to_have_its_answers(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its bytes come faster than they are read in vain, and its window is small."""
+    async def work(stand: Stand) -> None:
+        front, _ = await node(stand, 0)
+        caller = connect(front, window=4096)
+        caller.send(b"".join(frame(CHECK, stream, b"\0") for stream in range(1, 4001)))
+        await until(lambda: any(peer.uses == 4000 for peer in front.peers), lambda: "unread")
+        [peer] = front.peers
+        monkeypatch.setattr("beechrock.net.peer.LINGER_S", 0.02)
+        with contextlib.suppress(BlockingIOError):
+            caller.socket.send(bytes(1 << 20))      # a length of 0: nothing after it can be understood
+        await until(lambda: peer._shut, lambda: "its last words wait")
+        await asyncio.sleep(0.2)    # ten times as long as it would be waited for
+        await caller.closed()
+
+    run(work)
+
+
+def test_what_comes_after_an_end_keeps_no_place_in_a_full_table() -> None:
+    async def work(stand: Stand) -> None:
+        front, [caller] = await node(stand)
+        front.most = 1
+        [peer] = front.peers
+        assert peer.shut()
+        caller.socket.send(bytes(65_536))
+        await until(lambda: peer.received > 1, lambda: "unread")
+        assert front._make_room() and not front.peers
+
+    run(work)
+
+
 def test_a_listener_that_finds_no_room_rests() -> None:
     async def work(stand: Stand) -> None:
         front, _ = await node(stand, 0)
@@ -222,11 +257,12 @@
     stand.now += close_s * answered
 
 
-def test_requests_in_the_backlog_are_answered_before_the_listening_socket_is_closed() -> None:
+@pytest.mark.parametrize("count", [1, 40])     # as many as are accepted in one turn of the loop, and more
+def test_requests_in_the_backlog_are_answered_before_the_listening_socket_is_closed(count: int) -> None:
     async def work(stand: Stand) -> None:
         front, _ = await node(stand, 0)
         leave(stand)
-        callers = [connect(front) for _ in range(40)]   # more than a turn of the loop accepts
+        callers = [connect(front) for _ in range(count)]
         for caller in callers:
             caller.send(CHECK_1 + request(2))
         ending = asyncio.ensure_future(stand.program._end_connections())
@@ -280,3 +316,29 @@
         assert 0 < (1 - MODULE_MARGIN) * found.module_s < found.close_s < found.cut_s < found.exit_s < stop_s
         assert found.module_s <= stop_s and (found.module_s == stop_s or stop_s < 3.2)
     assert MODULE_MARGIN == DRAIN_MARGIN
+
+
+def test_each_scgi_connection_has_its_answer_before_its_end() -> None:
+    """One that said nothing, one that said half of it, one in the backlog, and one whose run goes on."""
+    async def work(stand: Stand) -> None:
+        await open_both(stand)
+        await stand.play("a = connect scgi\nb = connect scgi\nb > \"66:CONTENT\"\nc = connect scgi\n"
+                         "c ask pack releases x key\ncounter sent.launches 1\n"
+                         "server = accept server\nserver ... \"x\"\n"
+                         "counter intake.scgi_connections 3\n")
+        front = stand.program.scgi
+        assert front is not None and front.server is not None
+        leave(stand, 0.0, answered=False)
+        late = Caller(front.server.sockets[0].getsockname()[:2])
+        late.socket.sendall(b"66:CONTENT")
+        ending = asyncio.ensure_future(stand.program._end_connections())
+        await stand.play("a ... \"nothing ran\\n\"\nb ... \"nothing ran\\n\"\nc answered 500\n")
+        for name in "abc":
+            stand.wires[name].writer.close()
+        await until(lambda: late.read() or late.ended, lambda: "still open")
+        assert late.got.endswith(b"nothing ran\n") and not late.reset
+        late.socket.close()
+        await ending
+        assert not front.peers
+
+    run(work)
