Cores that come up empty after a request was read, or anew, are taken for cold

Seen by reading, shown by the test: the agent's greeting EMPTY was heard only before the first request. With one request read before it, or on an agent that came up anew under a node that serves, the node went on as a warm one: no crowd of a cold node, no launch budget. A new link to the same cores says EMPTY again, with a start that is known, and changes nothing.

Not changed: the way before the first request.

--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -38,6 +38,7 @@
 SAMPLE_LEAD_S = 0.02    # gauges are asked for this long before the timer that carries them
 SAMPLE_OLD_S = 0.1      # older ones tell nothing of the moment at which a timer fires
 SWEEP_S = 1.0
+CORES_ANEW_S = 1.0      # cores that started this long after those the node knows are others; links take less
 MEMORY_MB = 192.0
 
 
@@ -207,7 +208,7 @@
             case Sampled(gauges):
                 self.gauges, self.sampled_at = gauges, now
             case WorkUp(cold, age):
-                self._work_up(cold, age, now)
+                self._work_up(cold, age, events, now)
             case Renew(settings):
                 # Read over: cores that came up cold told so in their greeting, which no inventory knows of;
                 # a change within the ramp let all runs in at once.
@@ -223,8 +224,14 @@
             case api.Elsewhere():
                 events.append(message)
 
-    def _work_up(self, cold: bool, age_s: float, now: float) -> None:
-        """The cores may come up long after this process: the ramp from cold counts from their start."""
+    def _work_up(self, cold: bool, age_s: float, events: list[api.Event], now: float) -> None:
+        """The cores may come up long after this process: the ramp from cold counts from their start.
+
+        Seen: with one request before that, or on cores that came up anew, the node went on as a warm one.
+        """
+        if self.last_id and cold and now - age_s > self.node.started + CORES_ANEW_S:
+            warm = replace(self.node.s, cold_start=False)
+            events += [api.Renewed(warm), api.Renewed(replace(warm, cold_start=True))]
         if self.last_id == 0 and self.leaving_until is None:
             self.generation += 1
             started = replace(self._parted(self.settings, now), cold_start=self.settings.cold_start or cold)
--- a/beechrock/policy/__init__.py
+++ b/beechrock/policy/__init__.py
@@ -55,6 +55,8 @@
     def _renew(self, s: api.Settings) -> None:
         """Others on the old places, or behind: jobs, learnt rates, keys and what budgets have spent go on."""
         old, self.s = self.s, s
+        if s.cold_start and not old.cold_start:     # its cores came up anew
+            self.started = self.now
         self.calls_per = _kept(self.calls_per, old.classes, s.classes, 1.0)
         self.works = _kept(self.works, old.classes, s.classes, 1.0)
         self.tenants, self.spent, self.periods = (
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -264,6 +264,20 @@
     assert desk.actor.node.s.memory_kb == desk.actor.settings.memory_kb
 
 
+@pytest.mark.parametrize(("up", "since_s", "cold"), [
+    (WorkUp(True, 0.5), 40.0, True), (WorkUp(True, 40.0), 40.0, False), (WorkUp(False, 0.5), 40.0, False)])
+def test_cores_that_come_up_empty_after_a_request_are_cold_and_a_mere_new_link_changes_nothing(
+        up: WorkUp, since_s: float, cold: bool) -> None:
+    desk = Desk(ramp_s=20.0, cold_from=0.2)
+    desk.tell(Taken(request("a1")))
+    warm = desk.actor.node._speed_share()
+    for _ in range(2):      # and once more, with cores that were cold before and have become warm
+        desk.tell(up, after=since_s)
+        assert desk.actor.node._speed_share() == (0.2 if cold else warm)
+        assert "a1" in desk.launched()
+        up = replace(up, age_s=up.age_s + (0.0 if cold else since_s))
+
+
 def test_a_timer_without_a_fresh_sample_carries_no_gauges(monkeypatch: pytest.MonkeyPatch) -> None:
     desk, heard = Desk(), []
     decide = desk.actor.node.decide
