--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -14,7 +14,7 @@
 import ujson
 from pair import LAUNCH, PASS, UP, Pair
 from pair import run as run_pair
-from play import SETTINGS, Stand, bytes_of, inventory_of, run
+from play import HANG_S, SETTINGS, Stand, bytes_of, inventory_of, run
 from test_exchanges import open_both
 from test_program import ROOT, line_with, message
 
@@ -285,6 +285,10 @@
         for stand in (old, new):
             await passes(stand, 0.2)
         await new.play(ask(new, 3, 1) + LAUNCH % 3)
+        # A stamp that no offset explains is answered without a question to the other process.
+        before = counted(old, "handover.asked")
+        await new.play(f"c5 = connect frames\nc5 > {asked(0.0, 5, 5)}" 'c5 ... "born: too far from now"\n')
+        assert counted(old, "handover.asked") == before > 0
 
     run_pair(work, tmp_path)
 
@@ -306,8 +310,9 @@
 
     def launches(self, trace: int) -> None:
         """Wait for this launch, which has to be the next."""
+        end = time.monotonic() + HANG_S
         while not (line := self.lines.readline()).startswith(b"launch"):
-            assert line, "the link ended"
+            assert line and time.monotonic() < end, f"no launch of {trace}: {line!r}"
             if line.startswith(b"sample"):
                 self.link.sendall(b"sampled " + line.split()[1] + b" 0.5 1 0.1 3\r\n")
         self.launched.append(int(line.split()[1]))
