--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -101,6 +101,7 @@
     "beechrock/program.py": "hands it to the core, for stamps of other processes only; number of a life",
     "beechrock/edges/part.py": "Unix times of queued writes, which outlive a machine",
     "beechrock/edges/member.py": "Unix times of queued writes, which outlive a machine",
+    "beechrock/limits/part.py": "hours of contracts, which are the calendar's; periods as of the start alone",
     "beechrock/talk/part.py": "number of a life, which has to grow over restarts",
     "beechrock/lab/pair.py": "stamps requests as front ends do; names of logs",
     "beechrock/lab/fleet/fleet.py": "histories for people; hands the clocks to the laboratory",
