--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -43,7 +43,7 @@
 
 def test_a_frame_carries_the_patience_in_milliseconds() -> None:
     async def work(stand: Stand) -> None:
-        await stand.start()
+        await stand.open()
         module = stand.program.module
         module.settings = replace(module.settings, passes_deadline=True)
         await stand.play(UP + ASK + 'g < "launch 0000000000000001 resolve 3\\r\\none\\r\\n"\n')
