--- a/tests/test_syscalls_streams.py
+++ b/tests/test_syscalls_streams.py
@@ -16,7 +16,7 @@
 PASSING = [errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM]
 FATAL = [errno.ECONNRESET, errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETRESET, errno.EPIPE, errno.ENOTCONN,
          errno.ENETDOWN, errno.ECONNABORTED, errno.EIO]
-AGENT = 'g = accept agent\ng < "subscribe 0\\r\\n"\ng > "greeting LOADED 5\\r\\n"\nup agent\n'
+AGENT = 'g = accept agent\ng < "subscribe 0\\r\\n"\ng > "greeting LOADED 60000\\r\\n"\nup agent\n'
 CONTRACT = {"share": 0.3, "rate": 50, "aim_ms": 1800, "due_ms": 3600, "effect": "safe"}
 
 
@@ -128,7 +128,7 @@
         stand.wires["g"].got = b""
         notice = 0 if call == "send" else stand.program.agent.last_notice   # type: ignore[union-attr]
         await stand.play(f'clock 0.03\ng = accept agent\ng < "subscribe {notice}\\r\\n"\n'
-                         'g > "greeting LOADED 5\\r\\n"\n' + launched(1) + ended(1, 2) + answered("a", 1))
+                         'g > "greeting LOADED 60000\\r\\n"\n' + launched(1) + ended(1, 2) + answered("a", 1))
 
     run(work)
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -355,7 +355,7 @@
 
 def test_a_module_that_decides_otherwise_is_found_out(recorded: tuple[Path, list[Counters]]) -> None:
     class Other(replay.Node):
-        def _run_limit(self) -> int:
+        def _run_limit(self, crowding: bool = False) -> int:
             return 1
 
     path = min(recorded[0].glob("*.btrace"))
