What-if plays each batch of a tick by itself, as the node now decides it

The what-if put all requests of one moment into one batch. Change: the record's order tells which batch a request came in. tests/test_trace_tools.py passes.

--- a/beechrock/trace/whatif.py
+++ b/beechrock/trace/whatif.py
@@ -51,6 +51,8 @@
     runs: dict[int, Run]
     answers: dict[int, tuple[str, float]]
     leaving: list[tuple[float, float]] = field(default_factory=list)
+    # In which batch of the node a request came; several may stand at one time, with tries of one key.
+    batches: dict[int, int] = field(default_factory=dict)
 
 
 def recorded(rows: Iterable[Row]) -> Recorded:
@@ -58,7 +60,9 @@
     told: Recorded | None = None
     began: dict[int, float] = {}
     klass: dict[int, int] = {}
+    batch = 0
     for row in rows:
+        batch += row[0] != "arrived"    # what is decided of a batch stands between it and the next
         match row[0]:
             case "start":
                 if told is None or not told.arrivals:
@@ -70,6 +74,7 @@
                 event = records.event_of(row)
                 assert isinstance(event, api.Arrived)
                 told.arrivals.append((row[1], event.request))
+                told.batches[event.request.id] = batch
                 klass[event.request.id] = event.request.klass
             case "run":
                 began.setdefault(row[2], row[1])
@@ -276,6 +281,16 @@
         return after
 
 
+Arrival = tuple[float, api.Request] | None
+
+
+def _later_batch(told: Recorded, first: Arrival, arrival: Arrival) -> bool:
+    """Whether a request came in the same tick as the first one, but after the node had decided of that."""
+    if first is None or arrival is None or first[0] != arrival[0]:
+        return False
+    return told.batches.get(first[1].id) != told.batches.get(arrival[1].id)
+
+
 def play(told: Recorded, model: Model, settings: api.Settings | None = None,
          make: Callable[[api.Settings, int, float], Node] = Node) -> dict[int, tuple[str, float]]:
     """Verdict and seconds by request, as the module would have had it under ``settings``."""
@@ -304,7 +319,8 @@
         while notice and notice[0] <= playing.now:
             events.append(api.Leaving(notice[1]))
             notice = next(leaving)
-        while coming and coming[0] <= playing.now:
+        first = coming
+        while coming and coming[0] <= playing.now and not _later_batch(told, first, coming):
             events.append(playing.arrived(*coming))
             coming = next(arrivals)
         if events:
