A full standard error that nobody reads no longer stops the node

Seen: with standard error a blocking pipe that nobody reads, a started node stood still in write(2) at the next log line after the pipe was full: no answer within 30 s, and SIGTERM went unheard (probe, then tests/test_log_writes.py, which failed before this change on that output alone).

Ruled out: EAGAIN, EPIPE, ENOSPC and closed descriptors; there logging's own handling of errors was enough, and the test keeps it so.

The change: lines go out through logs.Lines, which asks poll(2) before each part of at most PIPE_BUF bytes. What is not taken at once is dropped, counted, and told with the next line that is taken.

--- a/beechrock/logs.py
+++ b/beechrock/logs.py
@@ -1,22 +1,55 @@
 """Logs: plain lines on the platform, structlog's text or JSON lines where an inventory is served."""
 
 import logging
+import select
 import sys
 from typing import Any
 
 from beechrock.errors import OperatorError
 
 LINE = "%(asctime)s %(levelname)s %(message)s"
+PART = 1024     # characters, at most PIPE_BUF bytes: so many are taken at once where poll(2) says "writable"
 log = logging.getLogger("beechrock")
 _structured: Any = None
 _lines_are_json = False
 
 
+class Lines(logging.StreamHandler[Any]):
+    """Writes lines as long as the stream takes them at once; what it does not take is dropped and counted.
+
+    Seen in a test: standard error was a pipe that nobody read, and as soon as it was full the node stood
+    still in write(2), with all that it held, and heard no SIGTERM.
+    """
+
+    dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        try:
+            text = self.format(record) + self.terminator
+            if self.dropped:
+                text = f"{self.dropped} log lines were dropped, as nobody read them\n{text}"
+            for at in range(0, len(text), PART):
+                if not self._takes_more():
+                    self.dropped += 1
+                    return
+                self.stream.write(text[at:at + PART])
+                self.stream.flush()
+            self.dropped = 0
+        except Exception:   # as in the class above: no line is worth the program
+            self.handleError(record)
+
+    def _takes_more(self) -> bool:
+        """Whether a write would not wait; one that would fail does not."""
+        look = select.poll()
+        look.register(self.stream, select.POLLOUT)
+        return bool(look.poll(0))
+
+
 def set_up(form: str = "") -> None:
     """``form``: empty for the platform's plain lines, which need no library; else ``text`` or ``json``."""
     global _structured, _lines_are_json
     if not form:
-        logging.basicConfig(stream=sys.stderr, level=logging.INFO, format=LINE)
+        logging.basicConfig(handlers=[Lines(sys.stderr)], level=logging.INFO, format=LINE)
         return
     import structlog  # costs memory, so only where it is used
 
@@ -24,7 +57,7 @@
                           structlog.processors.TimeStamper(fmt="iso", utc=True)]
     last = (structlog.processors.JSONRenderer() if form == "json"
             else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty()))
-    handler = logging.StreamHandler(sys.stderr)
+    handler = Lines(sys.stderr)
     handler.setFormatter(structlog.stdlib.ProcessorFormatter(
         foreign_pre_chain=stamped,
         processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta, last]))
--- /dev/null
+++ b/tests/test_log_writes.py
@@ -0,0 +1,105 @@
+"""A node whose standard error takes no lines: it serves on, and ends as ever."""
+
+import fcntl
+import logging
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+import ujson
+from play import SETTINGS
+from test_program import CHECK, ROOT, message
+
+from beechrock.logs import Lines
+
+
+def full_pipe(flags: int) -> tuple[int, int]:
+    """Return both ends of a pipe that takes no more; ``flags`` are those of its writing end afterwards."""
+    reading, writing = os.pipe()
+    fcntl.fcntl(writing, fcntl.F_SETFL, os.O_NONBLOCK)
+    try:
+        while True:
+            os.write(writing, bytes(4096))
+    except BlockingIOError:
+        fcntl.fcntl(writing, fcntl.F_SETFL, flags)
+    return reading, writing
+
+
+def pipe_without_reader() -> int:
+    reading, writing = os.pipe()
+    os.close(reading)
+    return writing
+
+
+OUTPUTS: dict[str, Callable[[], int]] = {
+    "full pipe that blocks (nobody reads)": lambda: full_pipe(0)[1],
+    "full pipe that says so (EAGAIN)": lambda: full_pipe(os.O_NONBLOCK)[1],
+    "pipe without a reader (EPIPE)": pipe_without_reader,
+    "full disk (ENOSPC)": lambda: os.open("/dev/full", os.O_WRONLY),
+    "no descriptor": lambda: -1,
+}
+
+
+@pytest.mark.parametrize("output", OUTPUTS)
+def test_a_node_whose_log_takes_nothing_answers_and_leaves_as_ever(output: str, tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as found:
+        address = found.getsockname()
+    told = {"name": "n1", "listen": "{}:{}".format(*address), "agent": "127.0.0.1:1", "seed": "1",
+            "stop_ms": 1500, "settings": SETTINGS}
+    (tmp_path / "config.json").write_text(ujson.dumps(told))
+    number = OUTPUTS[output]()
+    outputs = {"stdout": number, "stderr": number} if number >= 0 else {}
+    node = subprocess.Popen(
+        [sys.executable, "-m", "beechrock"] if outputs else
+        ["sh", "-c", f"exec {sys.executable} -m beechrock >&- 2>&-"], cwd=ROOT,
+        env={**os.environ, "LB_CONFIG": str(tmp_path / "config.json")}, **outputs)  # type: ignore[call-overload]
+    try:
+        end = time.monotonic() + 30
+        while True:
+            try:
+                link = socket.create_connection(address, 30)
+                break
+            except ConnectionRefusedError:
+                assert time.monotonic() < end and node.poll() is None
+                time.sleep(0.02)
+        with link:
+            for _ in range(3):      # each writes the counters
+                node.send_signal(signal.SIGUSR1)
+                link.sendall(CHECK)
+                assert message(link)[4] == 5
+            node.send_signal(signal.SIGTERM)
+        assert node.wait(30) == 0
+    finally:
+        node.kill()
+        node.wait()
+        if number >= 0:
+            os.close(number)
+
+
+def test_lines_that_nobody_took_are_counted_in_the_next_one() -> None:
+    reading, writing = full_pipe(0)
+    with os.fdopen(writing, "w") as stream:
+        lines = Lines(stream)
+
+        def say(text: str) -> None:
+            lines.emit(logging.LogRecord("x", logging.INFO, "", 0, text, None, None))
+
+        try:
+            say("\u20ac" * 30_000)      # longer than the pipe, and than what a write may bring at once
+            say("nobody reads this")
+            assert os.read(reading, 1 << 20) == bytes(65_536)
+            say("again")
+            assert os.read(reading, 1 << 20) == b"2 log lines were dropped, as nobody read them\nagain\n"
+            say("\u20ac" * 30_000)      # as much of it as finds room
+            say("nobody reads this")
+            assert len(os.read(reading, 1 << 20)) > 32_768
+            say("last")
+            assert os.read(reading, 1 << 20) == b"2 log lines were dropped, as nobody read them\nlast\n"
+        finally:
+            os.close(reading)
