A process alone on a shared socket answers that socket's backlog before it ends

Seen in a test that fails first: with an inherited listening socket the way out closed our descriptor as if another process read the backlog, also where there was none. Requests written there had no answer.

Ruled out: a successor's part. Beside one that takes connections the backlog is still left to it (test).

Change: the handover's end comes before the connections are ended only where the other process takes what comes; else the backlog is read to its end first, as with a socket of the process's own.

--- a/beechrock/program.py
+++ b/beechrock/program.py
@@ -385,7 +385,9 @@
 
         Requests in the backlog of a listening socket are ours too: it is read to its end before it is closed.
         """
-        if self.handover is not None:   # what comes now is the other's, or the next one's
-            self.handover.end()
+        # Seen in a test: a process alone on a shared socket closed its descriptor as if another one read that
+        # socket's backlog, and requests in there had no answer.
+        if self.handover is not None and not self.handover.life.accepting:
+            self.handover.end()     # what comes now is the other's
         cut_at, exit_at = (self.left_at + at for at in (self.way_out.cut_s, self.way_out.exit_s))
         await asyncio.gather(*(front.depart(cut_at, exit_at) for front in (self.frames, self.scgi) if front))
