talk: the field's names, typed queue entries and reasons, the link in a module of its own

Seen: the links between nodes were named by metaphors (Talk, told, Heard, take, greeting), the queue held bare tuples, drops were counted by strings, and one module held both the outbound link and the actor. Ruled out: new names for send, on, peers, name, life, hall and hardware, which every part uses and which are plain; and lines in edges and replica, which are converted separately: three names of before stay for them (docs/glossary.md).

The change: told.py is settings.py (parts.py knows which packages still have told.py), Talk is PeerTransport, Link is OutboundLink in link.py, Heard is ReplayFilter, Dropped is DropReason; QueuedMessage, Position and Sender take the place of tuples and back references; constants have units and reasons. Frames, settings, the view /fleet, events, counters and the file talk.life are as before. Tests are renamed, none changed in what it asserts; the guard list names the new lines and tests.

--- a/beechrock/agree/asking.py
+++ b/beechrock/agree/asking.py
@@ -20,7 +20,7 @@
 from beechrock.agree.state import Role
 from beechrock.agree.told import Agree
 from beechrock.errors import OperatorError
-from beechrock.talk.part import Talk
+from beechrock.talk.part import PeerTransport
 
 CHANNEL = "agree"
 AGAIN_LEASES = 0.4          # from one sending of a proposal or a read to the next, in leases
@@ -30,7 +30,7 @@
     """``host`` before it runs; then ``propose``, ``settled``, ``leading``."""
 
     def __init__(
-        self, told: Agree, talk: Talk, counters: Any, clock: Callable[[], float] = clocks.boot
+        self, told: Agree, talk: PeerTransport, counters: Any, clock: Callable[[], float] = clocks.boot
     ) -> None:
         self.told, self.rules, self.talk, self.counters, self.clock = (
             told,
--- a/beechrock/agree/part.py
+++ b/beechrock/agree/part.py
@@ -35,7 +35,7 @@
 from beechrock.errors import OperatorError
 from beechrock.parts import Context
 from beechrock.store.files import at
-from beechrock.talk.part import Talk
+from beechrock.talk.part import PeerTransport
 
 SAMPLE = 16  # of commits that are told as events, with their digest
 COMPACT_PART = 4  # a snapshot is taken once the log holds this part of its bound
@@ -45,7 +45,7 @@
     """Drives the core."""
 
     def __init__(
-        self, told: Agree, talk: Talk, counters: Any, clock: Callable[[], float] = clocks.boot,
+        self, told: Agree, talk: PeerTransport, counters: Any, clock: Callable[[], float] = clocks.boot,
     ) -> None:
         super().__init__(told, talk, counters, clock)
         self.disk: Disk | None = None
@@ -59,7 +59,7 @@
 
     async def listen(self) -> None:
         """Open the journal, restore the machines. OperatorError, OSError."""
-        self.disk = Disk(at(self.talk.told.state / "agree"), self.rules.most_bytes)
+        self.disk = Disk(at(self.talk.settings.state / "agree"), self.rules.most_bytes)
         found = self.disk.found
         if found.snap is not None:
             self.hosts.restore(found.snap.data)
--- a/beechrock/duties/trial.py
+++ b/beechrock/duties/trial.py
@@ -32,7 +32,7 @@
 
     def __init__(self, duties: "Duties", context: Context) -> None:
         self.duties, self.talk, self.counters = duties, context.parts["fleet"], context.counters
-        self.store = Store.open(at(self.talk.told.state), "trial")
+        self.store = Store.open(at(self.talk.settings.state), "trial")
         self.fences = Fences(self.store, floor=duties.floor)
         self.task: asyncio.Task[None] | None = None
         self.sealed: set[str] = set()
--- a/beechrock/lab/fleet/links.py
+++ b/beechrock/lab/fleet/links.py
@@ -14,7 +14,7 @@
 
 from beechrock.lab import links as datagrams
 from beechrock.lab.fleet.errors import LabError
-from beechrock.talk.frames import GREETING_BYTES, HEAD_BYTES, MOST_BODY, TAG_BYTES
+from beechrock.talk.frames import CHALLENGE_BYTES, HEAD_BYTES, MAX_BODY_BYTES, TAG_BYTES
 
 Pair = tuple[str, str]
 MOST_HELD = 1000        # frames under way in one connection; then its sender waits
@@ -214,7 +214,7 @@
     async def _greet(self, pair: Pair, back: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """The greeting is a part of the direction's connection, and nothing else comes back."""
         with suppress(OSError, EOFError):
-            greeting = await back.readexactly(GREETING_BYTES)
+            greeting = await back.readexactly(CHALLENGE_BYTES)
             while (now := self.faults(*pair)).stalled or now.cut is not Cut.OPEN:
                 await asyncio.sleep(LOOK_S)
             writer.write(greeting)
@@ -227,7 +227,7 @@
         with suppress(OSError, EOFError):
             while True:
                 head = await reader.readexactly(HEAD_BYTES)
-                size = min(int.from_bytes(head, "big"), MOST_BODY + TAG_BYTES)
+                size = min(int.from_bytes(head, "big"), MAX_BODY_BYTES + TAG_BYTES)
                 frame, now = head + await reader.readexactly(size), self.faults(*pair)
                 if now.cut is not Cut.OPEN or draw() < now.drop:
                     self.lost += 1
--- a/beechrock/lowering/part.py
+++ b/beechrock/lowering/part.py
@@ -42,7 +42,7 @@
         self.machine.changed = self._changed
         self.agree.host("lowering", self.machine)
         self.router = Router(unread=True)
-        self.plans = Plans(self.talk, self.talk.told.state / "lowering", self._came, self._bad_plan)
+        self.plans = Plans(self.talk, self.talk.settings.state / "lowering", self._came, self._bad_plan)
         self.tables: dict[str, Table | None] = {}  # by digest, of this node's class
         self.tried: dict[tuple[int, str], float] = {}
         self.wake = asyncio.Event()
@@ -328,7 +328,7 @@
     async def _compile(self) -> None:
         """In a process of its own: seconds of work, and a solver's memory, are not this loop's."""
         wanted, path = self._wanted(), self.context.program.told.scgi.path
-        target = self.talk.told.state / "lowering" / "compiled"
+        target = self.talk.settings.state / "lowering" / "compiled"
         try:
             data, said = await compiled(path, target)
             if data is None:
--- a/beechrock/parts.py
+++ b/beechrock/parts.py
@@ -1,6 +1,6 @@
 """What a node needs beside its service to be one of a fleet: parts, each a table of the operator's file.
 
-Nothing of a part is imported unless its table is enabled. A part has ``told.py`` in its package (KEYS and
+Nothing of a part is imported unless its table is enabled. A part has ``settings.py`` in its package (KEYS and
 ``read``, which checks the table) and ``part.py`` (``begin``, which makes the actor). They begin in order of
 ``TABLES`` and find those before them in ``Context.parts``.
 """
@@ -19,6 +19,8 @@
 TABLES = {"fleet": "beechrock.talk", "agree": "beechrock.agree", "duties": "beechrock.duties",
           "edges": "beechrock.edges", "lowering": "beechrock.lowering", "releases": "beechrock.releases",
           "replica": "beechrock.replica", "limits": "beechrock.limits"}
+# Packages whose settings still stand in ``told.py``; each goes off the list with its conversion.
+OLD_SETTINGS_MODULE = {"agree", "duties", "edges", "lowering", "releases", "replica", "limits"}
 # Which others a table cannot be without; they begin before it.
 NEEDS = {"agree": ("fleet",), "duties": ("fleet", "agree"), "edges": ("fleet",),
          "lowering": ("fleet", "agree"), "releases": ("fleet", "agree"), "replica": ("fleet",)}
@@ -57,18 +59,22 @@
 
 
 def keys(table: str) -> set[str]:
-    """What the table may say, ``enabled`` left out. ImportError where a library of the part is missing."""
-    return set(import_module(TABLES[table] + ".told").KEYS)
+    """Return the table's keys, without ``enabled``. ImportError where a library of the part is missing."""
+    return set(_settings_module(table).KEYS)
 
 
-def read(table: str, told: Mapping[str, Any], where: str, root: Path) -> object:
-    """The part's own settings; ConfigError with file, table and key."""
-    return import_module(TABLES[table] + ".told").read(told, where, root)
+def read(table: str, values: Mapping[str, Any], where: str, root: Path) -> object:
+    """Return the part's checked settings. ConfigError names file, table and key."""
+    return _settings_module(table).read(values, where, root)
 
 
-def begin(told: Mapping[str, object], context: Context) -> dict[str, Part]:
-    """All parts that are told, in order."""
+def _settings_module(table: str) -> Any:
+    return import_module(TABLES[table] + (".told" if table in OLD_SETTINGS_MODULE else ".settings"))
+
+
+def begin(settings: Mapping[str, object], context: Context) -> dict[str, Part]:
+    """Make the actors of all parts that have settings, in the order of ``TABLES``."""
     for table, package in TABLES.items():
-        if table in told:
-            context.parts[table] = import_module(package + ".part").begin(told[table], context)
+        if table in settings:
+            context.parts[table] = import_module(package + ".part").begin(settings[table], context)
     return context.parts
--- a/beechrock/releases/part.py
+++ b/beechrock/releases/part.py
@@ -136,7 +136,7 @@
         if self.program.serving is None:
             raise ConfigError("a node goes out by its second address", where="releases",
                               wanted="LB_ADMIN_ADDR", do="or leave [releases] out")
-        folder = self.talk.told.state / "releases"
+        folder = self.talk.settings.state / "releases"
         folder.mkdir(parents=True, exist_ok=True)
         self.marker = Marker(files.at(folder))
         if self.marker.found():
--- a/beechrock/talk/__init__.py
+++ b/beechrock/talk/__init__.py
@@ -1,5 +1,5 @@
-"""How the nodes of a fleet talk: one TCP link for each direction of each pair.
+"""Messages between the nodes of a fleet: one TCP connection for each direction of each pair of nodes.
 
-Decides nothing but what is dropped; owns the links and this process's life number. May import core
-and store.life.
+Decides only which frames and messages are dropped; owns the connections and this process's life number.
+May import core and store.life.
 """
--- a/beechrock/talk/errors.py
+++ b/beechrock/talk/errors.py
@@ -1,4 +1,4 @@
-"""What the fleet's links tell an operator."""
+"""Errors of the links between nodes that reach an operator."""
 
 from beechrock.errors import OperatorError
 
@@ -10,8 +10,8 @@
 
 
 class TalkStateError(TalkError):
-    """The folder of ``fleet.state`` cannot be used."""
+    """The folder named by ``fleet.state`` cannot be used."""
 
 
 class TalkChannelError(TalkError):
-    """Two parts want one channel; a fault of the program."""
+    """Two parts registered a handler for one channel: a fault of the program."""
--- a/beechrock/talk/frames.py
+++ b/beechrock/talk/frames.py
@@ -1,49 +1,54 @@
-"""Frames between two nodes, and which of them are believed. Pure.
+"""The frame format between two nodes, its authentication and its protection against replay. Pure.
 
-A connection carries frames one way. It begins with the receiver's *greeting* (random, new for each
-connection); each frame's tag covers greeting, receiver and body, so none is good on another connection or at
-another node.
-Invariant: of one sender, (life, counter) only grows; what does not is dropped.
+A connection carries frames in one direction. The receiver opens it with a *challenge*: random bytes, new for
+each connection. The tag of each frame covers the challenge, the receiver's name and the body, so a frame is
+valid on one connection and at one node only.
+Invariant: of one sender, (life, counter) only grows; a frame that breaks this is dropped.
 """
 
 import hmac
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 import msgpack
 from blake3 import blake3
 
 VERSION = 1
 KEY_CONTEXT = "beechrock talk 1"
-HEAD_BYTES, TAG_BYTES, GREETING_BYTES = 4, 16, 16
-MOST_NAME = 64                  # bytes of a name or a channel
-MOST_MESSAGE = 1 << 20
-MOST_BODY = MOST_MESSAGE + 512  # names, life and counter
+HEAD_BYTES = 4                  # the length prefix, big-endian
+TAG_BYTES = 16                  # 128 bits of keyed BLAKE3
+CHALLENGE_BYTES = 16            # never repeats by chance among any number of connections
+MAX_NAME_BYTES = 64             # of a node's name or a channel
+MAX_MESSAGE_BYTES = 1 << 20
+MAX_BODY_BYTES = MAX_MESSAGE_BYTES + 512    # room for names, life and counter
 
 
-class Dropped(Enum):
-    """Why a frame, or a message to be sent, went no further."""
+class DropReason(Enum):
+    """Why a received frame, or a message to be sent, went no further. The values are shown to operators."""
 
     TAG = "tag"             # not of this fleet, or not for this connection
-    FORM = "form"           # no frame at all; the connection ends
-    UNKNOWN = "unknown"     # its sender is no peer
-    OLD_LIFE = "old_life"   # of a process that a newer one has followed
-    REPLAYED = "replayed"   # it, or a later one, has come already
-    CHANNEL = "channel"     # nobody here takes it
-    FULL = "full"           # the queue to a peer
+    FORM = "form"           # not a valid frame; the connection is closed
+    UNKNOWN = "unknown"     # the sender is not a configured peer
+    OLD_LIFE = "old_life"   # sent by a process that a newer one of the same name has replaced
+    REPLAYED = "replayed"   # this frame, or a later one, was received before
+    CHANNEL = "channel"     # no part handles this channel
+    FULL = "full"           # the queue to the peer is full
     LATE = "late"           # waited in the queue for too long
-    LOST = "lost"           # in a connection that ended; it may have come all the same
+    LOST = "lost"           # unsent bytes of a connection that ended; the peer may have received it
 
 
 class DroppedError(Exception):
-    def __init__(self, why: Dropped) -> None:
-        super().__init__(why.value)
-        self.why = why
+    """A frame was rejected; ``reason`` says why."""
+
+    def __init__(self, reason: DropReason) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
 
 
 @dataclass(frozen=True, slots=True)
 class Frame:
-    """One message; ``counter`` grows over the sender's whole life."""
+    """One message with its sender; ``counter`` grows over the sender's whole life."""
 
     sender: str
     life: int
@@ -52,60 +57,79 @@
     message: bytes
 
 
+class Position(NamedTuple):
+    """The place of a frame in the sequence of its sender; compared life first."""
+
+    life: int
+    counter: int
+
+
+BEFORE_ALL_FRAMES = Position(0, 0)
+
+
 def key_from(secret: bytes) -> bytes:
-    """The tags' key, made of the fleet's key file."""
+    """Return the key of the tags, derived from the content of the fleet's key file."""
     return blake3(secret, derive_key_context=KEY_CONTEXT).digest()
 
 
-def _tag(key: bytes, greeting: bytes, receiver: str, body: bytes) -> bytes:
-    to = receiver.encode()
-    return blake3(b"".join((greeting, bytes([len(to)]), to, body)), key=key).digest(TAG_BYTES)
+def _tag(key: bytes, challenge: bytes, receiver: str, body: bytes) -> bytes:
+    name = receiver.encode()
+    return blake3(b"".join((challenge, bytes([len(name)]), name, body)), key=key).digest(TAG_BYTES)
 
 
-def encode(key: bytes, greeting: bytes, receiver: str, frame: Frame) -> bytes:
-    """Length of what follows, body, tag."""
+def encode(key: bytes, challenge: bytes, receiver: str, frame: Frame) -> bytes:
+    """Return the frame's bytes: the length of what follows, the body, the tag."""
     body: bytes = msgpack.packb(
         (VERSION, frame.sender, frame.life, frame.counter, frame.channel, frame.message))
-    return b"".join((
-        (len(body) + TAG_BYTES).to_bytes(HEAD_BYTES, "big"), body, _tag(key, greeting, receiver, body)))
+    head = (len(body) + TAG_BYTES).to_bytes(HEAD_BYTES, "big")
+    return b"".join((head, body, _tag(key, challenge, receiver, body)))
+
 
+def decode_length(head: bytes) -> int:
+    """Return how many bytes follow the length prefix.
 
-def length(head: bytes) -> int:
-    """Of what follows the head. DroppedError before any room is made for what is too long."""
+    Raises DroppedError (FORM) for a length out of bounds, before any memory is reserved for it.
+    """
     size = int.from_bytes(head, "big")
-    if not TAG_BYTES < size <= MOST_BODY + TAG_BYTES:
-        raise DroppedError(Dropped.FORM)
+    if not TAG_BYTES < size <= MAX_BODY_BYTES + TAG_BYTES:
+        raise DroppedError(DropReason.FORM)
     return size
 
 
-def decode(key: bytes, greeting: bytes, receiver: str, data: bytes) -> Frame:
-    """Body and tag, without the length; nothing is read before the tag fits. DroppedError."""
+def decode(key: bytes, challenge: bytes, receiver: str, data: bytes) -> Frame:
+    """Return the frame in ``data`` (body and tag, without the length prefix).
+
+    Raises DroppedError: TAG before anything of the body is parsed, FORM for a body that is not a frame.
+    """
     body, tag = data[:-TAG_BYTES], data[-TAG_BYTES:]
-    if not hmac.compare_digest(_tag(key, greeting, receiver, body), tag):
-        raise DroppedError(Dropped.TAG)
+    if not hmac.compare_digest(_tag(key, challenge, receiver, body), tag):
+        raise DroppedError(DropReason.TAG)
     try:
-        told = msgpack.unpackb(body)
-        version, sender, life, counter, channel, message = told[:6]     # a newer one may add at the end
+        fields = msgpack.unpackb(body)
+        version, sender, life, counter, channel, message = fields[:6]   # a newer version may add at the end
     except Exception:
-        raise DroppedError(Dropped.FORM) from None
-    kinds = ((version, int), (sender, str), (life, int), (counter, int), (channel, str), (message, bytes))
-    if version != VERSION or not all(type(value) is kind for value, kind in kinds):
-        raise DroppedError(Dropped.FORM)
+        raise DroppedError(DropReason.FORM) from None
+    types = ((version, int), (sender, str), (life, int), (counter, int), (channel, str), (message, bytes))
+    if version != VERSION or not all(type(value) is expected for value, expected in types):
+        raise DroppedError(DropReason.FORM)
     return Frame(sender, life, counter, channel, message)
 
 
 @dataclass(slots=True)
-class Heard:
-    """The newest of each sender; bounded by the peers, as others are not believed."""
+class ReplayFilter:
+    """The newest position of each sender; bounded by the number of peers, as no others get this far."""
 
-    last: dict[str, tuple[int, int]] = field(default_factory=dict)
+    last: dict[str, Position] = field(default_factory=dict)
 
     def admit(self, frame: Frame) -> None:
-        """DroppedError for what an older life sent, or what has come before."""
-        life, counter = self.last.get(frame.sender, (0, 0))
+        """Record the frame as received.
+
+        Raises DroppedError: OLD_LIFE for an earlier process of the sender, REPLAYED for a repeated frame.
+        """
+        life, counter = self.last.get(frame.sender, BEFORE_ALL_FRAMES)
         if frame.life < life:
-            raise DroppedError(Dropped.OLD_LIFE)
+            raise DroppedError(DropReason.OLD_LIFE)
         # A proxy that sends twice, or an old connection that drains after a new one began.
         if frame.life == life and frame.counter <= counter:
-            raise DroppedError(Dropped.REPLAYED)
-        self.last[frame.sender] = frame.life, frame.counter
+            raise DroppedError(DropReason.REPLAYED)
+        self.last[frame.sender] = Position(frame.life, frame.counter)
--- a/benchmarks/talk.py
+++ b/benchmarks/talk.py
@@ -13,8 +13,9 @@
 from pathlib import Path
 
 from beechrock.core.counters import Counters
-from beechrock.talk import part, told
 from beechrock.talk.frames import key_from
+from beechrock.talk.part import PeerTransport
+from beechrock.talk.settings import FleetSettings
 
 KEY, SIZE = key_from(b"a secret of sixteen bytes and more"), 200
 LEAST_RATE = 8_000.0    # messages a second of processor time, which others on the machine leave alone
@@ -22,7 +23,7 @@
 LEAST_BESIDE = 0.7      # of the rate, beside a silent peer whose queue is kept full
 
 
-async def nodes(silent: bool) -> tuple[list[part.Talk], list["asyncio.Task[None]"]]:
+async def nodes(silent: bool) -> tuple[list[PeerTransport], list["asyncio.Task[None]"]]:
     """Two that talk; with a third, which greets and reads nothing."""
     listening = socket.create_server(("127.0.0.1", 0))
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
@@ -35,15 +36,15 @@
     held: list[asyncio.StreamWriter] = []
 
     await asyncio.start_server(serve, sock=listening)
-    made = [part.Talk(told.Fleet(("127.0.0.1", 0), {}, KEY, Path("/nowhere")), name, 1, Counters())
+    made = [PeerTransport(FleetSettings(("127.0.0.1", 0), {}, KEY, Path("/nowhere")), name, 1, Counters())
             for name in ("a", "b")]
     for talk in made:
         await talk.listen()
     for talk, other in (made, made[::-1]):
         host, port = other.address.split(":")
-        talk.links[other.name] = part.Link(talk, other.name, (host, int(port)))
+        talk.links[other.name] = talk.link_to(other.name, (host, int(port)))
     if silent:
-        made[0].links["s"] = part.Link(made[0], "s", listening.getsockname())
+        made[0].links["s"] = made[0].link_to("s", listening.getsockname())
     tasks = [asyncio.ensure_future(talk.run()) for talk in made]
     while not all(link.connected for talk in made for link in talk.links.values()):
         await asyncio.sleep(0.01)
--- a/tests/lab/test_links.py
+++ b/tests/lab/test_links.py
@@ -7,23 +7,25 @@
 
 from beechrock.core.counters import Counters
 from beechrock.lab.fleet.links import Cut, Faults, Links
-from beechrock.talk import part, told
 from beechrock.talk.frames import key_from
+from beechrock.talk.part import PeerTransport
+from beechrock.talk.settings import FleetSettings
 
 
 class Pair:
     """Two nodes through the proxies, and what came to each."""
 
     def __init__(self, seed: int) -> None:
-        self.links, self.talks = Links(seed, ["a", "b"]), dict[str, part.Talk]()
+        self.links, self.talks = Links(seed, ["a", "b"]), dict[str, PeerTransport]()
         self.took: dict[str, list[int]] = {"a": [], "b": []}
 
     async def begin(self) -> None:
         await self.links.begin()
         for name, other in (("a", "b"), ("b", "a")):
             host, port = self.links.address(name, other).split(":")
-            talk = part.Talk(told.Fleet(("127.0.0.1", 0), {other: (host, int(port))}, key_from(bytes(16)),
-                                        Path("/nowhere")), name, 1, Counters())
+            settings = FleetSettings(
+                ("127.0.0.1", 0), {other: (host, int(port))}, key_from(bytes(16)), Path("/nowhere"))
+            talk = PeerTransport(settings, name, 1, Counters())
             talk.on("c", lambda sender, _, message, n=name: self.took[n].append(int(message)))
             await talk.listen()
             self.links.attach(name, talk.address)
@@ -112,7 +114,7 @@
         pair.say("a", range(3))
         await pair.until(lambda: pair.talks["a"].counters["talk.connections_failed"] >= 1)
         pair.links.heal()
-        await pair.until(lambda: pair.linked("a", "b") and pair.talks["a"].links["b"].bytes == 0)
+        await pair.until(lambda: pair.linked("a", "b") and pair.talks["a"].links["b"].queued_bytes == 0)
         assert pair.took["b"] == sorted(pair.took["b"]) and len(pair.took["b"]) < 3
         pair.took["b"].clear()
         pair.links.slow("a", "b", 1000.0)
