--- a/beechrock/logs.py
+++ b/beechrock/logs.py
@@ -24,6 +24,7 @@
     dropped = 0
 
     def emit(self, record: logging.LogRecord) -> None:
+        """Write the line of ``record``, or count it as dropped."""
         try:
             text = self.format(record) + self.terminator
             if self.dropped:
