A node that is whole again after it forgot says so in its next tick

It set all its notes aside and took a whole copy, and whoever reads it meanwhile finds nothing there.

Ruled out: a note that was kept and lost. Each history has n5 equal again within a second; the notes are at the majority that acknowledged them all the while, and n5 has them beside its table, as set aside. What a peer says of a memory that it never heard to be whole stays as cautious as it was.

Change: the core says Hello in the tick after it turned whole, where it had forgotten, and not at the next second.

--- a/beechrock/replica/core.py
+++ b/beechrock/replica/core.py
@@ -81,6 +81,7 @@
     next_round_s: float = 0.0
     turn: int = 0
     hello_s: float = float("-inf")
+    renewed: bool = False                       # whole again after it forgot, and has not said so
     pulled_s: float = float("-inf")
     writes: list[tuple[bytes, bytes]] = field(default_factory=list)
     waiters: Waiters = field(init=False)
@@ -152,13 +153,16 @@
     def busy(self) -> bool:
         """Whether the next tick may have more to say than that this node is there."""
         return (self.round is not None or self.catchup.stage is not Stage.WHOLE or bool(self.giving.asked)
-                or bool(self.writes) or self.reset or any(peer.lag for peer in self.spread.peers.values()))
+                or bool(self.writes) or self.reset or self.renewed
+                or any(peer.lag for peer in self.spread.peers.values()))
 
     def tick(self, now: float) -> list[Say]:
         self.catchup.alone()
         said: list[Say] = []
-        if now - self.hello_s >= HELLO_S:
-            self.hello_s = now
+        # Seen in plays: one that was emptied, whole again and killed before its next Hello, up to a second
+        # after, came back to peers that knew its former memory alone, and by their word set its own aside.
+        if self.renewed or now - self.hello_s >= HELLO_S:
+            self.hello_s, self.renewed = now, False
             hello = self._own_hello()
             said += [Say(other, hello, 0) for other in self.others]
         said += [Say(one.peer, Batch(one.n, one.entries), self._after) for one in self.spread.batches(now)]
@@ -218,6 +222,7 @@
         if self.heard[done.peer].stage == Stage.WHOLE.value:
             self.waiters.upto(done.peer, done.upto)
         if self.catchup.repaired(done.peer):
+            self.renewed = self.catchup.forgot
             self._forget_aside()
         if "settle" in self.without:
             self.table.settle(self.table.seq)
