--- a/beechrock/config/checks.py
+++ b/beechrock/config/checks.py
@@ -6,12 +6,14 @@
 import os
 import socket
 from collections.abc import Mapping
-from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from beechrock.config.errors import ConfigError
 from beechrock.config.told import Address
 
+if TYPE_CHECKING:
+    from pathlib import Path
+
 LARGEST = 1e12      # of any number: what is told beyond, and infinity, only shows later
 KEY_FILE = "make one: head -c 32 /dev/urandom | base64 > FILE; each process of the fleet needs the same"
 
@@ -28,7 +30,7 @@
     return on
 
 
-def secret(root: Path, file: object, where: str) -> bytes:
+def secret(root: "Path", file: object, where: str) -> bytes:
     """What a key file holds, of at least 16 bytes."""
     if not isinstance(file, str) or not file:
         raise ConfigError("the path of a file is needed", where=f"{where}: key_file", do=KEY_FILE)
@@ -43,7 +45,7 @@
 
 
 def table_of(
-    path: Path, operators: dict[str, Any], name: str, keys: set[str],
+    path: str, operators: dict[str, Any], name: str, keys: set[str],
 ) -> tuple[dict[str, Any], str] | None:
     """A table of the operator's file and where it stands; None unless it is enabled."""
     told, where = operators.get(name, {}), f"{path}: {name}"
--- a/beechrock/config/operator.py
+++ b/beechrock/config/operator.py
@@ -2,7 +2,6 @@
 
 import re
 import tomllib
-from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from beechrock import parts
@@ -10,7 +9,9 @@
 from beechrock.config.errors import ConfigError
 from beechrock.config.told import CONFIRM_S, MOST_REMOVED, SETTLE_S, WATCH_S, Scgi, Trace
 
-if TYPE_CHECKING:
+if TYPE_CHECKING:       # pathlib brings urllib and ipaddress, and is loaded where a table that needs it is on
+    from pathlib import Path
+
     from beechrock.inventory.generation import Generation
     from beechrock.members.told import Members
 
@@ -21,14 +22,15 @@
 _HEAD, _KEY = r"\s*\[([^\[\]]+)\]", r"\s*\"?([\w-]+)\"?\s*="
 
 
-def read(path: Path) -> dict[str, Any]:
+def read(path: str) -> dict[str, Any]:
     """The operator's file; no file says nothing."""
     try:
-        return tomllib.loads(path.read_text())
+        with open(path) as file:
+            return tomllib.loads(file.read())
     except FileNotFoundError:
         return {}
     except (OSError, ValueError) as error:
-        raise ConfigError(getattr(error, "strerror", None) or f"not TOML: {error}", where=str(path)) from None
+        raise ConfigError(getattr(error, "strerror", None) or f"not TOML: {error}", where=path) from None
 
 
 def line_of(text: str, keys: list[str]) -> int:
@@ -47,21 +49,24 @@
     return line
 
 
-def lined(where: str, path: Path) -> str:
+def lined(where: str, path: str) -> str:
     """``FILE: key`` as ``FILE:LINE: key``, where the line is found."""
     if not where.startswith(f"{path}: "):
         return where
     keys = where[len(f"{path}: "):].split(": ")
     try:
-        line = line_of(path.read_text(), keys)
+        with open(path) as file:
+            line = line_of(file.read(), keys)
     except (OSError, ValueError):
         return where
     return ": ".join((f"{path}:{line}", *keys)) if line else where
 
 
-def trace(path: Path, operators: dict[str, Any], root: Path) -> Trace | None:
+def trace(path: str, operators: dict[str, Any], root: str) -> Trace | None:
     if (table := table_of(path, operators, "trace", TRACE_KEYS)) is None:
         return None
+    from pathlib import Path
+
     told, where = table
     if not isinstance(told.get("folder"), str) or not told["folder"]:
         raise ConfigError("the path of a folder is needed", where=f"{where}: folder")
@@ -70,14 +75,14 @@
         raise ConfigError(f"{sample:g} is a part, and above 1", where=f"{where}: sample")
     key = None
     if told.get("key_file") is not None:
-        key = secret(root, told["key_file"], where)
+        key = secret(Path(root), told["key_file"], where)
     defaults = Trace(Path())
     numbers = {name: number(told, name, getattr(defaults, name), where)
                for name in ("segment_mb", "segment_s", "most_mb", "flush_s")}
-    return Trace(root / told["folder"], sample, key, **numbers)
+    return Trace(Path(root) / told["folder"], sample, key, **numbers)
 
 
-def members(path: Path, operators: dict[str, Any], root: Path) -> "Members | None":
+def members(path: str, operators: dict[str, Any], root: str) -> "Members | None":
     if not operators.get("members"):
         return None
     try:
@@ -87,21 +92,25 @@
                           do="pip install 'beechrock[members]'") from None
     if (table := table_of(path, operators, "members", {"enabled", *told.KEYS})) is None:
         return None
+    from pathlib import Path
+
     beside = operators.get("fleet")     # its hall holds for the membership too, unless told here
     hall = beside.get("hall", "") if isinstance(beside, dict) else ""
-    return told.read({"hall": hall, **table[0]}, table[1], root)
+    return told.read({"hall": hall, **table[0]}, table[1], Path(root))
 
 
-def fleet(path: Path, operators: dict[str, Any], root: Path) -> dict[str, object]:
+def fleet(path: str, operators: dict[str, Any], root: str) -> dict[str, object]:
     """Those of the fleet's parts that are on; each part's own package checks its table."""
     found: dict[str, object] = {}
     for name in parts.TABLES:
         if not operators.get(name):
             continue
+        from pathlib import Path
+
         try:
             table = table_of(path, operators, name, {"enabled", *parts.keys(name)})
             if table is not None:
-                found[name] = parts.read(name, *table, root)
+                found[name] = parts.read(name, *table, Path(root))
         except ImportError as error:
             raise ConfigError(f"needs {error.name}", where=f"{path}: {name}",
                               do="pip install 'beechrock[fleet]'") from None
@@ -113,10 +122,12 @@
     return found
 
 
-def scgi(path: Path, told: dict[str, Any], root: Path, running: "Generation | None") -> Scgi | None:
+def scgi(path: str, told: dict[str, Any], root: str, running: "Generation | None") -> Scgi | None:
     """The SCGI front; no file, like ``enabled = false``, keeps it off."""
-    if not known(told, SCGI_KEYS, str(path)):
+    if not known(told, SCGI_KEYS, path):
         return None
+    from pathlib import Path
+
     if not isinstance(told.get("inventory"), str):
         raise ConfigError("the path of a file is needed", where=f"{path}: inventory")
     if told.get("log", "text") not in LOG_FORMS:
@@ -124,15 +135,15 @@
     state = told.get("state")
     if state is not None and (not isinstance(state, str) or not state):
         raise ConfigError("the path of a folder is needed", where=f"{path}: state")
-    most_removed = number(told, "most_removed", MOST_REMOVED, str(path))
+    most_removed = number(told, "most_removed", MOST_REMOVED, path)
     if most_removed > 1:
         raise ConfigError(f"{most_removed:g} is a part, and above 1", where=f"{path}: most_removed")
-    folder = root / state if state else None
-    source = root / told["inventory"]
+    folder = Path(root) / state if state else None
+    source = Path(root) / told["inventory"]
     listen = address(told.get("listen"), f"{path}: listen", 0)
-    watch_s = number(told, "watch_s", WATCH_S, str(path))
-    settle_s = number(told, "settle_s", SETTLE_S, str(path))
-    confirm_s = number(told, "confirm_s", CONFIRM_S, str(path))
+    watch_s = number(told, "watch_s", WATCH_S, path)
+    settle_s = number(told, "settle_s", SETTLE_S, path)
+    confirm_s = number(told, "confirm_s", CONFIRM_S, path)
     notes: tuple[str, ...] = ()
     if running is None:
         far = "" if Path(told["inventory"]).is_absolute() else f"relative paths are taken from {root}"
@@ -142,7 +153,7 @@
 
 
 def _inventory(
-    path: Path, source: Path, folder: Path | None, do: str,
+    path: str, source: "Path", folder: "Path | None", do: str,
 ) -> "tuple[Generation, tuple[str, ...]]":
     """What the files say now; where they are broken, the last good generation of the state folder."""
     try:
--- a/beechrock/config/platform.py
+++ b/beechrock/config/platform.py
@@ -1,7 +1,7 @@
 """What this process is told: its environment, the file that LB_CONFIG names, and the operator's file."""
 
+import os
 from collections.abc import Mapping
-from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 import ujson
@@ -14,33 +14,44 @@
 from beechrock.settings import settings_from
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from beechrock.inventory.generation import Generation
 
 MOST_CONFIG = 4 << 20
 STOP_MS, MEMORY_MB, SOCKETS = 3000.0, 192.0, 1024.0
-ROOT = Path(__file__).parent.parent.parent
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(__file__)))
+
+
+def _path(text: str) -> "Path":
+    # Loaded here: with urllib and ipaddress it takes 0.6 MB, and the platform's nodes need none of them.
+    from pathlib import Path
 
+    return Path(text)
 
-def base(environ: Mapping[str, str], root: Path = ROOT) -> Path:
+
+def base(environ: Mapping[str, str], root: str = ROOT) -> str:
     """Where relative paths of the operator's file lead from.
 
     The one beside the program speaks of the program's own folder. One that LB_SCGI names may lie anywhere,
     and so may the program: installed without -e its folder is site-packages, and no inventory is kept there.
     Its paths are taken from the working folder, as that of the file itself is.
     """
-    return Path.cwd() if environ.get("LB_SCGI") else root
+    return os.getcwd() if environ.get("LB_SCGI") else root
 
 
 def load(
-    environ: Mapping[str, str], root: Path | None = None, running: "Generation | None" = None,
+    environ: Mapping[str, str], root: str | os.PathLike[str] | None = None,
+    running: "Generation | None" = None,
 ) -> Config:
     """What this process is told by its environment, and by the files that it names or finds in deploy/.
 
     ``root``: where relative paths of the operator's file lead from, if not from ``base``.
     ``running``: the inventory in force, which then is not read here: that would hold up a node in service.
     """
-    root = base(environ) if root is None else root
-    mine = Path(environ.get("LB_SCGI") or root / "deploy" / "scgi.toml")
+    root = base(environ) if root is None else os.fspath(root)
+    named = environ.get("LB_SCGI")
+    mine = str(_path(named)) if named else os.path.join(root, "deploy", "scgi.toml")
     try:
         return _load(environ, root, mine, running)
     except ConfigError as error:
@@ -48,7 +59,7 @@
         raise
 
 
-def _load(environ: Mapping[str, str], root: Path, mine: Path, running: "Generation | None") -> Config:
+def _load(environ: Mapping[str, str], root: str, mine: str, running: "Generation | None") -> Config:
     told_by_operator = operator.read(mine)
     scgi = operator.scgi(mine, told_by_operator, root, running)
     path = environ.get("LB_CONFIG", "")
@@ -96,15 +107,15 @@
         parts=operator.fleet(mine, told_by_operator, root),
         admin=address(admin, admin_at, 0) if admin is not None else None, admin_at=admin_at,
         listen_fd=inherited(fd, listen_to) if fd and listen_to is not None else None,
-        handover=Path(environ["TMPDIR"]) if fd and environ.get("TMPDIR") else None,
+        handover=_path(environ["TMPDIR"]) if fd and environ.get("TMPDIR") else None,
         raw=told.get("settings", {}) if path and scgi is not None else None,
     )
 
 
 def stamp(environ: Mapping[str, str]) -> tuple[int, ...]:
     """What changes when the file that LB_CONFIG names is written anew; empty where there is none."""
-    try:
-        found = Path(environ.get("LB_CONFIG", "")).stat()
+    try:    # without LB_CONFIG it is that of the working folder
+        found = os.stat(environ.get("LB_CONFIG") or ".")
     except OSError:
         return ()
     return found.st_mtime_ns, found.st_size, found.st_ino
@@ -115,7 +126,8 @@
     import json
 
     try:
-        json.loads(Path(path).read_bytes()[:MOST_CONFIG])
+        with open(path, "rb") as file:
+            json.loads(file.read()[:MOST_CONFIG])
     except ValueError as error:
         return str(error)
     return ""
@@ -124,7 +136,8 @@
 def _read(path: str) -> tuple[dict[str, Any], str]:
     where = f"LB_CONFIG {path}"
     try:
-        told = ujson.loads(Path(path).read_bytes()[:MOST_CONFIG])
+        with open(path, "rb") as file:
+            told = ujson.loads(file.read()[:MOST_CONFIG])
     except OSError as error:
         raise ConfigError(str(error.strerror), where=where) from None
     except ValueError as error:
--- a/beechrock/config/told.py
+++ b/beechrock/config/told.py
@@ -1,12 +1,13 @@
 """All that a node can be told, as it was read and checked."""
 
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from beechrock.interface import Settings
 
-if TYPE_CHECKING:   # read only where the SCGI front is on: PyYAML and the rest cost memory
+if TYPE_CHECKING:   # read only where the SCGI front is on: PyYAML, pathlib and the rest cost memory
+    from pathlib import Path
+
     from beechrock.inventory.generation import Generation
 
 Address = tuple[str, int]
@@ -18,9 +19,9 @@
     """The SCGI front, where it is on."""
 
     listen: Address
-    path: Path                  # of the inventory: a file, or a folder
+    path: "Path"                # of the inventory: a file, or a folder
     generation: "Generation"    # as it was read
-    state: Path | None = None   # where the last good generation is kept
+    state: "Path | None" = None     # where the last good generation is kept
     notes: tuple[str, ...] = field(default=(), compare=False)   # what there is to say of the start
     log: str = "text"
     watch_s: float = WATCH_S            # the files are looked at so often
@@ -33,7 +34,7 @@
 class Trace:
     """What is recorded, where the operator's file turns that on."""
 
-    folder: Path
+    folder: "Path"
     sample: float = 1.0             # part of the requests; below 1 nothing can be played again
     key: bytes | None = None        # hides subjects and keys at the source
     segment_mb: float = 64.0
@@ -63,6 +64,6 @@
     admin: Address | None = None        # the operators' second address
     admin_at: str = field(default="", compare=False)    # where that was told
     listen_fd: int | None = None        # the listening socket that the platform holds for us
-    handover: Path | None = None        # with it: the folder that this node's processes share
+    handover: "Path | None" = None      # with it: the folder that this node's processes share
     raw: dict[str, Any] | None = None   # the platform's own settings, under those of an inventory
     parts: dict[str, object] = field(default_factory=dict)  # by table: what each part of the fleet is told
--- a/beechrock/parts.py
+++ b/beechrock/parts.py
@@ -8,10 +8,11 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from importlib import import_module
-from pathlib import Path
 from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from beechrock.core.counters import Counters
     from beechrock.core.module import ModuleActor
 
@@ -61,7 +62,7 @@
     return set(import_module(TABLES[table] + ".told").KEYS)
 
 
-def read(table: str, told: Mapping[str, Any], where: str, root: Path) -> object:
+def read(table: str, told: Mapping[str, Any], where: str, root: "Path") -> object:
     """The part's own settings; ConfigError with file, table and key."""
     return import_module(TABLES[table] + ".told").read(told, where, root)
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -301,4 +301,4 @@
     with pytest.raises(config.ConfigError, match=f"relative paths are taken from {away}"):
         config.load({"LB_SCGI": "scgi.toml"})
     # The file beside the program is read from wherever that is started, and speaks of the program's folder.
-    assert base({}) == base({"LB_SCGI": ""}) == SHIPPED.parent.parent != Path.cwd()
+    assert base({}) == base({"LB_SCGI": ""}) == str(SHIPPED.parent.parent) != str(Path.cwd())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import sysconfig
 import time
 import tomllib
 from itertools import count
@@ -117,6 +118,42 @@
             assert caller.ended_at - written[caller, stream] < 0.05, "read, or to be read, and not answered"
 
 
+# Of the standard library: pathlib brings the next two, and with them took 0.6 MB of each node.
+NEEDLESS = {"pathlib", "urllib", "ipaddress", "json"}
+
+
+def test_a_platform_node_loads_no_needless_library_from_its_start_to_its_end(tmp_path: Path) -> None:
+    told = {"name": "n1", "listen": "127.0.0.1:0", "agent": "127.0.0.1:1", "seed": "1", "stop_ms": 500,
+            "settings": SETTINGS}
+    (tmp_path / "config.json").write_text(ujson.dumps(told))
+    # Without ``site``, as what an environment's own .pth files load would hide what the node loads.
+    found_in = os.pathsep.join((str(ROOT), sysconfig.get_path("purelib"), sysconfig.get_path("platlib")))
+    with subprocess.Popen(
+            [sys.executable, "-S", "-X", "importtime", "-m", "beechrock"], cwd=tmp_path, text=True,
+            stderr=subprocess.PIPE, env={"LB_CONFIG": str(tmp_path / "config.json"), "PYTHONPATH": found_in},
+            ) as node:
+        assert node.stderr is not None
+        try:
+            lines = list[str]()
+            while not lines or "frames on" not in lines[-1]:
+                lines.append(node.stderr.readline())
+                assert lines[-1], f"the log ended: {lines[-3:]}"
+            found = re.search(r"frames on 127\.0\.0\.1:(\d+)", lines[-1])
+            assert found is not None
+            with socket.create_connection(("127.0.0.1", int(found[1])), 30) as link:
+                link.sendall(CHECK)
+                assert message(link)[4:10] == b"\x05\0\0\0\x01\x01"
+                node.send_signal(signal.SIGTERM)
+                assert message(link) == NO_MORE
+            assert node.wait(30) == 0
+            lines += node.stderr.readlines()
+        finally:
+            node.kill()
+    loaded = {line.rpartition("|")[2].strip() for line in lines if line.startswith("import time:")}
+    assert {"beechrock.program", "ujson", "asyncio"} <= loaded
+    assert not {name for name in loaded if name.partition(".")[0] in NEEDLESS}
+
+
 def test_a_reload_takes_a_good_file_and_outlives_a_bad_one(tmp_path: Path) -> None:
     told = {"name": "n1", "listen": "127.0.0.1:0", "agent": "127.0.0.1:1", "seed": "1", "stop_ms": 500,
             "settings": SETTINGS}
