Reads share an answer in the first tier alone

Ruled out, by a probe that printed each shared answer with both requests: tenants (sharing over two of them broke nothing in the first tier, and the site without tenants breaks the same), bodies (they differ with every try), the age of the answer (0.18 s after its end was as good as none), retries, hints.

Change: freshS is passed over where the settings' tier is above 0 (settings.py).

Sites with one tier, or with freshS 0, are told nothing else than before.

--- a/beechrock/interface.py
+++ b/beechrock/interface.py
@@ -135,6 +135,7 @@
     calls_share: float | None = None    # in hand, in the mean; of what all nodes share below
     calls_over_s: float | None = None
     linger_s: float | None = None
+    tier: int | None = None             # its place among the tiers, 0 for those that clients ask
     fresh_s: float | None = None
     deep_checks: bool = False
     idle_s: float | None = None
--- a/beechrock/settings.py
+++ b/beechrock/settings.py
@@ -170,6 +170,9 @@
     # A tier protects itself with the same decisions: the figure is 0 there and means nothing. Seen at a site
     # with a tier: taken as 'no call survives', every call was given up, and so was each class that must call.
     shared = below is api.Downstream.SHARED
+    # Reads share answers where clients ask. Seen at a site with two tiers: the simulator names no read of the
+    # second as a repeat, whatever was kept, and on sockets each answer shared there broke the rule 'lost'.
+    tier = _count(told, "tier")
     settings = api.Settings(
         cores=_whole(extra, "cpus"),
         memory_kb=_need(extra, "memLimitKb"),
@@ -202,7 +205,8 @@
         calls_share=_num(extra, "depShare") if shared else None,
         calls_over_s=_num(extra, "callsOverS"),
         linger_s=_num(extra, "lingerS"),
-        fresh_s=_num(extra, "freshS"),
+        tier=tier,
+        fresh_s=None if tier else _num(extra, "freshS"),
         deep_checks=bool(extra.get("deepChecks")),
         idle_s=_num(extra, "idleS"),
         callers=_count(extra, "callers"),
