--- a/beechrock/config/operator.py
+++ b/beechrock/config/operator.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from beechrock.inventory.generation import Generation
-    from beechrock.members.told import Members
+    from beechrock.members.settings import MembersSettings
 
 TRACE_KEYS = {"enabled", "folder", "sample", "key_file", "segment_mb", "segment_s", "most_mb", "flush_s"}
 SCGI_KEYS = {*parts.TABLES, "trace", "members", "enabled", "listen", "inventory", "state", "log", "watch_s",
@@ -77,19 +77,19 @@
     return Trace(root / told["folder"], sample, key, **numbers)
 
 
-def members(path: Path, operators: dict[str, Any], root: Path) -> "Members | None":
+def members(path: Path, operators: dict[str, Any], root: Path) -> "MembersSettings | None":
     if not operators.get("members"):
         return None
     try:
-        from beechrock.members import told
+        from beechrock.members import settings
     except ImportError as error:
         raise ConfigError(f"needs {error.name}", where=f"{path}: members: enabled",
                           do="pip install 'beechrock[members]'") from None
-    if (table := table_of(path, operators, "members", {"enabled", *told.KEYS})) is None:
+    if (table := table_of(path, operators, "members", {"enabled", *settings.KEYS})) is None:
         return None
     beside = operators.get("fleet")     # its hall holds for the membership too, unless told here
     hall = beside.get("hall", "") if isinstance(beside, dict) else ""
-    return told.read({"hall": hall, **table[0]}, table[1], root)
+    return settings.read({"hall": hall, **table[0]}, table[1], root)
 
 
 def fleet(path: Path, operators: dict[str, Any], root: Path) -> dict[str, object]:
--- a/beechrock/config/told.py
+++ b/beechrock/config/told.py
@@ -59,7 +59,7 @@
     gauges: tuple[str, ...]
     scgi: Scgi | None
     trace: Trace | None = None
-    members: Any = None                 # ``members.told.Members``, where that table is on
+    members: Any = None                 # ``members.settings.MembersSettings``, where that table is on
     admin: Address | None = None        # the operators' second address
     admin_at: str = field(default="", compare=False)    # where that was told
     listen_fd: int | None = None        # the listening socket that the platform holds for us
--- a/beechrock/lab/members_sim.py
+++ b/beechrock/lab/members_sim.py
@@ -8,18 +8,18 @@
 import random
 from collections.abc import Callable
 
-from beechrock.members.state import Members
-from beechrock.members.words import (
-    MOST_NEWS,
+from beechrock.members.detector import FailureDetector
+from beechrock.members.messages import (
+    MAX_UPDATES,
     Action,
-    Changed,
     Displaced,
-    Exchange,
     HallChanged,
+    MemberState,
     Message,
     Send,
-    State,
-    Word,
+    StartSync,
+    Status,
+    StatusChanged,
 )
 
 TICK_S = 0.1
@@ -41,19 +41,19 @@
         self.seed, self.loss, self.most_delay_s, self.check_s = seed, loss, most_delay_s, check_s
         self.sized, self.bytes, self.sent, self.halls = sized, 0, 0, halls
         self.cut: Cut = lambda source, target: 0.0
-        self.members: dict[str, Members] = {}
+        self.members: dict[str, FailureDetector] = {}
         self.asleep: dict[str, float] = {}      # until when it stands still
         self.inboxes: dict[str, list[tuple[str, Message]]] = {}
         # (when, order, to whom, from whom, what); a tick is from a process to itself, and ends with it.
-        self.events: list[tuple[float, int, str, str | Members, Message | None]] = []
-        self.history: list[tuple[float, str, Changed | HallChanged | Displaced]] = []
-        self.seen: dict[str, dict[str, Word]] = {}
+        self.events: list[tuple[float, int, str, str | FailureDetector, Message | None]] = []
+        self.history: list[tuple[float, str, StatusChanged | HallChanged | Displaced]] = []
+        self.seen: dict[str, dict[str, Status]] = {}
         self.check_at: dict[str, float] = {}
         for n in range(count):
             self.start(f"n{n}")
 
     def start(self, name: str, life: int = 1, seeds: tuple[str, ...] = ("n0", "n1")) -> None:
-        member = Members(
+        member = FailureDetector(
             name, name, life, self.now, self.random.getrandbits(32), seeds, hall=self.hall(name))
         self.members[name], self.seen[name] = member, {}
         self.check_at[name] = self.now
@@ -74,16 +74,16 @@
     def carry(self, name: str, actions: list[Action]) -> None:
         for action in actions:
             match action:
-                case Exchange(address):
+                case StartSync(address):
                     self.exchange(name, address)
                 case Send(address, message):
-                    assert len(message.news) <= MOST_NEWS
+                    assert len(message.updates) <= MAX_UPDATES
                     self._count(message)
                     if self.random.random() >= max(self.loss, self.cut(name, address)):
                         self.fly(name, address, message)
-                case Changed(news):
+                case StatusChanged(update):
                     self.history.append((self.now, name, action))
-                    self._check_word(name, news.name, self.members[name])
+                    self._check_status(name, update.name, self.members[name])
                 case HallChanged() | Displaced():
                     self.history.append((self.now, name, action))
 
@@ -92,7 +92,7 @@
         if self.sized is not None:
             self.bytes += self.sized(message)
 
-    def _at(self, in_s: float, target: str, source: str | Members, message: Message | None) -> None:
+    def _at(self, in_s: float, target: str, source: str | FailureDetector, message: Message | None) -> None:
         self.order += 1
         heapq.heappush(self.events, (self.now + in_s, self.order, target, source, message))
 
@@ -107,7 +107,7 @@
             opening = caller.opening()
             answer, _ = called.answer(opening)
             for one, other, parts in ((source, target, [opening]), (target, source, answer),
-                                      (source, target, caller.rest(opening, answer[0]))):
+                                      (source, target, caller.remainder(opening, answer[0]))):
                 for part in parts:
                     self._count(part)
                     self.fly(one, other, part)
@@ -125,7 +125,7 @@
                 if wakes_at > self.now:
                     self.inboxes.setdefault(target, []).append((source, message))
                 else:
-                    self.carry(target, member.hear(source, source, message, self.now))
+                    self.carry(target, member.receive(source, source, message, self.now))
                 continue
             if wakes_at > self.now:
                 self._at(wakes_at - self.now, target, source, None)
@@ -139,7 +139,7 @@
                 self.seen[target] = {n: w for n, w in self.seen[target].items() if n in member.known}
             if target in self.inboxes:
                 for sender, waiting in self.inboxes.pop(target):
-                    self.carry(target, member.hear(sender, sender, waiting, self.now))
+                    self.carry(target, member.receive(sender, sender, waiting, self.now))
             if self.now >= self.check_at[target]:
                 self.check_at[target] = self.now + self.check_s
                 self.check(target, member)
@@ -147,39 +147,42 @@
         self.now = end
         return self
 
-    def check(self, name: str, member: Members) -> None:
-        """No word ever shrinks, nobody speaks for another's incarnation, and the own word is of this life."""
-        for other in member.view():
-            self._check_word(name, other, member)
-        assert member.me.word.state in (State.ALIVE, State.LEFT)
+    def check(self, name: str, member: FailureDetector) -> None:
+        """No status ever falls, nobody raises another's incarnation, and the own status is of this life."""
+        for other in member.statuses():
+            self._check_status(name, other, member)
+        assert member.me.status.state in (MemberState.ALIVE, MemberState.LEFT)
         for name, hall in member.halls.halls.items():
-            states = [k.news.word.state for k in member.known.values() if k.news.hall == name]
-            alive = states.count(State.ALIVE) + (name == member.me.hall)
+            states = [k.update.status.state for k in member.known.values() if k.update.hall == name]
+            alive = states.count(MemberState.ALIVE) + (name == member.me.hall)
             assert (hall.alive, hall.suspect, hall.dead) == (
-                alive, states.count(State.SUSPECT), states.count(State.DEAD)), f"seed {self.seed}: {name}"
+                alive, states.count(MemberState.SUSPECT), states.count(MemberState.DEAD)), (
+                    f"seed {self.seed}: {name}")
             assert not (hall.lost and alive)
-            assert set(hall.living) == {n for n in member.living if member.known[n].news.hall == name}
+            assert set(hall.living) == {n for n in member.living if member.known[n].update.hall == name}
 
-    def _check_word(self, name: str, other: str, member: Members) -> None:
+    def _check_status(self, name: str, other: str, member: FailureDetector) -> None:
         known = member.known.get(other)
-        word, before = known.news.word if known is not None else member.me.word, self.seen[name].get(other)
-        assert before is None or word >= before, f"seed {self.seed}: {name} on {other}: {before}, {word}"
-        self.seen[name][other] = word
-        if other in self.members and word.life == self.members[other].me.word.life:
-            own = self.members[other].me.word
-            assert word.incarnation <= own.incarnation, f"seed {self.seed}: {name} made up {other}'s"
+        status = known.update.status if known is not None else member.me.status
+        previous = self.seen[name].get(other)
+        assert previous is None or status >= previous, (
+            f"seed {self.seed}: {name} on {other}: {previous}, {status}")
+        self.seen[name][other] = status
+        if other in self.members and status.life == self.members[other].me.status.life:
+            own = self.members[other].me.status
+            assert status.incarnation <= own.incarnation, f"seed {self.seed}: {name} made up {other}'s"
 
     def deaths(self) -> list[tuple[str, str]]:
         """Who declared whom dead, or heard it, over the whole history."""
-        return [(name, change.news.name) for _, name, change in self.history
-                if isinstance(change, Changed) and change.news.word.state is State.DEAD]
+        return [(name, change.update.name) for _, name, change in self.history
+                if isinstance(change, StatusChanged) and change.update.status.state is MemberState.DEAD]
 
     def agree(self, alive: set[str] | None = None) -> bool:
         names = alive or set(self.members)
         if any(len(member.living) != len(names) - 1 for member in self.members.values()):  # quick
             return False
-        return all({n for n, word in member.view().items() if word.state is State.ALIVE} == names
-                   for member in self.members.values())
+        return all({other for other, status in member.statuses().items()
+                    if status.state is MemberState.ALIVE} == names for member in self.members.values())
 
     def within(self, seconds: float, wanted: Callable[[], bool]) -> bool:
         """Whether it comes true, at the latest after ten times the stated bound."""
--- a/beechrock/members/__init__.py
+++ b/beechrock/members/__init__.py
@@ -1,5 +1,5 @@
-"""Who of the fleet lives: advice for routing and for people, never a right.
+"""Membership and failure detection: advice for routing and for people, never a right.
 
-``state`` decides, purely; ``codec`` turns its messages into bytes. Imports nothing of the node's; off on the
-platform.
+``detector`` decides, purely; ``codec`` turns its messages into bytes; ``actor`` has the sockets. Imports
+nothing of the node's other parts; off on the platform.
 """
--- a/beechrock/members/actor.py
+++ b/beechrock/members/actor.py
@@ -1,240 +1,327 @@
-"""The thin actor round the membership: a datagram endpoint, ticks, and the view for the program."""
+"""The thin actor round the failure detector: datagrams, ticks, exchanges of full states, and the view."""
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 from beechrock import clocks, logs
 from beechrock.core.counters import Counters
-from beechrock.members.codec import MOST_BYTES, Codec, Dropped, DroppedError
-from beechrock.members.state import Members
-from beechrock.members.told import Members as Told
-from beechrock.members.words import (
-    MOST_PARTS,
+from beechrock.members.codec import MAX_DATAGRAM_BYTES, Codec, DroppedError, DropReason
+from beechrock.members.detector import FailureDetector
+from beechrock.members.messages import (
+    MAX_PARTS,
     Action,
-    Changed,
     Displaced,
-    Exchange,
+    FullState,
     HallChanged,
+    Message,
     Send,
-    Whole,
+    StartSync,
+    StatusChanged,
 )
+from beechrock.members.settings import MembersSettings
 
-TICKS = 10              # a period
-MOST_SERVED = 4         # exchanges of whole states at once, one more of its own
+TICKS_PER_PERIOD = 10
+TIMEOUT_PERIODS = 0.3   # for the answer to a direct probe; the rest of the period is for helpers
+MAX_SERVED = 4          # exchanges of full states served at once; one more may be this node's own
 PORT_TRIES = 20         # where the system chooses the port
-EXCHANGE_PERIODS = 2.0  # for a whole exchange: what stalls costs no more than that of one task
-MOST_WAITING = 512      # datagrams read and not yet taken in; beyond it they are dropped, as a network may
+SYNC_PERIODS = 2.0      # for a whole exchange: a stalled one costs no more than that of one task
+MAX_WAITING = 512       # datagrams received and not yet taken in; more are dropped, as a network may
+SIZE_BYTES = 2          # the length prefix of a part on a connection, big-endian
+
+
+class Datagram(NamedTuple):
+    """A received datagram; ``address`` is HOST:PORT of its sender."""
+
+    data: bytes
+    address: str
+
+
+class LastChange(NamedTuple):
+    """When a member's status changed last, and why."""
+
+    at_s: float
+    reason: str
+
+
+def _host_and_port(address: str) -> tuple[str, int] | None:
+    """Return the parts of HOST:PORT; None for what is no address."""
+    host, _, port = address.rpartition(":")
+    return (host.strip("[]"), int(port)) if port.isdigit() else None
 
 
 class MembersActor(asyncio.DatagramProtocol):
-    """Owns this node's membership; a slow reader of the view holds nothing up, as it gets a copy."""
+    """Owns this node's membership; a slow reader of the view delays nothing, as it gets a copy."""
 
     def __init__(
-        self, told: Told, name: str, life: int, counters: Counters, seed: int,
+        self, settings: MembersSettings, name: str, life: int, counters: Counters, seed: int,
         clock: Callable[[], float] = clocks.mono,
     ) -> None:
-        self.told, self.counters, self.clock = told, counters, clock
-        self.codec = Codec(told.key, told.fleet, name, life)
-        self.life, self.name, self.seed = life, name, seed
-        self.members: Members | None = None
-        self.since: dict[str, tuple[float, str]] = {}
-        self.heard_at: dict[str, float] = {}    # each one itself: a row of who hears whom
-        self.waiting: asyncio.Queue[tuple[bytes, str]] = asyncio.Queue(MOST_WAITING)
+        self.settings = settings
+        self.name = name
+        self.life = life
+        self.counters = counters
+        self.seed = seed
+        self.clock = clock
+        self.codec = Codec(settings.key, settings.fleet, name, life)
+        self.detector: FailureDetector | None = None    # from ``listen`` on, which knows the address
+        self.last_changes: dict[str, LastChange] = {}
+        self.received_at_s: dict[str, float] = {}   # by member: the last datagram that it sent itself
+        self.waiting: asyncio.Queue[Datagram] = asyncio.Queue(MAX_WAITING)
         self.transport: asyncio.DatagramTransport | None = None
         self.server: asyncio.Server | None = None
-        self.served, self.exchanging = 0, False
+        self.serving = 0            # exchanges that others began
+        self.syncing = False        # an exchange that this node began
+
+    # --- life of the actor
 
     async def listen(self) -> None:
-        """OSError where the address cannot be had."""
-        tries = PORT_TRIES if not self.told.listen[1] else 1
+        """Listen for datagrams and connections; OSError where the address cannot be had."""
+        tries = PORT_TRIES if not self.settings.listen[1] else 1
         while self.server is None:
             tries -= 1
-            address = await self._listen(last=not tries)
-        self.members = Members(
-            self.name, self.told.advertise or address, self.life, self.clock(), self.seed, self.told.seeds,
-            self.told.period_s, 0.3 * self.told.period_s, self.told.hall)
-        logs.event("members", member=self.name, address=address, life=self.life, fleet=self.told.fleet)
-
-    async def _listen(self, last: bool) -> str:
-        """Datagrams and connections at one port. Seen: a free port of the one kind is in use by the other."""
+            address = await self._listen_once(last_try=not tries)
+        self.detector = FailureDetector(
+            self.name, self.settings.advertise or address, self.life, self.clock(), self.seed,
+            self.settings.seeds, self.settings.period_s, TIMEOUT_PERIODS * self.settings.period_s,
+            self.settings.hall)
+        logs.event("members", member=self.name, address=address, life=self.life, fleet=self.settings.fleet)
+
+    async def _listen_once(self, last_try: bool) -> str:
+        """Listen for both at one port. Seen: a port free for datagrams may be in use for connections."""
         loop = asyncio.get_running_loop()
-        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self.told.listen)
+        self.transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=self.settings.listen)
         host, port = self.transport.get_extra_info("sockname")[:2]
         try:
             self.server = await asyncio.start_server(
-                self._serve, host, port, limit=MOST_BYTES, backlog=MOST_SERVED)
+                self._serve, host, port, limit=MAX_DATAGRAM_BYTES, backlog=MAX_SERVED)
         except OSError:
             self.transport.close()
-            if last:
+            if last_try:
                 raise
         return f"{host}:{port}"
 
     async def run(self) -> None:
-        assert self.members is not None
-        self._do(self.members.join())
-        next_at = self.clock()
+        """Join, then take in datagrams and tick until cancelled."""
+        assert self.detector is not None
+        self._execute(self.detector.join())
+        next_tick_s = self.clock()
         while True:
             # What waits is taken in before a tick judges silence: after a pause the answers are there.
             while not self.waiting.empty():
-                self._take(*self.waiting.get_nowait())
-            now = self.clock()
-            if now >= next_at:
-                next_at = now + self.told.period_s / TICKS
-                self._do(self.members.tick(now))
+                self._receive(self.waiting.get_nowait())
+            now_s = self.clock()
+            if now_s >= next_tick_s:
+                next_tick_s = now_s + self.settings.period_s / TICKS_PER_PERIOD
+                self._execute(self.detector.tick(now_s))
             try:
-                data, address = await asyncio.wait_for(self.waiting.get(), max(0.0, next_at - self.clock()))
+                datagram = await asyncio.wait_for(self.waiting.get(), max(0.0, next_tick_s - self.clock()))
             except TimeoutError:
                 continue
-            self._take(data, address)
+            self._receive(datagram)
 
     def leave(self) -> None:
-        if self.members is not None:
-            self._do(self.members.leave(self.clock()))
+        """Tell some of the others that this node leaves."""
+        if self.detector is not None:
+            self._execute(self.detector.leave(self.clock()))
+
+    # --- the view for operators
 
     def view(self) -> dict[str, Any]:
-        """For operators: each member's state, life, incarnation, since when (seconds ago) and who said so."""
-        if self.members is None:
+        """Return what ``/members`` shows: this node's own health, halls, counters and a row a member."""
+        if self.detector is None:
             return {"members": []}
-        mine, now = self.members, self.clock()
+        detector = self.detector
+        return {
+            "name": self.name,
+            "fleet": self.settings.fleet,
+            "generation": detector.generation,
+            "local_health": detector.local_health,
+            "displaced": detector.displaced,
+            "isolated": detector.isolated,
+            "out": detector.accusation is not None,
+            "answered_itself": [sum(detector.direct_answers), len(detector.direct_answers)],
+            "halls": [{"hall": name, "state": hall.state.value, "alive": hall.alive,
+                       "suspect": hall.suspect, "dead": hall.dead}
+                      for name, hall in sorted(detector.halls.halls.items())],
+            "counters": {line.split()[0]: float(line.split()[1]) for line in self.counters.lines()
+                         if line.startswith("members.")},
+            "members": self._member_rows(detector)}
+
+    def _member_rows(self, detector: FailureDetector) -> list[dict[str, Any]]:
+        """Return each member's status, since when (seconds ago) and who said so, by name."""
+        now_s = self.clock()
         rows: list[dict[str, Any]] = []
-        for name, word in sorted(mine.view().items()):
-            at, reason = self.since.get(name, (now, "itself" if name == self.name else ""))
-            rows.append({"name": name, "state": word.state.name.lower(), "life": word.life,
-                         "incarnation": word.incarnation, "since_s": round(now - at, 1), "reason": reason,
-                         "hall": mine.known[name].news.hall if name != self.name else mine.me.hall,
-                         "heard_s": round(now - self.heard_at[name], 1) if name in self.heard_at else None})
-        return {"name": self.name, "fleet": self.told.fleet, "generation": mine.generation,
-                "local_health": mine.health, "displaced": mine.displaced, "isolated": mine.isolated,
-                "out": mine.accused is not None, "answered_itself": [sum(mine.direct), len(mine.direct)],
-                "halls": [{"hall": name, "state": hall.state.value, "alive": hall.alive,
-                           "suspect": hall.suspect, "dead": hall.dead}
-                          for name, hall in sorted(mine.halls.halls.items())],
-                "counters": {line.split()[0]: float(line.split()[1]) for line in self.counters.lines()
-                             if line.startswith("members.")},
-                "members": rows}
-
-    # --- whole states, over a connection
+        for name, status in sorted(detector.statuses().items()):
+            own = name == self.name
+            change = self.last_changes.get(name, LastChange(now_s, "itself" if own else ""))
+            received_at_s = self.received_at_s.get(name)
+            rows.append({
+                "name": name,
+                "state": status.state.name.lower(),
+                "life": status.life,
+                "incarnation": status.incarnation,
+                "since_s": round(now_s - change.at_s, 1),
+                "reason": change.reason,
+                "hall": detector.me.hall if own else detector.known[name].update.hall,
+                "heard_s": round(now_s - received_at_s, 1) if received_at_s is not None else None})
+        return rows
+
+    # --- exchanges of full states, over a connection
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self.served >= MOST_SERVED or self.members is None:
+        if self.serving >= MAX_SERVED or self.detector is None:
             self.counters.add("members.exchanges_beyond_limit")
             writer.transport.abort()
             return
-        self.served += 1
+        self.serving += 1
         try:
-            await self._swap(reader, writer, first=False)
+            await self._sync_over(reader, writer, caller=False)
         finally:
-            self.served -= 1
+            self.serving -= 1
 
-    async def _exchange(self, host: str, port: int) -> None:
+    async def _sync_with(self, host: str, port: int) -> None:
         try:
-            async with asyncio.timeout(EXCHANGE_PERIODS * self.told.period_s):
-                reader, writer = await asyncio.open_connection(host, port, limit=MOST_BYTES)
-            await self._swap(reader, writer, first=True)
+            async with asyncio.timeout(SYNC_PERIODS * self.settings.period_s):
+                reader, writer = await asyncio.open_connection(host, port, limit=MAX_DATAGRAM_BYTES)
+            await self._sync_over(reader, writer, caller=True)
         except (OSError, TimeoutError):
             self.counters.add("members.exchanges_failed")
         finally:
-            self.exchanging = False
+            self.syncing = False
 
-    async def _swap(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, first: bool) -> None:
-        """Both sides send all that they know, who called first; what stalls or is no message ends it."""
-        assert self.members is not None
+    async def _sync_over(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, caller: bool,
+    ) -> None:
+        """Run one side of an exchange; a stalled one, and one with an invalid part, is ended and counted."""
         try:
-            async with asyncio.timeout(EXCHANGE_PERIODS * self.told.period_s):
-                if first:
-                    opening = self.members.opening()
-                    await self._tell(writer, [opening])
-                    await self._tell(writer, self.members.rest(opening, await self._hear(reader)))
-                else:
-                    parts, more = self.members.answer(await self._hear(reader))
-                    await self._tell(writer, parts)
-                    if more:
-                        await self._hear(reader)
+            async with asyncio.timeout(SYNC_PERIODS * self.settings.period_s):
+                await (self._call(reader, writer) if caller else self._answer(reader, writer))
             self.counters.add("members.exchanges")
         except DroppedError as error:
-            self.counters.add(f"members.dropped_{error.why.value}")
+            self.counters.add(f"members.dropped_{error.reason.value}")
         except (OSError, EOFError, TimeoutError):
             self.counters.add("members.exchanges_failed")
         finally:
-            writer.transport.abort() if first else writer.close()
-
-    async def _hear(self, reader: asyncio.StreamReader) -> Whole:
-        """Takes in all parts up to the last; gives the first. DroppedError: what is no such part."""
-        assert self.members is not None
-        first: Whole | None = None
-        for _ in range(MOST_PARTS):
-            size = int.from_bytes(await reader.readexactly(2), "big")
-            sender, message = self.codec.decode(await reader.readexactly(min(size, MOST_BYTES)))
-            if not isinstance(message, Whole):
-                raise DroppedError(Dropped.FORM)
-            self._do(self.members.hear(sender, "", message, self.clock()))
+            writer.transport.abort() if caller else writer.close()
+
+    async def _call(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        assert self.detector is not None
+        opening = self.detector.opening()
+        await self._send_parts(writer, [opening])
+        answer = await self._receive_parts(reader)
+        await self._send_parts(writer, self.detector.remainder(opening, answer))
+
+    async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        assert self.detector is not None
+        parts, remainder_follows = self.detector.answer(await self._receive_parts(reader))
+        await self._send_parts(writer, parts)
+        if remainder_follows:
+            await self._receive_parts(reader)
+
+    async def _receive_parts(self, reader: asyncio.StreamReader) -> FullState:
+        """Take in all parts up to the last; return the first. Raises DroppedError for an invalid part."""
+        assert self.detector is not None
+        first: FullState | None = None
+        for _ in range(MAX_PARTS):
+            size = int.from_bytes(await reader.readexactly(SIZE_BYTES), "big")
+            sender, message = self.codec.decode(await reader.readexactly(min(size, MAX_DATAGRAM_BYTES)))
+            if not isinstance(message, FullState):
+                raise DroppedError(DropReason.FORM)
+            self._execute(self.detector.receive(sender, "", message, self.clock()))
             first = first or message
-            if not message.left:
+            if not message.parts_left:
                 break
         assert first is not None
         return first
 
-    async def _tell(self, writer: asyncio.StreamWriter, parts: list[Whole]) -> None:
+    async def _send_parts(self, writer: asyncio.StreamWriter, parts: list[FullState]) -> None:
         for part in parts:
             data = self.codec.encode(part)
-            writer.write(len(data).to_bytes(2, "big") + data)
+            writer.write(len(data).to_bytes(SIZE_BYTES, "big") + data)
             await writer.drain()
 
-    # --- the wire
+    # --- datagrams
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        """Queue a datagram; called by the loop."""
         try:
-            self.waiting.put_nowait((data, f"{addr[0]}:{addr[1]}"))
+            self.waiting.put_nowait(Datagram(data, f"{addr[0]}:{addr[1]}"))
         except asyncio.QueueFull:
             self.counters.add("members.dropped_full")
 
     def error_received(self, exc: Exception) -> None:
+        """Count an address that refuses datagrams; called by the loop."""
         self.counters.add("members.unreachable")
 
-    def _take(self, data: bytes, address: str) -> None:
-        assert self.members is not None
+    def _receive(self, datagram: Datagram) -> None:
+        assert self.detector is not None
         try:
-            sender, message = self.codec.decode(data)
+            sender, message = self.codec.decode(datagram.data)
         except DroppedError as error:
-            self.counters.add(f"members.dropped_{error.why.value}")
+            self.counters.add(f"members.dropped_{error.reason.value}")
             return
         self.counters.add("members.heard")
-        self.heard_at[sender] = self.clock()
-        self._do(self.members.hear(sender, address, message, self.clock()))
+        self.received_at_s[sender] = self.clock()
+        self._execute(self.detector.receive(sender, datagram.address, message, self.clock()))
+
+    # --- actions of the detector
 
-    def _do(self, actions: list[Action]) -> None:
+    def _execute(self, actions: list[Action]) -> None:
         for action in actions:
             match action:
                 case Send(address, message):
-                    host, _, port = address.rpartition(":")
-                    # One that is none can only come from who has the key; it must not end the actor.
-                    if self.transport is None or not port.isdigit():
-                        self.counters.add("members.no_address")
-                        continue
-                    self.counters.add("members.sent")
-                    self.transport.sendto(self.codec.encode(message), (host.strip("[]"), int(port)))
-                case Exchange(address):
-                    host, _, port = address.rpartition(":")
-                    if not self.exchanging and port.isdigit():
-                        self.exchanging = True
-                        self.counters.spawn(self._exchange(host.strip("[]"), int(port)), "members.exchange")
-                case Changed(news, before, reason):
-                    self.since[news.name] = self.clock(), reason
-                    self.counters.add(f"members.{news.word.state.name.lower()}")
-                    logs.event("member", member=news.name, state=news.word.state.name.lower(),
-                               life=news.word.life, incarnation=news.word.incarnation, reason=reason,
-                               before=before.name.lower() if before is not None else "unknown")
-                case HallChanged(hall, lost, alive, dead):
-                    state = "lost" if lost else "back"
-                    self.counters.add(f"members.halls_{state}")
-                    logs.event("hall", "warning" if lost else "info", hall=hall, state=state, alive=alive,
-                               dead=dead)
+                    self._send(address, message)
+                case StartSync(address):
+                    self._start_sync(address)
+                case StatusChanged():
+                    self._report_status(action)
+                case HallChanged():
+                    self._report_hall(action)
                 case Displaced(life, address):
                     self.counters.add("members.displaced")
                     logs.event("member displaced", "error", member=self.name, by_life=life, at=address,
                                reason="a newer process has this name; this one is silent as a member")
-        if self.members is not None and len(self.since) > 2 * len(self.members.known) + 64:
-            self.since = {name: told for name, told in self.since.items() if name in self.members.known}
-        if self.members is not None and len(self.heard_at) > 2 * len(self.members.known) + 64:
-            self.heard_at = {name: at for name, at in self.heard_at.items() if name in self.members.known}
+        self._forget_removed()
+
+    def _send(self, address: str, message: Message) -> None:
+        target = _host_and_port(address)
+        # What is no address can only come from a holder of the key; it must not end the actor.
+        if self.transport is None or target is None:
+            self.counters.add("members.no_address")
+            return
+        self.counters.add("members.sent")
+        self.transport.sendto(self.codec.encode(message), target)
+
+    def _start_sync(self, address: str) -> None:
+        target = _host_and_port(address)
+        if not self.syncing and target is not None:
+            self.syncing = True
+            self.counters.spawn(self._sync_with(*target), "members.exchange")
+
+    def _report_status(self, change: StatusChanged) -> None:
+        name, status = change.update.name, change.update.status
+        state = status.state.name.lower()
+        previous = change.previous.name.lower() if change.previous is not None else "unknown"
+        self.last_changes[name] = LastChange(self.clock(), change.reason)
+        self.counters.add(f"members.{state}")
+        logs.event("member", member=name, state=state, life=status.life, incarnation=status.incarnation,
+                   reason=change.reason, before=previous)
+
+    def _report_hall(self, change: HallChanged) -> None:
+        state = "lost" if change.lost else "back"
+        self.counters.add(f"members.halls_{state}")
+        logs.event("hall", "warning" if change.lost else "info", hall=change.hall, state=state,
+                   alive=change.alive, dead=change.dead)
+
+    def _forget_removed(self) -> None:
+        """Bound what is kept beside the detector: members that it forgot are removed here in turn."""
+        if self.detector is None:
+            return
+        known = self.detector.known
+        limit = 2 * len(known) + 64
+        if len(self.last_changes) > limit:
+            self.last_changes = {name: at for name, at in self.last_changes.items() if name in known}
+        if len(self.received_at_s) > limit:
+            self.received_at_s = {name: at for name, at in self.received_at_s.items() if name in known}
--- a/beechrock/members/errors.py
+++ b/beechrock/members/errors.py
@@ -1,4 +1,4 @@
-"""What an operator hears of a membership that cannot begin."""
+"""Errors of the membership that reach an operator."""
 
 from typing import ClassVar
 
@@ -6,6 +6,6 @@
 
 
 class ShortKeyError(OperatorError, ValueError):
-    """A key file that holds too little to make a key of."""
+    """The key file holds too few bytes to derive a key from."""
 
     event: ClassVar[str] = "members.short_key"
--- a/beechrock/members/halls.py
+++ b/beechrock/members/halls.py
@@ -1,26 +1,29 @@
-"""Which halls are here and which are lost, by the members in them; pure.
+"""Which halls are present and which are lost, judged by the members in them; pure.
 
-States of a hall: WHOLE (all of it live), PART (some do), DOUBTED (none does for sure, some are only
-suspected), LOST (all are dead). Events: a member of it is in another state now, or is forgotten. Who left
-does not count.
+States of a hall: WHOLE (all members alive), PART (some are), DOUBTED (none for sure, some are suspected
+only), LOST (all are dead). Events: the state of a member of it changed, or the member was forgotten. Members
+that left do not count.
 
 Invariants:
-- a hall in which one member is alive is not LOST, and a LOST one stays so until one is alive again, though
-  its dead be forgotten meanwhile;
-- the counts of a hall are those of the members known in it; halls remembered are at most ``MOST_HALLS``.
+- a hall in which one member is alive is not LOST, and a LOST one stays so until one is alive again, even if
+  its dead are forgotten meanwhile;
+- the counts of a hall are those of the members known in it; at most ``MAX_HALLS`` halls are remembered.
 """
 
 import random
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
-from beechrock.members.pool import Pool
-from beechrock.members.words import HallChanged, State
+from beechrock.members.messages import HallChanged, MemberState
+from beechrock.members.name_pool import NamePool
 
-MOST_HALLS = 64         # beyond them a hall is not told apart: its members count as of none
+MAX_HALLS = 64          # members of any further hall count as of no hall
 
 
 class HallState(Enum):
+    """State of a hall; the values are shown to operators."""
+
     WHOLE = "whole"
     PART = "part"
     DOUBTED = "doubted"
@@ -28,15 +31,18 @@
 
 
 @dataclass(slots=True)
-class Hall:
+class HallStatus:
+    """The counts of one hall's members by state."""
+
     alive: int = 0
     suspect: int = 0
     dead: int = 0
     lost: bool = False
-    living: Pool = field(default_factory=Pool)      # alive and suspect, to draw helpers from
+    living: NamePool = field(default_factory=NamePool)      # alive and suspect, to draw helpers from
 
     @property
     def state(self) -> HallState:
+        """The hall's state, by its counts and by whether it was lost."""
         if self.lost:
             return HallState.LOST
         if not self.alive:
@@ -44,62 +50,75 @@
         return HallState.PART if self.suspect or self.dead else HallState.WHOLE
 
 
-class Halls:
-    """The halls of the others; one's own member counts as alive in its hall."""
-
-    def __init__(self, hall: str) -> None:
-        self.own, self.halls = hall, dict[str, Hall]()
-        if hall:
-            self.halls[hall] = Hall(alive=1)
-        self.of: dict[str, tuple[str, State]] = {}      # counted so
-
-    def now(self, name: str, hall: str, state: State | None) -> HallChanged | None:
-        """This member is in this hall and state; None: forgotten. Gives what that means for the hall."""
-        was = self.of.pop(name, None)
-        if was is not None:
-            self._count(name, *was, -1)
-        if state is not None and hall and (hall in self.halls or len(self.halls) < MOST_HALLS):
-            self.of[name] = hall, state
-            self._count(name, hall, state, 1)
-        changed = self._judged(hall) if hall in self.halls else None
-        if was is not None and was[0] != hall:
-            self._judged(was[0])
+class CountedAs(NamedTuple):
+    """Where a member is counted now."""
+
+    hall: str
+    state: MemberState
+
+
+class HallTable:
+    """All halls, by the members known in them; this node's own member counts as alive in its hall."""
+
+    def __init__(self, own_hall: str) -> None:
+        self.own_hall = own_hall
+        self.halls: dict[str, HallStatus] = {}
+        if own_hall:
+            self.halls[own_hall] = HallStatus(alive=1)
+        self.counted: dict[str, CountedAs] = {}     # by member
+
+    def update(self, name: str, hall: str, state: MemberState | None) -> HallChanged | None:
+        """Count the member in this hall and state (None: forgotten); return what changed for the hall."""
+        previous = self.counted.pop(name, None)
+        if previous is not None:
+            self._count(name, previous, -1)
+        if state is not None and hall and (hall in self.halls or len(self.halls) < MAX_HALLS):
+            self.counted[name] = CountedAs(hall, state)
+            self._count(name, self.counted[name], 1)
+        changed = self._judge(hall) if hall in self.halls else None
+        if previous is not None and previous.hall != hall:
+            self._judge(previous.hall)
         return changed
 
-    def _count(self, name: str, hall: str, state: State, by: int) -> None:
-        one = self.halls.setdefault(hall, Hall())
-        match state:
-            case State.ALIVE:
-                one.alive += by
-            case State.SUSPECT:
-                one.suspect += by
-            case State.DEAD:
-                one.dead += by
-        one.living.put(name, by > 0 and state < State.DEAD)
-
-    def _judged(self, hall: str) -> HallChanged | None:
-        one = self.halls[hall]
-        if one.lost and one.alive:
-            one.lost = False
-            return HallChanged(hall, False, one.alive, one.dead)
-        if not one.lost and one.dead and not one.alive and not one.suspect:
-            one.lost = True
-            return HallChanged(hall, True, 0, one.dead)
-        if not one.lost and not one.alive and not one.suspect and not one.dead:
-            del self.halls[hall]        # all left, or are forgotten one by one
+    def _count(self, name: str, counted: CountedAs, change: int) -> None:
+        status = self.halls.setdefault(counted.hall, HallStatus())
+        match counted.state:
+            case MemberState.ALIVE:
+                status.alive += change
+            case MemberState.SUSPECT:
+                status.suspect += change
+            case MemberState.DEAD:
+                status.dead += change
+        status.living.set_member(name, change > 0 and counted.state < MemberState.DEAD)
+
+    def _judge(self, hall: str) -> HallChanged | None:
+        """Set whether the hall is lost, and forget it once nobody is counted in it."""
+        status = self.halls[hall]
+        if status.lost and status.alive:
+            status.lost = False
+            return HallChanged(hall, False, status.alive, status.dead)
+        if not status.lost and status.dead and not status.alive and not status.suspect:
+            status.lost = True
+            return HallChanged(hall, True, 0, status.dead)
+        if not status.lost and not status.alive and not status.suspect and not status.dead:
+            del self.halls[hall]        # all left, or were forgotten one by one
         return None
 
-    def helpers(self, drawn: random.Random, living: Pool, asked: str, most: int) -> list[str]:
-        """Who is to ask ``asked``: one of a third hall, one of its own hall, the others whoever they be.
+    def choose_helpers(
+        self, generator: random.Random, living: NamePool, target: str, limit: int,
+    ) -> list[str]:
+        """Return who is to probe ``target``: one of a third hall, one of its own hall, the rest from all.
 
-        With the way between two of three halls cut, a question across it whose helpers all stand in these two
-        has no answer; of three halls of three that is one in nine, where helpers are drawn from all.
+        With the link between two of three halls cut, a probe across it whose helpers all stand in these two
+        gets no answer; where helpers are drawn from all, that is one probe in nine.
         """
-        target = self.of[asked][0] if asked in self.of else ""
-        third = [one for name, one in self.halls.items() if name not in (self.own, target) and one.living]
-        found: list[str] = []
-        if self.own and target:
-            for hall in (drawn.choice(third) if third else None, self.halls[target]):
+        target_hall = self.counted[target].hall if target in self.counted else ""
+        third_halls = [status for name, status in self.halls.items()
+                       if name not in (self.own_hall, target_hall) and status.living]
+        helpers: list[str] = []
+        if self.own_hall and target_hall:
+            third = generator.choice(third_halls) if third_halls else None
+            for hall in (third, self.halls[target_hall]):
                 if hall is not None:
-                    found += hall.living.some(drawn, 1, (asked, *found))
-        return found + living.some(drawn, most - len(found), (asked, *found))
+                    helpers += hall.living.sample(generator, 1, (target, *helpers))
+        return helpers + living.sample(generator, limit - len(helpers), (target, *helpers))
--- a/beechrock/releases/part.py
+++ b/beechrock/releases/part.py
@@ -13,7 +13,7 @@
 from beechrock.config.errors import ConfigError
 from beechrock.duties.model import Duty
 from beechrock.errors import OperatorError
-from beechrock.members.words import State as Member
+from beechrock.members.messages import MemberState
 from beechrock.parts import Context
 from beechrock.releases import operators
 from beechrock.releases.agreed import VOTERS
@@ -207,9 +207,9 @@
 
     def _down(self) -> frozenset[str]:
         dead: list[str] = []
-        if self.program.members is not None and self.program.members.members is not None:
-            dead = [name for name, word in self.program.members.members.view().items()
-                    if word.state is Member.DEAD and name in self.names]
+        if self.program.members is not None and self.program.members.detector is not None:
+            dead = [name for name, status in self.program.members.detector.statuses().items()
+                    if status.state is MemberState.DEAD and name in self.names]
         return self.heard.down(self.clock(), self.names, self.machine.permits.held, dead)
 
     def _facts(self) -> Facts:
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -15,7 +15,7 @@
 
 from beechrock.lab.members_sim import Fleet
 from beechrock.members.codec import Codec
-from beechrock.members.words import Changed, State
+from beechrock.members.messages import MemberState, StatusChanged
 
 SEED = 7
 FIRST_PERIODS = 3.0     # SWIM: a dead member is first suspected after e / (e - 1) = 1.6 periods in the mean
@@ -61,8 +61,9 @@
 
         fleet.within(60.0, all_know)
         for name in gone:
-            firsts.append(min(t for t, _, c in fleet.history if isinstance(c, Changed) and t > at
-                              and c.news.name == name and c.news.word.state is State.SUSPECT) - at)
+            suspicions = [t for t, _, c in fleet.history if isinstance(c, StatusChanged) and t > at
+                          and c.update.name == name and c.update.status.state is MemberState.SUSPECT]
+            firsts.append(min(suspicions) - at)
             fleet.start(name, life=2 + n)
         if left or not fleet.within(30.0, fleet.agree):
             raise SystemExit(f"{len(fleet.members)} members: a death is not known to all, or not the return")
--- a/tests/members/members_stage.py
+++ b/tests/members/fleet_processes.py
@@ -1,4 +1,4 @@
-"""Five real processes of the program as one fleet, with links between them, for all plays of a worker."""
+"""Five real processes of the program as one fleet, with links between them, for all scenarios of a worker."""
 
 import asyncio
 import http.client
@@ -42,12 +42,13 @@
             f'key_file = "{self.folder}/key"\nseeds = {json.dumps(seeds)}\nperiod_s = 0.2\n'
             f'state = "{self.folder}/state"\n' + (f'advertise = "{advertise}"\n' if advertise else ""))
         self.log = self.folder / f"log-{time.monotonic_ns()}"
-        told = {**os.environ, "LB_SCGI": str(self.folder / "scgi.toml"), "LB_CONFIG": "", "LB_NAME": name,
-                "LB_ADMIN_ADDR": "127.0.0.1:0"}
+        environment = {**os.environ, "LB_SCGI": str(self.folder / "scgi.toml"), "LB_CONFIG": "",
+                       "LB_NAME": name, "LB_ADMIN_ADDR": "127.0.0.1:0"}
         with self.log.open("wb") as out:
-            self.popen = subprocess.Popen([sys.executable, "-m", "beechrock"], stderr=out, env=told, cwd=ROOT)
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", "beechrock"], stderr=out, env=environment, cwd=ROOT)
         self.address = self.admin = ""
-        self.since = 0      # bytes of the record that are of earlier plays
+        self.log_start = 0      # bytes of the log that belong to earlier scenarios
 
     async def up(self) -> "Process":
         await until(lambda: self.log.read_text().count('"members"') > 0 or self.popen.poll() is not None)
@@ -58,39 +59,40 @@
         return self
 
     def events(self, name: str) -> list[dict[str, Any]]:
-        lines = self.log.read_bytes()[self.since:].decode().splitlines()
+        lines = self.log.read_bytes()[self.log_start:].decode().splitlines()
         found = [json.loads(line) for line in lines if line.startswith("{") and line.endswith("}")]
         return [event for event in found if event["event"] == name]
 
-    def told(self) -> dict[str, Any]:
+    def view(self) -> dict[str, Any]:
+        """What the process shows at /members."""
         host, _, port = self.admin.partition(":")
         link = http.client.HTTPConnection(host, int(port), timeout=30.0)
         link.request("GET", "/members")
-        told: dict[str, Any] = json.loads(link.getresponse().read())
+        view: dict[str, Any] = json.loads(link.getresponse().read())
         link.close()
-        return told
+        return view
 
     def states(self) -> dict[str, str]:
-        return {row["name"]: row["state"] for row in self.told()["members"]}
+        return {row["name"]: row["state"] for row in self.view()["members"]}
 
     def halls(self) -> dict[str, str]:
-        return {row["hall"]: row["state"] for row in self.told()["halls"]}
+        return {row["hall"]: row["state"] for row in self.view()["halls"]}
 
     def heard(self, name: str) -> float:
-        """Seconds since this process heard that one itself; 0 for itself."""
-        return next(float(row["heard_s"] or 0.0) for row in self.told()["members"] if row["name"] == name)
+        """Seconds since this process received a datagram of that one; 0 for itself."""
+        return next(float(row["heard_s"] or 0.0) for row in self.view()["members"] if row["name"] == name)
 
     def counted(self, *names: str) -> dict[str, float]:
-        told = self.told()["counters"]
-        return {name: told.get(f"members.{name}", 0.0) for name in names}
+        counters = self.view()["counters"]
+        return {name: counters.get(f"members.{name}", 0.0) for name in names}
 
     def dead(self) -> list[str]:
-        """Whom this process declared, or heard, dead in this play."""
+        """Whom this process declared dead, or heard of as dead, in this scenario."""
         return [event["member"] for event in self.events("member") if event["state"] == "dead"]
 
-    def end(self, how: signal.Signals = signal.SIGKILL) -> None:
-        self.popen.send_signal(how)
-        if how in (signal.SIGKILL, signal.SIGTERM):
+    def send_signal(self, number: signal.Signals = signal.SIGKILL) -> None:
+        self.popen.send_signal(number)
+        if number in (signal.SIGKILL, signal.SIGTERM):
             self.popen.wait(30.0)
 
 
@@ -98,9 +100,9 @@
     return f"h{int(name[1:]) % 3}"
 
 
-async def until(wanted: Callable[[], bool], seconds: float = 60.0) -> None:
+async def until(condition: Callable[[], bool], seconds: float = 60.0) -> None:
     end = time.monotonic() + seconds
-    while not wanted():
+    while not condition():
         assert time.monotonic() < end, "never came"
         await asyncio.sleep(0.1)
 
@@ -111,12 +113,12 @@
 
 
 class Fleet:
-    """Five processes and the links between them: datagrams, and one way for connections to each."""
+    """Five processes and the links between them: datagrams, and a proxy for the connections to each."""
 
     def __init__(self, folder: Path) -> None:
         self.folder, self.links, self.processes = folder, Links(1), list[Process]()
-        self.ways: dict[str, Way] = {}
-        self.extra: list[Process] = []      # of one play
+        self.proxies: dict[str, ConnectionProxy] = {}
+        self.extra: list[Process] = []      # of one scenario
 
     async def start(self, name: str, seed: str, link: str = "") -> Process:
         """``link``: its end of the links, if not that of its name."""
@@ -127,7 +129,7 @@
         process = Process(at, name, [await self.links.advertised(seed)] if seed else [], advertised)
         await process.up()
         self.links.attach(link, process.address)
-        self.ways[link].real = process.address
+        self.proxies[link].target = process.address
         return process
 
     async def open(self, link: str) -> str:
@@ -136,38 +138,38 @@
         for _ in range(PORT_TRIES):
             advertised = await self.links.advertised(link)
             try:
-                if link not in self.ways:
-                    self.ways[link] = await Way(self.links, link).open(advertised)
+                if link not in self.proxies:
+                    self.proxies[link] = await ConnectionProxy(self.links, link).open(advertised)
                 return advertised
             except OSError:
                 self.links.ends.pop(link).close()
         raise AssertionError(f"no port for {link}")
 
-    async def begin(self) -> None:
-        for n in range(5):      # before any of them is told as a seed
+    async def start_all(self) -> None:
+        for n in range(5):      # before any of them is given as a seed
             await self.open(f"n{n}")
         self.processes = list(await asyncio.gather(
             *(self.start(f"n{n}", "n0" if n else "") for n in range(5))))
 
-    async def play(self, work: Callable[[list[Process], Links], Awaitable[None]]) -> None:
+    async def run(self, scenario: Callable[[list[Process], Links], Awaitable[None]]) -> None:
         self.links.every = Faults()
         self.links.heal()
-        for way in self.ways.values():
-            way.fault = "pass"
+        for proxy in self.proxies.values():
+            proxy.fault = "pass"
         for n, process in enumerate(self.processes):
             process.popen.send_signal(signal.SIGCONT)
             if process.popen.poll() is not None:
                 self.processes[n] = await self.start(process.name, f"n{(n + 1) % 5}")
         await until(lambda: all_alive(self.processes))
         for process in self.processes:
-            process.since = process.log.stat().st_size
+            process.log_start = process.log.stat().st_size
         try:
-            await work(self.processes, self.links)
+            await scenario(self.processes, self.links)
             for process in self.processes:
                 assert "Traceback" not in process.log.read_text()
         finally:
-            for process in self.extra:      # they leave, so that none is found dead in a later play
-                process.end(signal.SIGTERM)
+            for process in self.extra:      # they leave, so that none is found dead in a later scenario
+                process.send_signal(signal.SIGTERM)
             self.extra.clear()
 
     def close(self) -> None:
@@ -176,26 +178,26 @@
             process.popen.kill()
             process.popen.wait(30.0)
         self.links.close()
-        for way in self.ways.values():
-            way.server.close()
+        for proxy in self.proxies.values():
+            proxy.server.close()
 
 
-class Way:
-    """Connections to one member; ``fault``: pass, stall (takes and is silent), garble, cut."""
+class ConnectionProxy:
+    """Connections to one member; ``fault``: pass, stall (receives and is silent), garble, cut."""
 
     def __init__(self, links: Links, name: str) -> None:
         self.links, self.name = links, name
-        self.real, self.fault, self.met = "", "pass", 0
+        self.target, self.fault, self.faulted = "", "pass", 0
 
-    async def open(self, advertised: str) -> "Way":
+    async def open(self, advertised: str) -> "ConnectionProxy":
         host, _, port = advertised.rpartition(":")
         self.server = await asyncio.start_server(self.serve, host, int(port))
         return self
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        host, _, port = self.real.rpartition(":")
+        host, _, port = self.target.rpartition(":")
         try:
-            # Who calls says its name in its first part; a cut of either direction lets no connection through.
+            # The caller names itself in its first part; a cut of either direction lets no connection through.
             head = await reader.readexactly(2)
             part = await reader.readexactly(int.from_bytes(head, "big"))
             caller = str(msgpack.unpackb(part[:-16])[2])
@@ -203,17 +205,17 @@
                    for pair in ((caller, self.name), (self.name, caller))):
                 raise ConnectionResetError
             onward = await asyncio.open_connection(host, int(port))
-            self.met += self.fault != "pass"
+            self.faulted += self.fault != "pass"
             first = asyncio.StreamReader()
             first.feed_data(head + part)
             first.feed_eof()
-            await self.carry(first, onward[1], last=self.fault == "cut")
-            await asyncio.gather(self.carry(reader, onward[1]), self.carry(onward[0], writer))
+            await self.forward(first, onward[1], last=self.fault == "cut")
+            await asyncio.gather(self.forward(reader, onward[1]), self.forward(onward[0], writer))
         except (OSError, EOFError):
             pass
         writer.transport.abort()
 
-    async def carry(
+    async def forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, last: bool = True,
     ) -> None:
         while data := await reader.read(4096):
@@ -230,11 +232,11 @@
             writer.close()
 
 
-class Stage:
-    """The fleet with its loop, which stands still between plays."""
+class ScenarioRunner:
+    """The fleet with its event loop, which stands still between scenarios."""
 
     def __init__(self, folder: Path) -> None:
-        self.runner, self.fleet = asyncio.Runner(), Fleet(folder)
+        self.loop, self.fleet = asyncio.Runner(), Fleet(folder)
 
-    def __call__(self, work: Callable[[list[Process], Links], Awaitable[None]]) -> None:
-        self.runner.run(self.fleet.play(work))
+    def __call__(self, scenario: Callable[[list[Process], Links], Awaitable[None]]) -> None:
+        self.loop.run(self.fleet.run(scenario))
--- a/tests/members/test_members_halls.py
+++ b/tests/members/test_halls.py
@@ -1,16 +1,16 @@
-"""Halls under a driven clock: helpers in other halls, a lost hall told once, words without a hall."""
+"""Halls under a driven clock: helpers in other halls, a lost hall reported once, updates without a hall."""
 
 import pytest
 
 from beechrock.lab.members_sim import Fleet
-from beechrock.members.halls import MOST_HALLS
-from beechrock.members.news import FORGET_PERIODS
-from beechrock.members.state import Members
-from beechrock.members.words import Changed, HallChanged, News, Ping, State, Word
+from beechrock.members.detector import FailureDetector
+from beechrock.members.halls import MAX_HALLS
+from beechrock.members.messages import HallChanged, MemberState, Ping, Status, StatusChanged, Update
+from beechrock.members.view import FORGET_PERIODS
 
 
-def test_the_way_between_two_of_three_halls_cut_is_bridged_by_the_third_and_nobody_is_suspected() -> None:
-    """Of the three who are asked to ask, one stands in a third hall; drawn from all, none does at times."""
+def test_cut_between_two_of_three_halls_is_bridged_by_the_third_without_suspicions() -> None:
+    """Of the three helpers one stands in a third hall; drawn from all, none does at times."""
     for seed in range(3):
         fleet = Fleet(9, seed, halls=3)
         assert fleet.within(10.0, fleet.agree)
@@ -18,10 +18,11 @@
         fleet.cut = lambda a, b, fleet=fleet: float(       # type: ignore[misc]
             {fleet.hall(a), fleet.hall(b)} == {"h0", "h1"})
         fleet.run(120.0)
-        assert {c.news.word.state for _, _, c in fleet.history if isinstance(c, Changed)} == {State.ALIVE}
+        states = {c.update.status.state for _, _, c in fleet.history if isinstance(c, StatusChanged)}
+        assert states == {MemberState.ALIVE}
 
 
-def test_a_lost_hall_is_told_once_by_each_and_back_once() -> None:
+def test_lost_hall_is_reported_once_by_each_member_and_its_return_once() -> None:
     fleet = Fleet(9, 3, loss=0.05, halls=3)
     assert fleet.within(10.0, fleet.agree)
     for name in ("n1", "n4", "n7"):
@@ -29,7 +30,7 @@
     rest = set(fleet.members)
     assert fleet.within(30.0, lambda: all(m.halls.halls["h1"].lost for m in fleet.members.values()))
     fleet.run(FORGET_PERIODS + 60.0)      # forgotten as members; lost as a hall
-    assert all("n1" not in m.view() and m.halls.halls["h1"].lost for m in fleet.members.values())
+    assert all("n1" not in m.statuses() and m.halls.halls["h1"].lost for m in fleet.members.values())
     for n in (1, 4):
         fleet.start(f"n{n}", life=2)
     assert fleet.within(10.0, fleet.agree)
@@ -40,7 +41,7 @@
 
 
 @pytest.mark.parametrize("seed", range(100, 110))
-def test_random_histories_with_halls_keep_the_counts_and_a_hall_is_lost_only_when_all_in_it_are_dead(
+def test_random_histories_with_halls_keep_counts_right_and_lose_a_hall_only_with_all_its_members(
         seed: int) -> None:
     fleet = Fleet(8, seed, loss=0.05, most_delay_s=0.4, halls=3)
     for _ in range(15):
@@ -59,14 +60,14 @@
     assert all(not hall.lost for m in fleet.members.values() for hall in m.halls.halls.values())
 
 
-def test_a_hall_that_was_not_passed_on_is_learnt_later_and_kept() -> None:
-    """A member of an earlier version passes words on without it."""
-    member, word = Members("n1", "n1", 1, 0.0, 1, hall="h0"), Word(1, 0, State.ALIVE)
-    for one in (News("n2", "n2", word), News("n2", "n2", word, hall="h1"), News("n2", "n2", word),
-                News("n2", "n2", Word(1, 2, State.ALIVE))):
-        member.hear("n3", "n3", Ping(1, news=(one,)), 0.0)
-    assert member.known["n2"].news == News("n2", "n2", Word(1, 2, State.ALIVE), hall="h1")
+def test_hall_missing_from_an_update_is_learnt_later_and_kept() -> None:
+    """A member of an earlier version passes updates on without it."""
+    member, status = FailureDetector("n1", "n1", 1, 0.0, 1, hall="h0"), Status(1, 0, MemberState.ALIVE)
+    for update in (Update("n2", "n2", status), Update("n2", "n2", status, hall="h1"),
+                   Update("n2", "n2", status), Update("n2", "n2", Status(1, 2, MemberState.ALIVE))):
+        member.receive("n3", "n3", Ping(1, updates=(update,)), 0.0)
+    assert member.known["n2"].update == Update("n2", "n2", Status(1, 2, MemberState.ALIVE), hall="h1")
     assert member.halls.halls["h1"].alive == 1
     for n in range(100):        # as many halls as the bound allows
-        member.hear("n3", "n3", Ping(1, news=(News(f"m{n}", "m", word, hall=f"x{n}"),)), 0.0)
-    assert len(member.halls.halls) == MOST_HALLS and len(member.living) == 101
+        member.receive("n3", "n3", Ping(1, updates=(Update(f"m{n}", "m", status, hall=f"x{n}"),)), 0.0)
+    assert len(member.halls.halls) == MAX_HALLS and len(member.living) == 101
--- a/tests/members/test_members_processes.py
+++ b/tests/members/test_processes.py
@@ -1,7 +1,7 @@
 """Real processes of the program as members of one fleet: stopped, killed, cut off, joined, asked to leave.
 
-One fleet of five serves all plays (one a worker, where pytest-xdist spreads them): each begins with all alive
-to all, and is judged by what the processes recorded since. Safety is asserted over the whole of that record;
+One fleet of five serves all scenarios (one a worker, where pytest-xdist spreads them): each begins with all
+alive to all, and is judged by what the processes logged since. Safety is asserted over the whole of that log;
 times are only waited for, ten times as long as they take.
 """
 
@@ -18,66 +18,67 @@
 from beechrock.lab.links import Faults, Links
 
 sys.path.insert(0, str(Path(__file__).parent))
-from members_stage import Process, Stage, all_alive, until
+from fleet_processes import Process, ScenarioRunner, all_alive, until
 
 
 @pytest.fixture(scope="module")
-def stage(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Stage]:
-    stage = Stage(tmp_path_factory.mktemp("fleet"))
+def runner(tmp_path_factory: pytest.TempPathFactory) -> Iterator[ScenarioRunner]:
+    runner = ScenarioRunner(tmp_path_factory.mktemp("fleet"))
     try:
-        stage.runner.run(stage.fleet.begin())
-        yield stage
+        runner.loop.run(runner.fleet.start_all())
+        yield runner
     finally:
-        stage.fleet.close()
-        stage.runner.close()
+        runner.fleet.close()
+        runner.loop.close()
 
 
-def test_one_killed_is_found_by_all_and_its_next_process_is_a_new_life(stage: Stage) -> None:
-    async def work(processes: list[Process], links: Links) -> None:
-        gone = processes[3]
-        gone.end()
-        rest = [p for p in processes if p is not gone]
+def test_killed_process_is_detected_by_all_and_its_successor_is_a_new_life(runner: ScenarioRunner) -> None:
+    async def scenario(processes: list[Process], links: Links) -> None:
+        killed = processes[3]
+        killed.send_signal()
+        rest = [p for p in processes if p is not killed]
         await until(lambda: all(p.states()["n3"] == "dead" for p in rest))
         assert all(set(p.dead()) == {"n3"} for p in rest)
-        processes[3] = await stage.fleet.start("n3", "n1")      # any of them is a seed
+        processes[3] = await runner.fleet.start("n3", "n1")      # any of them is a seed
         await until(lambda: all_alive(processes))
         lives = [event["life"] for event in rest[0].events("member") if event["member"] == "n3"]
         assert lives[-1] > lives[0] and lives == sorted(lives)
 
-    stage(work)
+    runner(scenario)
 
 
 @pytest.mark.parametrize("who", [[1], [1, 2, 3, 4]])
-def test_who_was_stopped_and_goes_on_accuses_nobody_and_all_are_back(stage: Stage, who: list[int]) -> None:
-    async def work(processes: list[Process], links: Links) -> None:
+def test_stopped_process_accuses_nobody_when_it_goes_on_and_recovers(
+        runner: ScenarioRunner, who: list[int]) -> None:
+    async def scenario(processes: list[Process], links: Links) -> None:
         for n in who:
-            processes[n].end(signal.SIGSTOP)
+            processes[n].send_signal(signal.SIGSTOP)
         await asyncio.sleep(5.0)
         for n in who:
-            processes[n].end(signal.SIGCONT)
+            processes[n].send_signal(signal.SIGCONT)
         await until(lambda: all_alive(processes))
         stopped = {f"n{n}" for n in who}
         for process in (processes[n] for n in who):
             assert set(process.dead()) <= stopped, process.dead()
 
-    stage(work)
+    runner(scenario)
 
 
-def test_leaving_is_told_apart_from_death(stage: Stage) -> None:
-    async def work(processes: list[Process], links: Links) -> None:
-        processes[2].end(signal.SIGTERM)
+def test_leaving_is_distinguished_from_death(runner: ScenarioRunner) -> None:
+    async def scenario(processes: list[Process], links: Links) -> None:
+        processes[2].send_signal(signal.SIGTERM)
         rest = [p for p in processes if p is not processes[2]]
         await until(lambda: all(p.states()["n2"] == "left" for p in rest))
         assert all(p.dead() == [] for p in rest)
-        processes[2] = await stage.fleet.start("n2", "n1")
+        processes[2] = await runner.fleet.start("n2", "n1")
 
-    stage(work)
+    runner(scenario)
 
 
-def test_of_two_with_one_name_the_older_says_that_it_is_displaced(stage: Stage) -> None:
-    async def work(processes: list[Process], links: Links) -> None:
-        old, twin = processes[4], await stage.fleet.start("n4", "n0", link="n6")
-        stage.fleet.extra += [old, twin]     # a new one takes their place as the next play begins
+def test_older_of_two_processes_with_one_name_reports_that_it_is_displaced(runner: ScenarioRunner) -> None:
+    async def scenario(processes: list[Process], links: Links) -> None:
+        old, twin = processes[4], await runner.fleet.start("n4", "n0", link="n6")
+        runner.fleet.extra += [old, twin]     # a new one takes their place as the next scenario begins
         await until(lambda: old.events("member displaced") != [])
         newest = twin.events("members")[0]["life"]
 
@@ -85,40 +86,42 @@
             return max((int(e["life"]) for e in process.events("member") if e["member"] == "n4"), default=0)
 
         await until(lambda: all(known_to(p) == newest for p in processes[:4]))
-        assert old.told()["displaced"] and not twin.told()["displaced"]
+        assert old.view()["displaced"] and not twin.view()["displaced"]
 
-    stage(work)
+    runner(scenario)
 
 
 @pytest.mark.parametrize("sides", [[{"n0", "n1"}, {"n2", "n3", "n4"}], [{"n0"}, {"n1", "n2"}, {"n3", "n4"}]])
-def test_a_split_in_two_and_in_three_heals_without_a_restart(stage: Stage, sides: list[set[str]]) -> None:
-    async def work(processes: list[Process], links: Links) -> None:
+def test_partition_in_two_and_in_three_heals_without_a_restart(
+        runner: ScenarioRunner, sides: list[set[str]]) -> None:
+    async def scenario(processes: list[Process], links: Links) -> None:
         side = {name: names for names in sides for name in names}
         links.split(*sides)
         groups = [p for p in processes if len(side[p.name]) > 1]
         await until(lambda: all(
             {n for n, s in p.states().items() if s == "alive"} == side[p.name] for p in groups))
         assert all(set(p.dead()).isdisjoint(side[p.name]) for p in groups)      # nobody of one's own side
-        # Seen: who is alone cannot tell its own link from the others' end. It says so, and accuses nobody.
+        # Seen: one that is alone cannot tell its own link from the others' end. It reports that, and accuses
+        # nobody.
         for lone in (p for p in processes if p not in groups):
-            await until(lambda p=lone: bool(p.told()["isolated"]))      # type: ignore[misc]
+            await until(lambda p=lone: bool(p.view()["isolated"]))      # type: ignore[misc]
             assert lone.dead() == []
         links.heal()
         await until(lambda: all_alive(processes))
 
-    stage(work)
+    runner(scenario)
 
 
 @pytest.mark.parametrize("back", [False, True], ids=["one way", "both ways"])
-def test_a_cut_between_two_is_bridged_by_the_others(stage: Stage, back: bool) -> None:
-    async def work(processes: list[Process], links: Links) -> None:
+def test_cut_between_two_members_is_bridged_by_the_others(runner: ScenarioRunner, back: bool) -> None:
+    async def scenario(processes: list[Process], links: Links) -> None:
         links.cut({"n1"}, {"n2"})
         if back:
             links.cut({"n2"}, {"n1"})
         await asyncio.sleep(8.0)        # forty periods: each asks each of the others some ten times
         assert links.lost > 0
         assert all(p.dead() == [] for p in processes), [p.dead() for p in processes]
-        # Who hears whom shows the cut: n2 hears n1 no more itself, though it knows it to live.
+        # The matrix shows the cut: n2 receives nothing from n1 itself, though it knows it to live.
         run = CliRunner().invoke(main, ["members", *(part for p in processes for part in ("--at", p.admin))])
         rows = [line.split() for line in run.output.splitlines()]
         assert rows[0] == ["hears", "n0", "n1", "n2", "n3", "n4"]
@@ -127,11 +130,11 @@
         links.heal()
         await until(lambda: all_alive(processes) and processes[2].heard("n1") < 3.0)
 
-    stage(work)
+    runner(scenario)
 
 
-def test_datagrams_lost_doubled_cut_short_and_out_of_order_kill_nobody(stage: Stage) -> None:
-    async def work(processes: list[Process], links: Links) -> None:
+def test_lost_doubled_truncated_and_reordered_datagrams_cause_no_false_death(runner: ScenarioRunner) -> None:
+    async def scenario(processes: list[Process], links: Links) -> None:
         links.every = Faults(loss=0.05, double=0.1, short=0.05, delay_s=0.03)
         lost, before = links.lost, [p.counted("dropped_replayed", "dropped_tag") for p in processes]
         await asyncio.sleep(8.0)
@@ -142,29 +145,30 @@
         links.every = Faults()
         await until(lambda: all_alive(processes))
 
-    stage(work)
+    runner(scenario)
 
 
-def test_who_joins_during_a_split_is_known_to_all_after_it(stage: Stage) -> None:
-    async def work(processes: list[Process], links: Links) -> None:
+def test_process_that_joins_during_a_partition_is_known_to_all_after_it(runner: ScenarioRunner) -> None:
+    async def scenario(processes: list[Process], links: Links) -> None:
         links.split({"n0", "n1"}, {"n2", "n3", "n4"})
         await until(lambda: all("dead" in p.states().values() for p in processes))
-        late = await stage.fleet.start("n5", "n3")
-        stage.fleet.extra.append(late)
+        late = await runner.fleet.start("n5", "n3")
+        runner.fleet.extra.append(late)
         links.cut({"n5"}, {"n0", "n1"})
         links.cut({"n0", "n1"}, {"n5"})
         await until(lambda: processes[2].states().get("n5") == "alive")
         links.heal()
         await until(lambda: all_alive([*processes, late]))
 
-    stage(work)
+    runner(scenario)
 
 
-@pytest.mark.parametrize("way", ["its words are lost", "it hears nobody"])
-def test_one_cut_from_all_in_one_direction_is_out_for_all_until_healed(stage: Stage, way: str) -> None:
-    async def work(processes: list[Process], links: Links) -> None:
+@pytest.mark.parametrize("way", ["its messages are lost", "it receives nothing"])
+def test_process_cut_from_all_in_one_direction_is_dead_to_all_until_healed(
+        runner: ScenarioRunner, way: str) -> None:
+    async def scenario(processes: list[Process], links: Links) -> None:
         others = {"n0", "n1", "n2", "n3"}
-        links.cut(*(({"n4"}, others) if way == "its words are lost" else (others, {"n4"})))
+        links.cut(*(({"n4"}, others) if way == "its messages are lost" else (others, {"n4"})))
         await until(lambda: all(p.states().get("n4") == "dead" for p in processes[:4]))
         await asyncio.sleep(4.0)        # twenty periods in which it could come and go
         for process in processes[:4]:
@@ -174,19 +178,20 @@
         links.heal()
         await until(lambda: all_alive(processes))
 
-    stage(work)
+    runner(scenario)
 
 
-def test_whole_states_are_exchanged_and_who_stalls_or_sends_garbage_holds_nothing_up(stage: Stage) -> None:
-    async def work(processes: list[Process], links: Links) -> None:
+def test_full_states_are_exchanged_and_stalled_or_invalid_callers_delay_nothing(
+        runner: ScenarioRunner) -> None:
+    async def scenario(processes: list[Process], links: Links) -> None:
         host, _, port = processes[0].address.rpartition(":")
         bad, before = [], processes[0].counted("exchanges_failed", "dropped_tag")
-        for said in (b"", b"\x04", b"\x00\x10" + b"x" * 16, b"\xff\xff" + b"y" * 4000, b"\x04\xb0half", b""):
+        for sent in (b"", b"\x04", b"\x00\x10" + b"x" * 16, b"\xff\xff" + b"y" * 4000, b"\x04\xb0half", b""):
             _, writer = await asyncio.open_connection(host, int(port))
-            writer.write(said)
+            writer.write(sent)
             bad.append(writer)
-        # With every place taken by who says nothing, the protocol goes on: a death is found by all the same.
-        processes[4].end()
+        # With every place taken by silent callers the protocol goes on: a death is detected all the same.
+        processes[4].send_signal()
         await until(lambda: all(p.states().get("n4") == "dead" for p in processes[:4]))
         for process in processes[:4]:
             assert set(process.dead()) == {"n4"}
@@ -194,53 +199,54 @@
             writer.close()
         now = processes[0].counted(*before)
         assert all(now[counter] > before[counter] for counter in before), (before, now)
-        processes[4] = await stage.fleet.start("n4", "n1")
+        processes[4] = await runner.fleet.start("n4", "n1")
         await until(lambda: all_alive(processes))
         assert all(p.counted("exchanges")["exchanges"] > 0 for p in processes)
 
-    stage(work)
+    runner(scenario)
 
 
 @pytest.mark.parametrize("fault", ["stall", "garble", "cut"])
-def test_a_link_that_spoils_connections_costs_whole_states_and_nothing_else(stage: Stage, fault: str) -> None:
-    async def work(processes: list[Process], links: Links) -> None:
+def test_link_that_breaks_connections_costs_full_states_and_nothing_else(
+        runner: ScenarioRunner, fault: str) -> None:
+    async def scenario(processes: list[Process], links: Links) -> None:
         failed = {"stall": "exchanges_failed", "garble": "dropped_tag", "cut": "exchanges_failed"}[fault]
         before = sum(p.counted(failed)[failed] for p in processes)
-        ways = stage.fleet.ways.values()
-        for way in ways:
-            way.fault, way.met = fault, 0
-        # Each calls one of the others at least each thirty periods, and a death is found meanwhile.
-        processes[4].end()
+        proxies = runner.fleet.proxies.values()
+        for proxy in proxies:
+            proxy.fault, proxy.faulted = fault, 0
+        # Each calls one of the others at least each thirty periods, and a death is detected meanwhile.
+        processes[4].send_signal()
         await until(lambda: all(p.states().get("n4") == "dead" for p in processes[:4]))
-        await until(lambda: sum(way.met for way in ways) > 2
+        await until(lambda: sum(proxy.faulted for proxy in proxies) > 2
                     and sum(p.counted(failed)[failed] for p in processes[:4]) > before)
         assert all(set(p.dead()) == {"n4"} for p in processes[:4])
-        # Who starts meanwhile learns of all by news alone, and by whole states again afterwards.
-        processes[4] = await stage.fleet.start("n4", "n1")
+        # A process that starts meanwhile learns of all by gossip alone, and by full states again afterwards.
+        processes[4] = await runner.fleet.start("n4", "n1")
         await until(lambda: all_alive(processes))
         done = sum(p.counted("exchanges")["exchanges"] for p in processes)
-        for way in ways:
-            way.fault = "pass"
+        for proxy in proxies:
+            proxy.fault = "pass"
         await until(lambda: sum(p.counted("exchanges")["exchanges"] for p in processes) > done)
 
-    stage(work)
+    runner(scenario)
 
 
-def test_a_lost_hall_is_told_by_all_and_back_with_its_first_member(stage: Stage) -> None:
-    async def work(processes: list[Process], links: Links) -> None:
+def test_lost_hall_is_reported_by_all_and_back_with_its_first_member(runner: ScenarioRunner) -> None:
+    async def scenario(processes: list[Process], links: Links) -> None:
         for n in (1, 4):
-            processes[n].end()
+            processes[n].send_signal()
         rest = [processes[n] for n in (0, 2, 3)]
         await until(lambda: all(p.halls()["h1"] == "lost" for p in rest))
         run = CliRunner().invoke(main, ["members", "--at", rest[0].admin])
         assert run.exit_code == 1 and "hall h1: LOST: 2 dead, 0 suspect, none alive" in run.output
-        processes[1] = await stage.fleet.start("n1", "n0")
+        processes[1] = await runner.fleet.start("n1", "n0")
         await until(lambda: all(p.halls()["h1"] == "part" for p in rest))
-        processes[4] = await stage.fleet.start("n4", "n0")
+        processes[4] = await runner.fleet.start("n4", "n0")
         await until(lambda: all_alive(processes))
         for process in rest:
-            told = [(event["hall"], event["state"]) for event in process.events("hall")]
-            assert told == [("h1", "lost"), ("h1", "back")]
+            reported = [(event["hall"], event["state"]) for event in process.events("hall")]
+            assert reported == [("h1", "lost"), ("h1", "back")]
             assert set(process.halls().values()) == {"whole"}
 
-    stage(work)
+    runner(scenario)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -12,7 +12,7 @@
 from beechrock.config.platform import base
 from beechrock.inventory import model as inventory
 from beechrock.inventory.errors import InventoryError
-from beechrock.members.told import Members
+from beechrock.members.settings import MembersSettings
 from beechrock.settings import settings_from
 from beechrock.start import serve_from_environment
 
@@ -218,7 +218,7 @@
 MEMBERS = '[members]\nenabled = true\nlisten = "127.0.0.1:0"\nfleet = "east"\nkey_file = "key"\n'
 
 
-def members(tmp_path: Path, text: str) -> Members | None:
+def members(tmp_path: Path, text: str) -> MembersSettings | None:
     (tmp_path / "key").write_text("a secret of sixteen bytes and more")
     (tmp_path / "short").write_text("short")
     (tmp_path / "scgi.toml").write_text(text)
