--- a/beechrock/config/operator.py
+++ b/beechrock/config/operator.py
@@ -13,7 +13,7 @@
     from pathlib import Path
 
     from beechrock.inventory.generation import Generation
-    from beechrock.members.told import Members
+    from beechrock.members.settings import MembersSettings
 
 TRACE_KEYS = {"enabled", "folder", "sample", "key_file", "segment_mb", "segment_s", "most_mb", "flush_s"}
 SCGI_KEYS = {*parts.TABLES, "trace", "members", "enabled", "listen", "inventory", "state", "log", "watch_s",
@@ -82,21 +82,21 @@
     return Trace(Path(root) / told["folder"], sample, key, **numbers)
 
 
-def members(path: str, operators: dict[str, Any], root: str) -> "Members | None":
+def members(path: str, operators: dict[str, Any], root: str) -> "MembersSettings | None":
     if not operators.get("members"):
         return None
     try:
-        from beechrock.members import told
+        from beechrock.members import settings
     except ImportError as error:
         raise ConfigError(f"needs {error.name}", where=f"{path}: members: enabled",
                           do="pip install 'beechrock[members]'") from None
-    if (table := table_of(path, operators, "members", {"enabled", *told.KEYS})) is None:
+    if (table := table_of(path, operators, "members", {"enabled", *settings.KEYS})) is None:
         return None
     from pathlib import Path
 
     beside = operators.get("fleet")     # its hall holds for the membership too, unless told here
     hall = beside.get("hall", "") if isinstance(beside, dict) else ""
-    return told.read({"hall": hall, **table[0]}, table[1], Path(root))
+    return settings.read({"hall": hall, **table[0]}, table[1], Path(root))
 
 
 def fleet(path: str, operators: dict[str, Any], root: str) -> dict[str, object]:
