A process whose successor's channel ended takes another name, so its death leaves the keys in doubt

Seen in a test that fails first: a channel is dropped (30,000 unread messages) while both processes live; the old one goes on alone, runs a key without a word, and is killed before the new one comes again. The new one, which had known all of its claims, found its socket dead, took the key for free and ran it a second time. The same where the new one itself cannot go on reading (noise). And a channel that was dropped at once lost a claim that had come and was not yet parsed.

Ruled out: time. That the channel's end and the death lie close together says nothing for a process that was stopped across both; so a state that outlives the process tells it, the name of its socket.

Change: with the end of its successor's channel a process renames its socket (retried where the folder refuses); a successor whose predecessor's words were not heard to their end no longer vouches for it; a name that vanishes between the listing and the attempt is looked for again; a channel that is cut is read to its end.

Test changed: the stranger at the channel connects under the name as it is then, not as it was at the start; one that had greeted was a successor, so the name moves on.

--- a/beechrock/handover/channel.py
+++ b/beechrock/handover/channel.py
@@ -7,12 +7,14 @@
 
 import asyncio
 import contextlib
+import errno
 import logging
 import os
 import socket
 import stat
 import struct
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Protocol
 
@@ -25,6 +27,8 @@
 MOST_OUT = 1 << 18
 MOST_MESSAGES = 30_000      # a process that reads nothing for so long is cut off
 MOST_NAMES = 64             # of sockets that are looked at
+RENEW_AGAIN_S = 0.05
+MOST_LISTINGS = 16          # in one attempt, each after a name that vanished since the one before
 LONGEST_PATH = 100          # bytes that a Unix socket's name may have; longer folders are named by descriptor
 CREDENTIALS = struct.Struct("3i")
 # Versions before named their sockets by the Unix time, 1.7e18 ns; no machine has been up for these 31 years.
@@ -51,6 +55,7 @@
         super().__init__(owner.counters, wire.MOST + 4, MOST_OUT, MOST_MESSAGES)
         self.owner, self.successor = owner, successor
         self.strange = False    # of another version: nothing of it is read, only its end is noticed
+        self.unreadable = False     # something came that is no message: what followed it was not heard
 
     def parse(self) -> None:
         try:
@@ -80,12 +85,13 @@
             unread: socket.socket = writer.get_extra_info("socket").dup()
         except OSError as error:
             log.warning("handover: %s", error)
+            self.unreadable = True
             self.drop()
             writer.transport.abort()
             return
         with unread:
             await super().serve(reader, writer)
-            if not self.closing and not self.strange:
+            if not self.unreadable and not self.strange:
                 self._hear_rest(bytes(getattr(reader, "_buffer", b"")), unread)
 
     def _hear_rest(self, data: bytes, unread: socket.socket) -> None:
@@ -93,13 +99,13 @@
             while len(data) < MOST_UNREAD and (more := unread.recv(CHUNK)):
                 data += more
         try:
-            while data and not self.closing and self.inbox.room:
+            while data and self.inbox.room:
                 room = self.inbox.room
                 self.inbox.write(data[:room])
                 self.parse()
                 data = data[room:]
         except BadInputError as error:
-            log.warning("handover: %s", error)
+            self.bad_input(str(error))
 
     def _crowded(self) -> bool:
         """Never: what the other says is heard while it does not read, as it may be killed in that state."""
@@ -110,7 +116,7 @@
         writer = self._writer
         if self.lost or self.broken or writer is None or not self.flushed:
             if not self.lost and not self.post(message):
-                self.drop()     # it reads nothing; it may come back and read all anew
+                self._cut(writer)   # it reads nothing; it may come back and read all anew
             return False
         if writer.transport.get_write_buffer_size():
             self.post(message)
@@ -119,8 +125,20 @@
         # A write that fails empties the buffer too, and closes: the other may live, and has not heard it.
         return writer.transport.get_write_buffer_size() == 0 and not writer.transport.is_closing()
 
+    def _cut(self, writer: asyncio.StreamWriter | None) -> None:
+        """End both directions; what the other has said until now is heard.
+
+        Seen in a test: a channel that was dropped at once lost a claim that had come and was not yet parsed.
+        """
+        if writer is None:
+            self.drop()
+            return
+        with contextlib.suppress(OSError):      # it has ended by itself
+            writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+
     def bad_input(self, problem: str) -> None:
         log.warning("handover: %s", problem)
+        self.unreadable = True
         self.drop()
 
     def input_ended(self) -> None:
@@ -139,6 +157,7 @@
         self.found = ""             # the name of the predecessor that was reached last
         self.known: set[str] = set()    # of those whose claims have all come over
         self.killed = False         # one that is not among them has left its socket behind
+        self.renewals = 0           # how many names this process has had before
         self._fd: int | None = None
 
     def _path(self, name: str) -> str:
@@ -200,24 +219,59 @@
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
         """To the newest older process that is there. OSError where that cannot be told."""
-        for name in self.older():
-            try:
-                ends = await asyncio.open_unix_connection(self._path(name), limit=CHUNK)
-            except FileNotFoundError:       # it has gone in peace
-                continue
-            except ConnectionRefusedError:  # it was killed
-                self.killed = self.killed or name not in self.known
-                self._remove(name)
-            else:
-                self.found = name
-                return ends
-        return None
+        for _ in range(MOST_LISTINGS):
+            vanished = False
+            for name in self.older():
+                try:
+                    ends = await asyncio.open_unix_connection(self._path(name), limit=CHUNK)
+                except FileNotFoundError:       # it has gone in peace, or has another name now
+                    vanished = True
+                except ConnectionRefusedError:  # it was killed
+                    self.killed = self.killed or name not in self.known
+                    self._remove(name)
+                else:
+                    self.found = name
+                    return ends
+            if not vanished:
+                return None
+        raise OSError(errno.EAGAIN, "sockets come and go")
 
     def all_known(self) -> None:
         """All claims have come over, and those of processes since then: it vouches for them."""
         self.known.add(self.found)
         self.killed = False
 
+    def not_all_known(self) -> None:
+        """Something that it said was not heard: killed before it is reached again, it leaves doubt."""
+        self.known.discard(self.found)
+
+    def renew(self) -> None:
+        """Listen under another name: what a successor knew of the one before holds no longer. OSError.
+
+        Seen in a test: a channel was dropped while both processes lived, the old one went on alone and was
+        killed; the new one, which had known all of its claims, took its keys for free and ran one again.
+        """
+        if self.server is not None:
+            stem = self.name.removesuffix(".sock").split("~")[0]
+            name = f"{stem}~{self.renewals + 1}.sock"
+            os.rename(self.folder / self.name, self.folder / name)
+            self.name, self.renewals = name, self.renewals + 1
+
+    def renewed(self) -> bool:
+        """``renew``, where the folder allows that now."""
+        try:
+            self.renew()
+        except OSError as error:
+            log.warning("handover: %s: the socket keeps its name", error)
+            return False
+        return True
+
+    async def renew_again(self, over: Callable[[], bool]) -> None:
+        """Until it was renewed, or this process goes."""
+        await asyncio.sleep(RENEW_AGAIN_S)
+        while not over() and not self.renewed():
+            await asyncio.sleep(RENEW_AGAIN_S)
+
     def _remove(self, name: str) -> None:
         with contextlib.suppress(OSError):
             os.unlink(self.folder / name)
--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -86,6 +86,8 @@
             self.before.post(wire.Hello())
             self._pulse_on()
             await self.before.serve(*found)
+            if self.before.unreadable:
+                self.channel.not_all_known()
             self.before = None
             self._said_ready = False
             if self.life.over:
@@ -150,6 +152,8 @@
         # successor's end; it took connections again for its last 80 ms, and ran a key that nobody knew of.
         if peer is self.after and not self.life.over:
             log.info("handover: the successor is gone")
+            if self.channel is not None and not self.channel.renewed():
+                self.counters.spawn(self.channel.renew_again(lambda: self.life.over), "handover.renew")
             self.after = None
             self.ours.clear()
             self._lost()
--- /dev/null
+++ b/tests/test_handover_dropped.py
@@ -0,0 +1,186 @@
+"""A channel that ends while both processes live: what is run meanwhile is known, or in doubt."""
+
+import asyncio
+import errno
+import os
+from pathlib import Path
+
+import pytest
+from pair import DOUBT, LAUNCH, OlderProcess, Pair, asked, run
+from play import Stand, until
+from test_handover_crossings import claimed, part
+
+from beechrock.handover import wire
+from beechrock.handover.channel import ChannelPeer
+from beechrock.handover.life import After, Before
+
+
+def held_off(stand: Stand, monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
+    """This process reaches no predecessor any more until the event, as if it were stopped."""
+    channel, go = part(stand).channel, asyncio.Event()
+    assert channel is not None
+    connect = channel.connect
+
+    async def later() -> object:
+        await go.wait()
+        return await connect()
+
+    monkeypatch.setattr(channel, "connect", later)
+    return go
+
+
+async def killed(pair: Pair, stand: Stand) -> None:
+    """As the kernel ends a process: its socket's name stays."""
+    channel = part(stand).channel
+    assert channel is not None and channel.server is not None
+    channel.server.close()
+    channel.server = None
+    await pair.end(stand)
+
+
+def test_keys_that_ran_after_a_channel_was_dropped_are_in_doubt_though_all_was_known_before(
+        folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The old process drops the channel, goes on alone, and is killed before the new one comes again."""
+    async def work(pair: Pair) -> None:
+        old, new = await pair.both()
+        go = held_off(new, monkeypatch)
+        after = part(old).after
+        assert after is not None
+        after.drop()
+        await until(lambda: part(old).life.after is After.NONE, lambda: "not seen by the old one")
+        await until(lambda: part(new).before is None, lambda: "not seen by the new one")
+        await pair.caller(old, [new])
+        await old.play(asked(1, 1, 1) + LAUNCH % 1)
+        await killed(pair, old)
+        go.set()
+        await until(lambda: part(new).life.before is Before.GONE, lambda: f"{part(new).life.before}")
+        await new.play("a = connect frames\n" + asked(2, 2, 1) + DOUBT % 2)
+
+    run(work, folder)
+
+
+def test_two_whose_channel_ended_find_each_other_again_under_the_new_name(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old, new = await pair.both()
+        for _ in range(3):
+            channel, after = part(old).channel, part(old).after
+            assert channel is not None and after is not None
+            name = channel.name
+            after.drop()
+            gone = (None, after)
+            await until(lambda gone=gone: part(old).after not in gone, lambda: "not joined again")  # type: ignore
+            await until(lambda: part(old).life.after is After.READY, lambda: "not ready again")
+            assert channel.name != name and channel.name in [path.name for path in folder.iterdir()]
+            assert name not in [path.name for path in folder.iterdir()]
+        await pair.end(old)
+        await until(lambda: part(new).life.before is Before.GONE, lambda: f"{part(new).life.before}")
+        assert not part(new).in_doubt       # it went in peace
+        assert len(list(folder.iterdir())) == 1
+
+    run(work, folder)
+
+
+def test_a_name_that_vanishes_between_the_listing_and_the_attempt_is_looked_for_again(
+        folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Else a process that takes another name in that moment is taken for one that has gone in peace."""
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        channel = part(old).channel
+        assert channel is not None
+        new = await pair.start(up=False)
+        other = part(new).channel
+        assert other is not None
+        older, renamed = other.older, []
+
+        def listed() -> list[str]:
+            found = older()
+            if not renamed:
+                channel.renew()
+                renamed.append(channel.name)
+            return found
+
+        monkeypatch.setattr(other, "older", listed)
+        ends = await other.connect()
+        assert ends is not None and other.found == renamed[0]
+        ends[1].close()
+
+    run(work, folder)
+
+
+def test_what_lies_in_a_channel_that_is_cut_for_its_unread_messages_is_heard(
+        folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A grant to the other, or its claim, may be on its way as this process gives up telling it."""
+    async def work(pair: Pair) -> None:
+        old, new = await pair.both()
+        go = held_off(new, monkeypatch)
+        before, after = part(new).before, part(old).after
+        assert before is not None and after is not None
+        after.mailbox.capacity = 0                  # the other has read nothing for long
+        after.flushed = False
+        assert before.tell(claimed(7))          # it lies in the kernel, unread
+        assert after._reader is not None        # and one in the stream
+        after._reader.feed_data(wire.encode(wire.shifted(claimed(8), -part(old).origin_s)))
+        assert not after.tell(wire.Load(1, 0.0, 0, 0))
+        await until(lambda: part(old).after is None, lambda: "not cut")
+        assert {claimed(7).key, claimed(8).key} <= set(part(old).claims.theirs)
+        go.set()
+
+    run(work, folder)
+
+
+def test_a_channel_that_is_cut_takes_no_claim(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        old, _ = await pair.both()
+        after = part(old).after
+        assert isinstance(after, ChannelPeer)
+        after.mailbox.capacity = 0
+        after.flushed = False
+        assert not after.tell(wire.Load(1, 0.0, 0, 0))
+        after.flushed = True
+        assert not after.tell(claimed(7))
+
+    run(work, folder)
+
+
+def test_a_predecessor_whose_words_were_not_heard_to_their_end_leaves_doubt_once_it_is_killed(
+        folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It is the new process that cannot go on reading: the old one may have said more, and run it."""
+    async def work(pair: Pair) -> None:
+        old = OlderProcess(pair)
+        new = await pair.start()
+        end = await old.accept()
+        go = held_off(new, monkeypatch)
+        end.say(wire.Hello(), wire.Synced())
+        await end.heard(wire.Ready)
+        end.say(claimed(1))
+        end.sock.sendall(b"\0\0\0\2\xff\xff")     # no message; what follows is not read
+        end.say(claimed(2))
+        await until(lambda: part(new).before is None, lambda: "not ended")
+        old.die()
+        go.set()
+        await until(lambda: part(new).life.before is Before.GONE, lambda: f"{part(new).life.before}")
+        await new.play("a = connect frames\n" + asked(2, 2, 2) + DOUBT % 2)
+
+    run(work, folder)
+
+
+def test_a_name_that_cannot_be_changed_now_is_changed_later(
+        folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work(pair: Pair) -> None:
+        old, _ = await pair.both()
+        channel, after, real = part(old).channel, part(old).after, os.rename
+        assert channel is not None and after is not None
+        name, failures = channel.name, [OSError(errno.EIO, "not now")] * 3
+
+        def failing(*names: Path) -> None:
+            if failures:
+                raise failures.pop()
+            real(*names)
+
+        monkeypatch.setattr(os, "rename", failing)
+        after.drop()
+        await until(lambda: channel.name != name, lambda: "still the same")
+        assert not failures
+
+    run(work, folder)
--- a/tests/test_handover_faults.py
+++ b/tests/test_handover_faults.py
@@ -236,10 +236,14 @@
     async def work(pair: Pair) -> None:
         node = await pair.start()
         await pair.serving(node)
-        path = str(folder / node.program.handover.channel.name)   # type: ignore[union-attr]
+        handover = node.program.handover
+        assert handover is not None and handover.channel is not None
         hello = wire.encode(wire.Hello())
         for told in (b"\0" * 50, b"\xff" * 50, struct.pack(">IB", 2**31, 3), hello + b"\0\0\0\x02\x63x",
                      *(hello[:n] for n in range(len(hello)))):
+            # One that had greeted was a successor: with its end the socket has another name.
+            await until(lambda: handover.after is None and not handover.waiting, lambda: "still there")
+            path = str(folder / handover.channel.name)
             reader, writer = await asyncio.open_unix_connection(path)
             writer.write(told)
             writer.write_eof()
