A new opening of a peer's disk is remembered on disk at once, also in a quiet fleet

Seen: six real processes, one emptied, whole again for 1.5 s and killed with no change after its word; four of the others begin anew.

No message and no sync more while nothing new is heard.

--- a/beechrock/replica/part.py
+++ b/beechrock/replica/part.py
@@ -192,6 +192,10 @@
             self._carry(self.core.take(self.clock(), sender, message, held))
             if isinstance(message, Hello):
                 self._show()        # not at the next look: the verdict may be another one by then
+                # Seen where nothing was written meanwhile: a peer that began anew had forgotten whom it had
+                # believed, and took its good memory for another's.
+                if self.disk.heard:
+                    self.more.set()
         except ReplicaError as error:
             if error.event == "replica.broken":
                 return self._break(error)
--- a/tests/replica/test_renewed.py
+++ b/tests/replica/test_renewed.py
@@ -1,9 +1,19 @@
 """A memory that was emptied and made whole again: who has to hear of that, and how soon."""
 
+from pathlib import Path
+from types import SimpleNamespace
+
 import pytest
 
+from beechrock.core.counters import Counters
 from beechrock.lab.replica_sim import TICK_S, Node, World
 from beechrock.replica.catchup import Stage
+from beechrock.replica.messages import Held, Hello, encode
+from beechrock.replica.part import Replica
+from beechrock.replica.told import Told
+from beechrock.store.files import at
+from beechrock.store.format import Mark
+from beechrock.store.witness import Witness
 
 TRAVEL_S = 0.05     # of a word, its answer and the sync of what was heard, in a world without faults
 
@@ -68,3 +78,20 @@
     assert all(other.core.heard["n3"].verdict in ("same", "newer")
                for other in world.nodes.values() if other is not node)
     assert not world.judge() and len(node.core.table.records) == 8
+
+
+def test_a_new_opening_is_remembered_on_disk_though_nothing_is_written(tmp_path: Path) -> None:
+    """Seen in a play: peers that began anew in a quiet fleet knew the former disk of one they believed."""
+    mark = Mark(b"i" * 16, 1, 1, b"d" * 16, ((b"d" * 16, 1),))
+    hello = encode(Hello(mark.to_bytes(), "whole", 0, b"", 1), Held(mark.digest, 1))
+    talk = SimpleNamespace(told=SimpleNamespace(state=tmp_path), name="a", peers=("b",), life=1,
+                           on=lambda channel, take: None, send=lambda to, channel, data: True)
+    context = SimpleNamespace(counters=Counters())
+
+    replica = Replica(Told(leases=False), context, talk, None)      # type: ignore[arg-type]
+    replica._take("b", 1, hello)
+    assert replica.more.is_set() and not replica.core.writes        # the disk's thread is asked for
+    assert replica.disk.append(replica.core)
+    replica.disk.sync()
+    assert Witness(at(tmp_path / "replica"), "replica.witness").known["b"] == mark
+    replica.close()
