--- a/beechrock/agree/disk.py
+++ b/beechrock/agree/disk.py
@@ -84,7 +84,7 @@
             try:
                 await asyncio.to_thread(self._write, work[done:])
             except (StoreFullError, StoreFailedError) as error:
-                if len(work) > MOST_QUEUED or self.store.stopped:
+                if len(work) > MOST_QUEUED:
                     raise
                 self.refused += 1
                 if wait_s == FIRST_S:
--- a/beechrock/replica/part.py
+++ b/beechrock/replica/part.py
@@ -250,9 +250,7 @@
 
     async def _refused(self, error: StoreFullError | StoreFailedError) -> None:
         """The disk did not take what was noted: a snapshot makes room in a full store, else it is tried
-        again. StoreFailedError: only a start can tell what stands."""
-        if self.disk.store.stopped:
-            raise error
+        again."""
         self.refused = True
         self.counters.add("replica.disk_full")
         logs.event("replica.disk_full", "warning", **error.fields())
@@ -272,8 +270,6 @@
         try:
             await asyncio.to_thread(self.disk.save, index, parts)
         except (StoreFullError, StoreFailedError) as error:
-            if self.disk.store.stopped:
-                raise
             logs.event(error.event, "warning", **error.fields())
             return False
         del self.disk.pending[:noted]
--- a/beechrock/store/log.py
+++ b/beechrock/store/log.py
@@ -23,7 +23,7 @@
 from beechrock.store.rules import Met as Met
 from beechrock.store.rules import Rules as Rules
 
-REOPEN = "look at the disk, then start the node again"
+REOPEN = "look at the disk and the kernel's log, then start the node again; nothing is taken as empty"
 RETRY = "look at the disk and the kernel's log; it is tried again, and goes on by itself"
 NO_ROOM = {errno.ENOSPC, errno.EDQUOT, errno.EFBIG}
 
@@ -41,7 +41,8 @@
         self.sync_lock = threading.Lock()
         # What no sync has proved, by seq; all of it is in the newest segment, so segment_bytes bounds it.
         self.unsynced: deque[tuple[int, bytes]] = deque()
-        self.past_log = False       # a snapshot past all entries stands, and the log does not follow it yet
+        # A snapshot that may stand or not, or that the log does not follow yet: its index and bytes.
+        self.unsure: tuple[int, bytes] | None = None
         self.id = self.digest = b""
         self.openings: tuple[tuple[bytes, int], ...] = ()
         self.found = Found(Met.NEW)
@@ -57,7 +58,10 @@
         try:
             store._open()
         except OSError as error:
-            raise store._no_room(error) from None
+            # Seen: EIO here said "goes on by itself", and a start that failed does not.
+            found = store._no_room(error)
+            found.do = found.do if isinstance(found, StoreFullError) else REOPEN
+            raise found from None
         return store
 
     # --- what it holds
@@ -72,14 +76,22 @@
         return self.log_bytes + self.snap_bytes
 
     def entry(self, index: int) -> bytes:
-        """StoreMisuseError where it is not held; StoreDamagedError if it is not what was written."""
+        """StoreMisuseError, StoreDamagedError; StoreFailedError where the disk does not give it now."""
         if not self.first <= index <= self.last:
             raise StoreMisuseError(f"entry {index}", where=self.prefix, wanted=f"{self.first} to {self.last}")
+        # Seen: what a failed sync did not write had gone from the kernel's cache, and was taken for damage.
+        if self.failed and index > self.synced:
+            return anew.unproved(self.id, self.unsynced, index)
         place = self.places[index - self.first]
         name, at = self._name(place >> PLACE), place & (1 << PLACE) - 1
-        head = self.files.read(name, at, form.HEAD.size)
-        length = form.HEAD.unpack(head)[2] if len(head) == form.HEAD.size else 0
-        found = form.record_at(self.id, self.files.read(name, at, form.HEAD.size + length), 0)
+        try:
+            head = self.files.read(name, at, form.HEAD.size)
+            length = form.HEAD.unpack(head)[2] if len(head) == form.HEAD.size else 0
+            whole = self.files.read(name, at, form.HEAD.size + length)
+        except OSError as error:    # of this read alone: what stands is what stood
+            raise StoreFailedError(str(error), where=f"{self.files.folder / name} at byte {at}",
+                                   wanted=f"entry {index}", do=RETRY) from None
+        found = form.record_at(self.id, whole, 0)
         if found is None or found.index != index:
             raise form.damaged(f"entry {index} does not fit its checksum", f"{name} at byte {at}")
         return found.data
@@ -158,35 +170,31 @@
         whole = form.snapshot(self.id, form.Snapshot(index, self.seq, data))
         # Seen: the disk was full right after the rename, and the log went on before the snapshot's index. The
         # next opening began the log anew behind the snapshot, and forgot what had been promised meanwhile.
-        self.past_log = index > self.last
-        self._replace_snapshot(name, whole)
-        self.snap_bytes = len(whole)
-        if self.past_log:
+        self._replace_snapshot(name, index, whole)
+        self._follow_snapshot(index, whole)
+
+    def _follow_snapshot(self, index: int, whole: bytes) -> None:
+        """It stands, durably: the log goes on behind it. What fails here is done again by ``rewrite``."""
+        self.unsure, self.snap_bytes = (index, whole), len(whole)
+        if index > self.last:
             try:
                 self._reset(index)
             except StoreFullError as error:
                 self.failed = str(error)
                 self._check()
-            self.past_log = False
-        del self.places[:index + 1 - self.first]
+        self.unsure = None
+        del self.places[:max(0, index + 1 - self.first)]
         self._compact()
 
-    @property
-    def stopped(self) -> bool:
-        """Failed so that only another opening can tell what stands."""
-        return bool(self.failed) and self.past_log
-
     def rewrite(self) -> None:
         """After StoreFailedError: what was not proved is written anew from memory, into another file.
 
         The kernel may have dropped what it could not write and calls the file clean, so that a later sync of
-        it proves nothing. StoreFailedError: the disk still fails, or only an opening can tell what stands;
+        it proves nothing. A snapshot that was being saved is saved. StoreFailedError: the disk still fails;
         StoreDamagedError: what had been proved is gone.
         """
         if not self.failed:
             return
-        if self.past_log:
-            self._check()
         try:
             # A segment that was begun while the disk failed: nothing is in it.
             self.files.remove(self._name(self.number + 1))
@@ -194,6 +202,8 @@
             if self.sizes:
                 anew.segment(self.files, self.id, self._name(self.number), self.sizes[self.number],
                              b"".join(data for _, data in self.unsynced))
+            if self.unsure is not None:
+                anew.whole(self.files, f"{self.prefix}.snap", self.unsure[1])
         except OSError as error:
             self.failed = str(error)
             self._check()
@@ -201,6 +211,10 @@
         with self.lock:
             self.synced = self.last
         self._durable(self.seq)
+        # Seen: which of two snapshots stood was not known, and the log kept the entries of both: who read it
+        # anew took those before the newer one twice. One past the log needed a start.
+        if self.unsure is not None:
+            self._follow_snapshot(*self.unsure)
 
     def close(self) -> None:
         self.files.close()
@@ -266,18 +280,17 @@
         anew.whole(self.files, f"{self.prefix}.mark", form.mark(Mark(
             self.id, self.epoch, self.seq, self.digest, self.openings)))
 
-    def _replace_snapshot(self, name: str, whole: bytes) -> None:
+    def _replace_snapshot(self, name: str, index: int, whole: bytes) -> None:
         try:
             anew.beside(self.files, name, whole)
         except OSError as error:
             with suppress(OSError):     # the next one removes it first
                 self.files.remove(name + NEW)
-            self.past_log = False       # the old one stands
             raise self._no_room(error) from None
         try:
             anew.rename(self.files, name)
-        except OSError as error:        # nobody knows which of them stands: the log keeps the entries of both
-            self.failed = str(error)
+        except OSError as error:        # nobody knows which of them stands
+            self.failed, self.unsure = str(error), (index, whole)
             self._check()
 
     def _write(self, kind: Kind, index: int, data: bytes) -> None:
@@ -373,15 +386,15 @@
 
     def _check(self) -> None:
         if self.failed:
-            raise StoreFailedError(self.failed, where=self._where, do=REOPEN if self.past_log else RETRY)
+            raise StoreFailedError(self.failed, where=self._where, do=RETRY)
 
     @property
     def _where(self) -> str:
         return str(self.files.folder / self.prefix)
 
-    def _no_room(self, error: OSError) -> Exception:
+    def _no_room(self, error: OSError) -> StoreFullError | StoreFailedError:
         if error.errno in NO_ROOM and not self.failed:
             return StoreFullError(str(error), where=self._where, wanted="room on the disk",
                                   do="make room on the disk")
         self.failed = self.failed or str(error)
-        return StoreFailedError(self.failed, where=self._where, do=REOPEN if self.past_log else RETRY)
+        return StoreFailedError(self.failed, where=self._where, do=RETRY)
--- a/beechrock/store/rewrite.py
+++ b/beechrock/store/rewrite.py
@@ -1,9 +1,12 @@
 """Files that are written anew: whole under another name, then renamed. OSError as the disk gives it."""
 
 import re
+from collections import deque
 
 from beechrock.store import format as form
+from beechrock.store.errors import StoreMisuseError
 from beechrock.store.files import Files
+from beechrock.store.format import Kind
 
 NEW = ".new"    # what a file is called until it is whole and synced
 
@@ -36,6 +39,15 @@
     rename(files, name)
 
 
+def unproved(ident: bytes, unsynced: deque[tuple[int, bytes]], index: int) -> bytes:
+    """An entry that no sync has covered, from memory; the newest one of this index, as over a cut."""
+    for _, data in reversed(unsynced):
+        found = form.record_at(ident, data, 0)
+        if found is not None and found.kind is Kind.ENTRY and found.index == index:
+            return found.data
+    raise StoreMisuseError(f"entry {index}", wanted="one that was appended and not synced")
+
+
 def segment(files: Files, ident: bytes, name: str, size: int, unsynced: bytes) -> None:
     """A segment of ``size`` bytes: its proved part from the disk, the rest as memory has it.
 
