Edges: a disk that fails is waited out like a full one, and what it had not proved is written anew

An edge's member and upstream stopped at the first EIO (a write, a sync, a read, a witness that could not be saved) until a new start. Until then what needs the disk is refused (EdgeDiskWaitsError, 503), with `do` in /edges. - upstream: a turn whose sync failed is taken back as one without room is; nothing of it goes out or runs. - a member: after a failed sync `Accepted` becomes "failed; it may still run" and `Copied` is not sent; the turn ended there before, and its callers heard nothing. What had been accepted stays queued, and is durable by the rewrite. Events: edges.disk_failing beside edges.disk_full, edges.disk_room for both. EdgeDiskError went. The laboratory's disk fails reads too, and a failed write leaves a part of itself.

--- a/beechrock/edges/copies.py
+++ b/beechrock/edges/copies.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 
 from beechrock.edges.causal import Dot
-from beechrock.edges.errors import EdgeFullError
+from beechrock.edges.errors import EdgeDiskWaitsError, EdgeFullError
 
 RESEND_S = 0.1
 MOST_PENDING = 4096
@@ -39,8 +39,9 @@
     pending: dict[Dot, Pending] = field(default_factory=dict)
     last_heard: dict[str, float] = field(default_factory=dict)
     distrusted: set[str] = field(default_factory=set)
-    crowded: set[str] = field(default_factory=set)      # whose disk is full, as they say
-    full: bool = False          # this node's disk, as those round it tell
+    crowded: set[str] = field(default_factory=set)      # whose disk takes nothing, as they say
+    full: bool = False          # this node's disk takes nothing, as those round it tell
+    disk: str = "the disk of this node is full"         # what is said then
     met: Exception | None = None        # what the log said to a write or copy; for those round it
 
     def others(self) -> tuple[str, ...]:
@@ -62,8 +63,8 @@
         Without it each write of the small side of a split edge would wait its whole time, then fail in doubt.
         """
         if self.full:
-            raise EdgeFullError("the disk of this node is full", AGAIN_S, where="edges",
-                                wanted="room on the disk", do="make room on the disk; it goes on by itself")
+            raise EdgeDiskWaitsError(self.disk, AGAIN_S, where="edges", wanted="a disk with room that writes",
+                                     do="see `disk` in /edges; it goes on by itself")
         reached = len(self.reached(now)) + 1
         needed = self._needed(told)
         if "able" not in self.without and reached < needed:
@@ -77,7 +78,8 @@
         self.last_heard[member] = now
 
     def crowd(self, member: str, full: bool) -> None:
-        """Without it each write that needs a member whose disk is full waits its time, and fails in doubt."""
+        """Without it each write that needs a member whose disk takes nothing waits its time, then fails in
+        doubt."""
         (self.crowded.add if full else self.crowded.discard)(member)
 
     def distrust(self, member: str, older: bool) -> None:
--- a/beechrock/edges/edge.py
+++ b/beechrock/edges/edge.py
@@ -13,12 +13,12 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
-from contextlib import suppress
 from dataclasses import dataclass, field
 
 import msgpack
 
 from beechrock.edges.causal import MOST_CLOSED, NOTHING, Dot, Heads, Seen, Spans, Vector, check_after
+from beechrock.edges.compacting import compact
 from beechrock.edges.copies import Copies
 from beechrock.edges.errors import EdgeFullError, EdgeRecordError, UnknownReceiptError
 from beechrock.edges.holder import Holder
@@ -49,7 +49,7 @@
     Word,
     Write,
 )
-from beechrock.store.errors import StoreFullError
+from beechrock.store.errors import StoreFailedError, StoreFullError
 
 GOSSIP_S = 0.5
 MOST_COPIED = 64            # writes sent to one member in one answer to what it has
@@ -117,25 +117,8 @@
                 raise EdgeRecordError(f"a record of kind {record[:1]!r}", do="start the newer version")
 
     def compact(self) -> None:
-        """Free the log's front: old writes that still wait are written anew at its end, few at a time."""
-        # A store frees whole segments: asked again before it has grown, this would cost a pass each turn.
-        least = max(3 * self.queue.bytes_held, self.compacted_bytes) + self.slack_bytes
-        if self.log.bytes_held < least:
-            return
-        # On a full disk what can be written anew is, and the rest stays where it is.
-        with suppress(StoreFullError):
-            self._compact()
-        self.compacted_bytes = self.log.bytes_held
-
-    def _compact(self) -> None:
-        oldest = sorted((place, dot) for dot, _, place in self.queue.live())
-        for place, dot in oldest[:256] if oldest and oldest[0][0] - self.log.first < 1024 else ():
-            self.queue.moved(dot, self.log.append(self.log.entry(place)))
-        first = self.queue.oldest_place()
-        plain = [1, self.have.plain(), self.ended.plain(),
-                 [[*d, s.value, why] for d, (s, why) in self.gone.items()],
-                 [[*d, said] for d, said in self.orders.items()]]
-        self.log.save_snapshot(self.log.last if first is None else first - 1, msgpack.packb(plain))
+        """Free the log's front, once it is worth it."""
+        compact(self)
 
     def entry(self, dot: Dot) -> Entry:
         return Entry.unpack(self.log.entry(self.queue.place(dot))[1:])
@@ -189,9 +172,11 @@
         check_after(after, dot)
         try:
             place = self.log.append(record)
-        except StoreFullError as error:     # the disk, before anything is promised
+        except (StoreFullError, StoreFailedError) as error:     # the disk, before anything is promised
             self.copies.met = error
-            self.out.append(Done(write.ref, "failed", b"it may have run; the disk is full\n") if tried
+            # After a write that failed nobody knows what of it stands: a start may find it, whole.
+            self.out.append(Done(write.ref, "failed", f"it may still run; {error}\n".encode())
+                            if tried or isinstance(error, StoreFailedError)
                             else Turned(write.ref, CUT_AFTER_S, str(error)))
             return
         self.counter += 1
@@ -266,7 +251,7 @@
                 record = ENTRY + packed
                 try:
                     self._hold(entry, len(record), self.log.append(record))
-                except StoreFullError as error:
+                except (StoreFullError, StoreFailedError) as error:
                     self.copies.met = error
                     continue
             held.append((entry.dot.writer, entry.dot.n))
--- a/beechrock/edges/errors.py
+++ b/beechrock/edges/errors.py
@@ -37,6 +37,12 @@
         self.after_s = after_s
 
 
+class EdgeDiskWaitsError(EdgeFullError):
+    """This node's disk is full, or fails for now; what would need it is refused until it works again."""
+
+    event = "edges.disk_waits"
+
+
 class UnknownReceiptError(EdgeError):
     """A receipt that this node knows nothing of, or cannot be acted on as asked."""
 
@@ -49,12 +55,6 @@
     event = "edges.invariant"
 
 
-class EdgeDiskError(EdgeError):
-    """The disk failed beside the store, at what is remembered of others' folders; the part stops."""
-
-    event = "edges.disk"
-
-
 class EdgeRecordError(EdgeError):
     """A record of the edge's log that cannot be read: written by a newer version, or damaged."""
 
--- a/beechrock/edges/lead.py
+++ b/beechrock/edges/lead.py
@@ -17,7 +17,7 @@
 from beechrock.edges.kept import FOUND, MOST_FLYING, Keep, Kept, Led, Spans, Stand, Stood, short, spans_of
 from beechrock.edges.upstream import Upstream
 from beechrock.edges.words import Action, Noted, ProbeAck, Send, Word, pack
-from beechrock.store.errors import StoreFullError
+from beechrock.store.errors import StoreFailedError, StoreFullError
 
 if TYPE_CHECKING:
     from beechrock.edges.standby import Standby
@@ -291,7 +291,9 @@
             out += self.waiting.popleft()[1]
         if self.snap is not None and self.snap[0] <= self.held:
             (index, data), self.snap = self.snap, None
-            with suppress(StoreFullError):      # the next one is tried after as many records
+            # The next one is tried after as many records. A disk that failed is found out by what comes next:
+            # what is released here is held by a majority, and has to go out.
+            with suppress(StoreFullError, StoreFailedError):
                 self.standby.saved(index, data)
         return out
 
--- a/beechrock/edges/member.py
+++ b/beechrock/edges/member.py
@@ -11,7 +11,7 @@
 from beechrock.core.requests import Request, Verdict
 from beechrock.edges import build
 from beechrock.edges.causal import NOTHING, Dot, Token, read_tokens
-from beechrock.edges.errors import EdgeError, EdgeFullError, UnknownReceiptError
+from beechrock.edges.errors import EdgeDiskWaitsError, EdgeError, UnknownReceiptError
 from beechrock.edges.kept import Led
 from beechrock.edges.told import Told
 from beechrock.edges.words import (
@@ -22,6 +22,7 @@
     Have,
     Names,
     ProbeAck,
+    Send,
     Turned,
     WhenGone,
     Word,
@@ -40,6 +41,7 @@
     from beechrock.inventory.model import Inventory
 
 KEEP_S = 86_400.0
+UNPROVED = b"the disk of this node failed; it may still run\n"
 MARKS = "marks"         # in place of a receipt: upstream's
 READ_AFTER_S = 0.5
 
@@ -158,6 +160,22 @@
                 say(Reply(200 if served else 500, body or (b"" if served else b"failed\n"),
                           (("Content-Type", media or "application/octet-stream"),)))
 
+    def promised(self, actions: list[Action]) -> list[Action]:
+        """What may go out after the turn's sync: where that failed, nothing that rests on this disk."""
+        if not self.store.failed or self.store.synced == self.store.last:
+            return actions
+        # Seen with a failing sync: the turn ended there, and callers of what it had queued heard nothing.
+        out: list[Action] = []
+        for action in actions:
+            match action:
+                case Accepted(ref):
+                    out.append(Done(ref, "failed", UNPROVED))
+                case Send(_, Copied()):
+                    continue        # it is sent again
+                case _:
+                    out.append(action)
+        return out
+
     # --- others
 
     def heard(self, sender: str, word: Word) -> None:
@@ -210,7 +228,9 @@
         held = [{"receipt": str(dot), "said": parked.said.name.lower(),
                  "for": [str(d) for d in parked.dots]} for dot, parked in
                 list(edge.holder.picker.parked.items())[:200]]
-        heads = [(edge.entry(dot).accepted_at, dot, state) for dot, state in edge.queue.heads()]
+        # Not beside a look: that puts other files in place of those that are read here.
+        heads = [(edge.entry(dot).accepted_at, dot, state) for dot, state in edge.queue.heads()
+                 if self.part.disk.running]
         oldest = min(heads, key=lambda found: found[0], default=None)
         return {
             "edge": self.told.edge, "member": self.part.name, "link": edge.link.state.value,
@@ -247,8 +267,9 @@
             raise UnknownReceiptError(f"{dot} does not wait here", where=f"edge {self.told.edge}",
                                       do="beechrock edges list")
         if self.edge.copies.full:
-            raise EdgeFullError("the disk of this node is full", 1.0, where=f"edge {self.told.edge}",
-                                wanted="room for a word", do="make room on the disk, say it again")
+            raise EdgeDiskWaitsError(
+                self.edge.copies.disk, 1.0, where=f"edge {self.told.edge}", wanted="a disk that keeps a word",
+                do=f"{self.part.disk.do}; say it again then")
         self.part.post(lambda now, now_s: self._ordered(dot, said))
         return {"receipt": str(dot), "order": said}
 
--- a/beechrock/edges/part.py
+++ b/beechrock/edges/part.py
@@ -11,9 +11,9 @@
 
 from beechrock import clocks, logs
 from beechrock.core.requests import Request
-from beechrock.edges.errors import EdgeDiskError, EdgeError, EdgeSettingError, UnknownReceiptError
+from beechrock.edges.errors import EdgeError, EdgeSettingError, UnknownReceiptError
 from beechrock.edges.member import MARKS, Member
-from beechrock.edges.recovering import ROOM_BYTES, STOPPED_DO, Disk, Recovering, heals
+from beechrock.edges.recovering import ROOM_BYTES, STOPPED_DO, Disk, Recovering, heals, no_room
 from beechrock.edges.runs import Runs
 from beechrock.edges.told import Told
 from beechrock.edges.words import (
@@ -35,6 +35,7 @@
 from beechrock.net.scgi import Reply, ScgiError
 from beechrock.parts import Context
 from beechrock.store import files
+from beechrock.store.errors import StoreFailedError
 from beechrock.store.log import Store
 from beechrock.store.witness import Witness
 
@@ -80,6 +81,7 @@
         if told.upstream_here:
             self.runs = Runs(self, Store.open(at, "marks", Runs.rules(told.most_bytes)), at)
         self.stores = [one.store for one in (self.member, self.runs) if one is not None]
+        self.kept = [*self.stores, *([self.runs.named.fences] if self.runs and self.runs.named else [])]
         self.talk.on(CHANNEL, self._heard)
         context.program.scgi.edges = self
         context.views["/edges"] = self.view
@@ -167,11 +169,12 @@
             if self.disk.due(clocks.mono()):
                 await self._look()
             await self._turn()
-        except OperatorError as error:
-            self._stop(error)
-        except OSError as error:
-            self._stop(EdgeDiskError(str(error), where=str(self.files.folder),
-                                     do="look at the disk, then start the node again"))
+        except (OSError, OperatorError) as error:
+            if heals(error):
+                self.fell(clocks.mono(), error)
+            else:
+                assert isinstance(error, OperatorError)
+                self._stop(error)
 
     async def _turn(self) -> None:
         now, now_s = clocks.mono(), clocks.wall()
@@ -183,7 +186,9 @@
             self._unless_full(now, lambda event=event: out.extend(event(now, now_s)))   # type: ignore[misc]
         if (member := self.member) is not None:
             member.follow(self.inventory)
-            out += member.edge.duty(self._fence(), now) + member.edge.tick(now, now_s)
+            # Seen: a read that failed as a write was to be offered stopped the queue for good.
+            self._unless_full(now, lambda: out.extend(member.edge.duty(self._fence(), now)))
+            self._unless_full(now, lambda: out.extend(member.edge.tick(now, now_s)))
             self._unless_full(now, member.proven)
             if (met := member.edge.copies.met) is not None:
                 member.edge.copies.met = None
@@ -191,24 +196,37 @@
         if self.named is not None and self.runs is not None:
             self.runs.expire(now)
             self._unless_full(now, self._before)
-        stores = [store for store in self.stores if self.runs is None or store is not self.runs.store
-                  or not self.runs.fallen]      # what is to be taken back is not made durable
-        if any(store.synced < store.last for store in stores):
-            await asyncio.to_thread(self._sync, stores)
-            if member is not None:      # what others remember of these folders
-                member.edge.folder = member.store.mark().to_bytes()
-            if self.runs is not None and self.named is None:
-                self.runs.upstream.folder = self.runs.store.mark().to_bytes()
+        await self._synced(now)
         if self.runs is not None:
             out += self.runs.wrote()
         if self.named is not None and self.disk.running:
             out += self.named.after()
-        for action in out:
+        for action in out if member is None else member.promised(out):
             self._carry_out(action)
-        if member is not None:
+        if member is not None and not member.store.failed:
             member.edge.compact()
         if self.runs is not None and self.disk.running:
             (self.named or self.runs.upstream).compact()
+        for store in self.kept:         # a snapshot or a fence that the disk did not take
+            if store.failed:
+                self.fell(now, StoreFailedError(store.failed))
+
+    async def _synced(self, now: float) -> None:
+        """All that this turn wrote, or nothing of it counts: see ``Runs.fell`` and ``Member.promised``."""
+        stores = [store for store in self.stores if not store.failed and store.synced < store.last
+                  and (self.runs is None or store is not self.runs.store
+                       or not self.runs.fallen)]      # what is to be taken back is not made durable
+        if not stores:
+            return
+        for store, error in await asyncio.to_thread(self._sync, stores):
+            if self.runs is not None and store is self.runs.store:
+                self.runs.fell(now, error)
+            else:
+                self.fell(now, error)
+        if self.member is not None:      # what others remember of these folders
+            self.member.edge.folder = self.member.store.mark().to_bytes()
+        if self.runs is not None and self.named is None:
+            self.runs.upstream.folder = self.runs.store.mark().to_bytes()
 
     def _before(self) -> None:
         """While this disk syncs, those of the others that are named do."""
@@ -216,15 +234,21 @@
             for action in self.named.before(clocks.mono()):
                 self._carry_out(action)
 
-    def _sync(self, stores: list[Store]) -> None:
+    def _sync(self, stores: list[Store]) -> list[tuple[Store, StoreFailedError]]:
+        """Those that failed."""
+        failed = []
         for store in stores:
-            store.sync()
+            try:
+                store.sync()
+            except StoreFailedError as error:
+                failed.append((store, error))
+        return failed
 
-    # --- a disk without room
+    # --- a disk that is full, or fails
 
     def _unless_full(self, now: float, do: Callable[[], None]) -> None:
-        """Writes and copies bear a full disk; here it is an operator's word, or what is remembered of others'
-        folders."""
+        """Writes and copies bear a disk that takes nothing; here it is an operator's word, what is remembered
+        of others' folders, or a read."""
         try:
             do()
         except (OSError, OperatorError) as error:
@@ -233,45 +257,46 @@
             self.fell(now, error)
 
     def fell(self, now: float, error: Exception) -> None:
-        """Nothing that needs the disk is taken until a look finds room."""
+        """Nothing that needs the disk is taken until a look finds that it works."""
         if not self.disk.fell(now, error):
             return
-        logs.event("edges.disk_full", "warning", what=self.disk.why, wait_s=self.disk.wait_s, do=self.disk.do)
-        self.counters.add("edges.disk_full")
+        name = "edges.disk_full" if no_room(error) else "edges.disk_failing"
+        logs.event(name, "warning", what=self.disk.why, wait_s=self.disk.wait_s, do=self.disk.do)
+        self.counters.add(name)
         self._told()
         if self.runs is not None:
             self.runs.hold()
 
     def _told(self) -> None:
         if self.member is not None:
-            self.member.edge.copies.full = not self.disk.running
+            copies = self.member.edge.copies
+            copies.full, copies.disk = not self.disk.running, self.disk.said
 
     async def _look(self) -> None:
-        room = await asyncio.to_thread(self._room)
-        if room and self.runs is not None:
-            try:
+        met: Exception | None = None
+        try:
+            await asyncio.to_thread(self._room)
+            # Seen: after a sync that failed the next one says yes to what the kernel had dropped.
+            for store in self.kept:
+                await asyncio.to_thread(store.rewrite)
+            if self.runs is not None:
                 await self.runs.again()
-            except (OSError, OperatorError) as error:
-                if not heals(error):
-                    raise
-                room = False
-        self.disk.tried(clocks.mono(), room)
+        except (OSError, OperatorError) as error:
+            if not heals(error):
+                raise
+            met = error
+        self.disk.tried(clocks.mono(), met is None, met)
         self._told()
-        if room:
+        if met is None:
             logs.event("edges.disk_room", looks=self.disk.looks)
 
-    def _room(self) -> bool:
-        """In a thread. OSError where more than room is wanted."""
+    def _room(self) -> None:
+        """In a thread. OSError where the disk takes nothing yet."""
         try:
             self.files.write(ROOM, 0, bytes(ROOM_BYTES))
             self.files.sync(ROOM)
-        except OSError as error:
-            if not heals(error):
-                raise
-            return False
         finally:
             self.files.remove(ROOM)
-        return True
 
     def _stop(self, error: OperatorError) -> None:
         """It takes no part any more; callers that wait hear that their write failed, and may have been
--- a/beechrock/edges/runs.py
+++ b/beechrock/edges/runs.py
@@ -114,13 +114,16 @@
         except (OSError, OperatorError) as error:
             if not heals(error):
                 raise
-            # The marks have it, and the log has not: nothing that they say now may go out, nor run.
-            self.fallen = True
-            self.out.clear()
-            self.ended.clear()
-            self.part.fell(now, error)
+            self.fell(now, error)
         return not self.fallen
 
+    def fell(self, now: float, error: Exception) -> None:
+        """The marks have it, and the log has not: nothing that they say now may go out, nor run."""
+        self.fallen = True
+        self.out.clear()
+        self.ended.clear()
+        self.part.fell(now, error)
+
     def wrote(self) -> list[Action]:
         """After the sync: what may go out now."""
         for flight in self.ended:
@@ -130,17 +133,18 @@
         return out
 
     def hold(self) -> None:
-        """The disk is full, or the part has stopped: callers that wait do not wait for that."""
+        """The disk takes nothing, or the part has stopped: callers that wait do not wait for that."""
+        said = f"{self.part.disk.said}; it may have run\n".encode()
         for number in list(self.callers):
-            self.answer(StraightDone(number, "failed", b"the disk is full; it may have run\n", "", 0.0))
+            self.answer(StraightDone(number, "failed", said, "", 0.0))
         if self.named is not None:
             self.named.fell()
 
     async def again(self) -> None:
-        """There is room: the marks as the disk has them, without the turn that it had no room for.
+        """The disk works: the marks as it has them, without the turn that it did not take.
 
         What was under way goes on, as its intent is there; how it came out meanwhile is written now. Of an
-        intent without either nobody can tell what became of it: it is in doubt. StoreFullError and the like.
+        intent without either nobody can tell what became of it: it is in doubt. Errors that ``heals`` knows.
         """
         store = self.store
         if self.named is not None:
@@ -266,7 +270,7 @@
         keyed = self.part.module.settings.classes[request.klass].effect is Effect.KEYED
         marked = terms.get("when_cut") == "queue" and keyed
         if marked and not self.part.disk.running:
-            self._refuse(request, say, "the disk of this node is full")
+            self._refuse(request, say, self.part.disk.said)
             return True
         text = told.get("HTTP_X_SEEN", "")
         if text:
--- a/beechrock/lab/fleet/disk.py
+++ b/beechrock/lab/fleet/disk.py
@@ -33,7 +33,7 @@
     dies_at: int = 0            # SIGKILL in the middle of this write or sync, since it was told or was opened
     dies_in: str = ""           # counted in the folder of this name alone
     dies_from: str = ""         # counted from the first write to a file whose name holds this
-    fails: str = ""             # "write", "sync" and "sync_names", by spaces: these end with an error
+    fails: str = ""             # "read", "write", "sync", "sync_names", by spaces: these end with an error
     fails_as: str = "EIO"       # the name of its errno
     fails_in: str = ""          # in the folder of this name alone
 
@@ -94,6 +94,8 @@
         return len(self._held(name))
 
     def read(self, name: str, at: int = 0, most: int | None = None) -> bytes:
+        self._look()
+        self._fails("read")
         return bytes(self._held(name)[at:None if most is None else at + most])
 
     def write(self, name: str, at: int, data: bytes) -> None:
@@ -102,11 +104,18 @@
         room = self.faults.full_bytes - sum(map(len, self.held.values()))
         if max(0, at + len(data) - len(held)) > max(0, room):
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        if "write" in self.faults.fails.split():    # some of it stands
+            self._put(name, at, data[:self.random.randrange(len(data) + 1)])
         self._fails("write")
         if self._dies("write", name, data):
             self._piece(name, at, data)
         if self.random.random() < self.faults.tear:
             super().write(name, at, data[:self.random.randrange(len(data) + 1)])
+        self._put(name, at, data)
+
+    def _put(self, name: str, at: int, data: bytes) -> None:
+        """Into memory; ``sync`` has it on the disk."""
+        held = self.held[name]
         if at > len(held):
             held.extend(bytes(at - len(held)))
         held[at:at + len(data)] = data
