--- a/beechrock/agree/codec.py
+++ b/beechrock/agree/codec.py
@@ -1,13 +1,13 @@
-"""Messages and journal records as bytes: msgpack, each dataclass an extension with its number and fields in
-order.
+"""Messages and journal records as bytes: msgpack, each type an extension with its number and its fields.
 
-Numbers are never used again for something else. What has another version, an unknown number or another
-count of fields is refused with BadMessageError; the sender is known by then (talk's tags), so it is a
-program of another version, not an enemy.
+The fields are written by their order, so their names may change. Numbers are never used again for something
+else. What has another version, an unknown number or another count of fields is refused with BadMessageError;
+the sender is known by then (the transport's tags), so it is a program of another version, not an enemy.
 """
 
 from collections.abc import Iterable
 from dataclasses import fields
+from enum import IntEnum
 from typing import Any, cast
 
 import msgpack
@@ -16,70 +16,72 @@
 from beechrock.agree.errors import BadMessageError
 
 VERSION = 1
-CLASSES: dict[int, type[Any]] = {
-    1: m.Ask,
-    2: m.Told,
+FIRST_RECORD_NUMBER = 32  # numbers below it are messages
+TYPES: dict[int, type[Any]] = {
+    1: m.MemoryQuery,
+    2: m.MemoryReport,
     3: m.PreVote,
     4: m.PreVoteReply,
     5: m.Vote,
     6: m.VoteReply,
-    7: m.HandOver,
+    7: m.LeadershipTransfer,
     8: m.Append,
     9: m.AppendReply,
-    10: m.Chunk,
-    11: m.ChunkReply,
-    12: m.Forward,
-    13: m.Refused,
-    14: m.ReadAsk,
-    15: m.ReadAnswer,
-    32: m.Hard,
-    33: m.Opened,
-    34: m.Seen,
-    35: m.Barred,
-    36: m.Snap,
+    10: m.SnapshotChunk,
+    11: m.SnapshotChunkReply,
+    12: m.ForwardedProposal,
+    13: m.ProposalRejected,
+    14: m.ReadIndexRequest,
+    15: m.ReadIndexReply,
+    32: m.HardState,
+    33: m.EpochOpened,
+    34: m.PeerMark,
+    35: m.BarredState,
+    36: m.Snapshot,
     37: m.Entry,
     48: m.Epoch,
     49: m.Mark,
 }
-NUMBERS = {kind: number for number, kind in CLASSES.items()}
-NAMES = {kind: tuple(field.name for field in fields(kind)) for kind in CLASSES.values()}
-ENUMS: dict[type[Any], dict[int, type[Any]]] = {
+NUMBERS = {kind: number for number, kind in TYPES.items()}
+FIELD_NAMES = {kind: tuple(field.name for field in fields(kind)) for kind in TYPES.values()}
+ENUM_TYPES: tuple[type[IntEnum], ...] = (m.EntryKind, m.MemoryStatus, m.Verdict)
+# By type: the positions of its fields that are enums, which msgpack writes as numbers.
+ENUM_FIELDS: dict[type[Any], dict[int, type[IntEnum]]] = {
     kind: {
-        at: enum
-        for at, name in enumerate(names)
-        for enum in [{"kind": m.Kind, "standing": m.Standing, "verdict": m.Verdict}.get(name)]
-        if enum
+        position: cast(type[IntEnum], field.type)
+        for position, field in enumerate(fields(kind))
+        if field.type in ENUM_TYPES
     }
-    for kind, names in NAMES.items()
+    for kind in TYPES.values()
 }
 
 
-def _default(value: Any) -> msgpack.ExtType:
+def _pack_extension(value: Any) -> msgpack.ExtType:
     kind = type(value)
-    return msgpack.ExtType(NUMBERS[kind], _pack([getattr(value, name) for name in NAMES[kind]]))
+    return msgpack.ExtType(NUMBERS[kind], _pack([getattr(value, name) for name in FIELD_NAMES[kind]]))
 
 
 def _pack(value: Any) -> bytes:
-    return cast(bytes, msgpack.packb(value, default=_default))
+    return cast(bytes, msgpack.packb(value, default=_pack_extension))
 
 
-def _hook(number: int, data: bytes) -> Any:
-    kind = CLASSES.get(number)
+def _unpack_extension(number: int, data: bytes) -> Any:
+    kind = TYPES.get(number)
     values = _unpack(data)
-    if kind is None or not isinstance(values, tuple) or len(values) != len(NAMES[kind]):
+    if kind is None or not isinstance(values, tuple) or len(values) != len(FIELD_NAMES[kind]):
         raise BadMessageError(
             f"number {number} with {data[:20]!r}", where="agreed log", wanted="a message of version 1"
         )
-    told = ENUMS[kind]
-    return (
-        kind(*(told[at](value) if at in told else value for at, value in enumerate(values)))
-        if told
-        else kind(*values)
-    )
+    enums = ENUM_FIELDS[kind]
+    if not enums:
+        return kind(*values)
+    return kind(*(
+        enums[position](value) if position in enums else value for position, value in enumerate(values)
+    ))
 
 
 def _unpack(data: bytes) -> Any:
-    return msgpack.unpackb(data, ext_hook=_hook, use_list=False)
+    return msgpack.unpackb(data, ext_hook=_unpack_extension, use_list=False)
 
 
 def _read(data: bytes) -> Any:
@@ -92,30 +94,34 @@
 
 
 def encode(message: m.Message) -> bytes:
+    """Return the message's bytes."""
     return bytes([VERSION]) + _pack(message)
 
 
 def decode(data: bytes) -> m.Message:
-    """BadMessageError."""
+    """Return the message. Raises BadMessageError where the bytes hold none."""
     message = _read(data)
-    if NUMBERS.get(type(message), 32) >= 32:
+    if NUMBERS.get(type(message), FIRST_RECORD_NUMBER) >= FIRST_RECORD_NUMBER:
         raise BadMessageError(f"{type(message).__name__} is no message", where="agreed log")
     return cast(m.Message, message)
 
 
 def encode_records(records: Iterable[m.Record], position: int = 0) -> bytes:
-    """``position``: of a whole state; 0 for records that go on from what was written before."""
+    """Return the records' bytes.
+
+    ``position``: of a whole state; 0 for records that go on from what was written before.
+    """
     return bytes([VERSION]) + _pack((position, tuple(records)))
 
 
 def decode_records(data: bytes) -> tuple[int, tuple[m.Record, ...]]:
-    """BadMessageError."""
-    told = _read(data)
+    """Return position and records. Raises BadMessageError where the bytes hold none."""
+    content = _read(data)
     if not (
-        isinstance(told, tuple)
-        and len(told) == 2
-        and isinstance(told[0], int)
-        and isinstance(told[1], tuple)
+        isinstance(content, tuple)
+        and len(content) == 2
+        and isinstance(content[0], int)
+        and isinstance(content[1], tuple)
     ):
         raise BadMessageError("no records", where="agree journal")
-    return told
+    return content
--- a/beechrock/agree/errors.py
+++ b/beechrock/agree/errors.py
@@ -1,4 +1,4 @@
-"""What the agreed log tells an operator or its caller."""
+"""Errors of the agreed log, for its callers and for operators."""
 
 from typing import ClassVar
 
@@ -12,36 +12,36 @@
 
 
 class NoQuorumError(AgreeError):
-    """The proposal was not taken, and will not be: no leader with a quorum was found in time."""
+    """The proposal was not accepted, and will not be: no leader with a quorum was found in time."""
 
     event: ClassVar[str] = "agree.no_quorum"
 
 
 class UnsureError(AgreeError):
-    """The proposal was handed on and may still be taken; sent again with the same number it runs once."""
+    """The proposal was forwarded and may still be accepted; sent again with the same number it runs once."""
 
     event: ClassVar[str] = "agree.unsure"
 
 
 class FullError(AgreeError):
-    """A bound of the log is reached; the caller comes back later."""
+    """A bound of the log is reached; the caller is to retry later."""
 
     event: ClassVar[str] = "agree.full"
 
 
 class VotersError(AgreeError):
-    """A change of voters that is not taken."""
+    """A change of voters was refused."""
 
     event: ClassVar[str] = "agree.voters"
 
 
 class BadMessageError(AgreeError):
-    """A message or a record of the journal which cannot be read."""
+    """A message or a journal record cannot be read."""
 
     event: ClassVar[str] = "agree.bad_message"
 
 
 class BrokenInvariantError(AgreeError):
-    """What can never be was seen: the process takes no further part in the agreed log; it goes on serving."""
+    """An invariant is broken: the process takes no further part in the agreed log, and goes on serving."""
 
     event: ClassVar[str] = "agree.broken"
--- a/beechrock/agree/journal.py
+++ b/beechrock/agree/journal.py
@@ -1,80 +1,98 @@
-"""What was written down, read back: records in their order give the state to start from. Pure.
+"""The state that journal records give when they are read back in their order. Pure.
 
 The log's own index and the store's are two things: one store holds entries, terms, votes and marks in the
-order in which they were written, so that one sync makes all of them last. ``whole`` is that state as one
-list of records, for the store's snapshot.
+order in which they were written, so that one sync makes all of them last. ``to_records`` gives that state as
+one list of records, for the store's snapshot.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from beechrock.agree.errors import BrokenInvariantError
-from beechrock.agree.messages import Barred, Entry, Epoch, Hard, Mark, Opened, Record, Seen, Snap
-from beechrock.agree.rules import KEPT_EPOCHS
+from beechrock.agree.messages import (
+    BarredState,
+    Entry,
+    Epoch,
+    EpochOpened,
+    HardState,
+    Mark,
+    PeerMark,
+    Record,
+    Snapshot,
+)
+from beechrock.agree.rules import MAX_EPOCHS
 
 
 @dataclass(slots=True)
-class Found:
-    """``position``: records ever written; it never falls while a folder is what it was."""
+class RecoveredState:
+    """``position``: records ever written; it never falls as long as a folder is not replaced."""
 
     term: int = 0
     vote: str = ""
     barred: bool = False
-    snap: Snap | None = None
+    snapshot: Snapshot | None = None
     entries: list[Entry] = field(default_factory=list)
-    chain: tuple[Epoch, ...] = ()
-    seen: dict[str, Mark] = field(default_factory=dict)
+    epochs: tuple[Epoch, ...] = ()
+    peer_marks: dict[str, Mark] = field(default_factory=dict)
     position: int = 0
 
-    def take(self, record: Record) -> None:
+    def apply(self, record: Record) -> None:
+        """Take the next record in. Raises BrokenInvariantError for an entry that leaves a gap."""
         self.position += 1
         match record:
-            case Hard():
+            case HardState():
                 self.term, self.vote = record.term, record.vote
             case Entry():
-                start = self.snap.index if self.snap else 0
-                if self.entries:
-                    start = self.entries[0].index - 1
-                if record.index > start + len(self.entries) + 1 or record.index <= start:
-                    raise BrokenInvariantError(f"entry {record.index} after {start + len(self.entries)}",
-                                               where="agree journal")
-                del self.entries[record.index - start - 1:]
-                self.entries.append(record)
-            case Snap():
-                self.snap, self.entries = record, []
-            case Opened():
-                self.chain = (*self.chain, record.epoch)[-KEPT_EPOCHS:]
-            case Seen():
-                self.seen[record.peer] = record.mark
-            case Barred():
+                self._append(record)
+            case Snapshot():
+                self.snapshot, self.entries = record, []
+            case EpochOpened():
+                self.epochs = (*self.epochs, record.epoch)[-MAX_EPOCHS:]
+            case PeerMark():
+                self.peer_marks[record.peer] = record.mark
+            case BarredState():
                 self.barred = record.barred
 
-    def compact(self, snap: Snap) -> None:
-        """The entries up to a snapshot's go."""
-        self.snap = snap
-        self.entries = [entry for entry in self.entries if entry.index > snap.index]
+    def _append(self, entry: Entry) -> None:
+        start = self.snapshot.index if self.snapshot else 0
+        if self.entries:
+            start = self.entries[0].index - 1
+        if entry.index > start + len(self.entries) + 1 or entry.index <= start:
+            raise BrokenInvariantError(
+                f"entry {entry.index} after {start + len(self.entries)}", where="agree journal"
+            )
+        del self.entries[entry.index - start - 1:]
+        self.entries.append(entry)
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Replace the entries up to the snapshot's index by the snapshot."""
+        self.snapshot = snapshot
+        self.entries = [entry for entry in self.entries if entry.index > snapshot.index]
 
     @property
     def empty(self) -> bool:
-        """Nothing that a vote or an acknowledgement could have rested on."""
-        return self.term == 0 and self.snap is None and not self.entries
+        """Whether there is nothing that a vote or an acknowledgement could have rested on."""
+        return self.term == 0 and self.snapshot is None and not self.entries
+
 
+def from_records(records: Iterable[Record], position: int = 0) -> RecoveredState:
+    """Return the state that the records give.
 
-def read(records: Iterable[Record], position: int = 0) -> Found:
-    """``position``: of a whole state that the records begin with, which counts anew."""
-    found = Found()
+    ``position``: of a whole state that the records begin with, which counts anew.
+    """
+    state = RecoveredState()
     for record in records:
-        found.take(record)
-    found.position = max(position, found.position)
-    return found
+        state.apply(record)
+    state.position = max(position, state.position)
+    return state
 
 
-def whole(found: Found) -> list[Record]:
-    """Reading it gives ``found`` again, but for the position."""
-    out: list[Record] = [Opened(epoch) for epoch in found.chain]
-    out += [Seen(peer, mark) for peer, mark in found.seen.items()]
-    out += [Hard(found.term, found.vote), Barred(found.barred)]
-    if found.snap is not None:
-        out.append(found.snap)
-        return out + [entry for entry in found.entries if entry.index > found.snap.index]
-    return out + list(found.entries)
+def to_records(state: RecoveredState) -> list[Record]:
+    """Return records that give ``state`` again, but for the position."""
+    records: list[Record] = [EpochOpened(epoch) for epoch in state.epochs]
+    records += [PeerMark(peer, mark) for peer, mark in state.peer_marks.items()]
+    records += [HardState(state.term, state.vote), BarredState(state.barred)]
+    if state.snapshot is not None:
+        records.append(state.snapshot)
+        return records + [entry for entry in state.entries if entry.index > state.snapshot.index]
+    return records + list(state.entries)
--- a/beechrock/agree/log.py
+++ b/beechrock/agree/log.py
@@ -7,16 +7,16 @@
 from collections.abc import Iterable
 
 from beechrock.agree.errors import BrokenInvariantError
-from beechrock.agree.messages import Entry, Snap
-from beechrock.agree.rules import MOST_APPEND_BYTES, MOST_ENTRIES
+from beechrock.agree.messages import Entry, Snapshot
+from beechrock.agree.rules import MAX_APPEND_BYTES, MAX_APPEND_ENTRIES
 
 
 class Log:
     """Entries ``start + 1`` to ``last``."""
 
-    def __init__(self, snap: Snap | None, entries: Iterable[Entry] = ()) -> None:
-        self.snap = snap
-        self.start, self.start_term = (snap.index, snap.term) if snap else (0, 0)
+    def __init__(self, snapshot: Snapshot | None, entries: Iterable[Entry] = ()) -> None:
+        self.snapshot = snapshot
+        self.start, self.start_term = (snapshot.index, snapshot.term) if snapshot else (0, 0)
         self.entries: list[Entry] = []
         self.bytes = 0
         for entry in entries:
@@ -25,13 +25,16 @@
 
     @property
     def last(self) -> int:
+        """The index of the last entry."""
         return self.start + len(self.entries)
 
     @property
     def last_term(self) -> int:
+        """The term of the last entry."""
         return self.entries[-1].term if self.entries else self.start_term
 
     def append(self, entry: Entry) -> None:
+        """Add the next entry. Raises BrokenInvariantError for a gap or a term that falls."""
         if entry.index != self.last + 1 or entry.term < self.last_term:
             raise BrokenInvariantError(
                 f"entry {entry.index} of term {entry.term} after {self.last} of {self.last_term}",
@@ -41,7 +44,7 @@
         self.bytes += entry.cost()
 
     def term_at(self, index: int) -> int | None:
-        """None: not known here, newer than the last or gone into the snapshot."""
+        """Return the term; None where the index is newer than the last or gone into the snapshot."""
         if index == self.start:
             return self.start_term
         if self.start < index <= self.last:
@@ -49,57 +52,62 @@
         return None
 
     def entry(self, index: int) -> Entry:
+        """Return the entry at a kept index."""
         return self.entries[index - self.start - 1]
 
-    def some(self, first: int) -> tuple[Entry, ...]:
-        """From ``first`` on, as many as one message holds."""
-        out: list[Entry] = []
+    def batch(self, first: int) -> tuple[Entry, ...]:
+        """Return the entries from ``first`` on, as many as one message holds."""
+        entries: list[Entry] = []
         size = 0
-        for entry in self.entries[first - self.start - 1 : first - self.start - 1 + MOST_ENTRIES]:
+        position = first - self.start - 1
+        for entry in self.entries[position : position + MAX_APPEND_ENTRIES]:
             size += entry.cost()
-            if out and size > MOST_APPEND_BYTES:
+            if entries and size > MAX_APPEND_BYTES:
                 break
-            out.append(entry)
-        return tuple(out)
+            entries.append(entry)
+        return tuple(entries)
 
     def cut(self, index: int) -> None:
-        """Forget ``index`` and all after it."""
-        gone = self.entries[index - self.start - 1 :]
+        """Remove the entry at ``index`` and all after it."""
+        removed = self.entries[index - self.start - 1 :]
         del self.entries[index - self.start - 1 :]
-        self.bytes -= sum(entry.cost() for entry in gone)
+        self.bytes -= sum(entry.cost() for entry in removed)
 
     def first_of_term(self, index: int) -> int:
-        """The first kept index with the term that stands at ``index``."""
+        """Return the first kept index with the term of the entry at ``index``."""
         term = self.term_at(index)
         while index > self.start + 1 and self.term_at(index - 1) == term:
             index -= 1
         return index
 
-    def compact(self, snap: Snap, keep: int, keep_bytes: int) -> None:
-        """``snap`` is at an applied index; the ``keep`` newest entries before it stay, for slow followers, as
-        long as they cost no more than ``keep_bytes``: else the next snapshot would be due at once.
+    def compact(self, snapshot: Snapshot, keep: int, keep_bytes: int) -> None:
+        """Replace entries by a snapshot at an applied index.
+
+        The ``keep`` newest entries before it stay, for slow followers, as long as they cost no more than
+        ``keep_bytes``: else the next snapshot would be due at once.
         """
-        self.snap = snap
-        start = snap.index
-        while start > self.start and snap.index - start < keep and keep_bytes >= self.entry(start).cost():
+        self.snapshot = snapshot
+        start = snapshot.index
+        while (
+            start > self.start
+            and snapshot.index - start < keep
+            and keep_bytes >= self.entry(start).cost()
+        ):
             keep_bytes -= self.entry(start).cost()
             start -= 1
         term = self.term_at(start)
         if term is None:
             raise BrokenInvariantError(
-                f"snapshot at {snap.index}, log ends at {self.last}", where="agreed log"
+                f"snapshot at {snapshot.index}, log ends at {self.last}", where="agreed log"
             )
-        gone = self.entries[: start - self.start]
+        removed = self.entries[: start - self.start]
         del self.entries[: start - self.start]
-        self.bytes -= sum(entry.cost() for entry in gone)
+        self.bytes -= sum(entry.cost() for entry in removed)
         self.start, self.start_term = start, term
 
-    def restart(self, snap: Snap) -> None:
-        """Everything is the snapshot's."""
-        self.snap, self.start, self.start_term, self.entries, self.bytes = (
-            snap,
-            snap.index,
-            snap.term,
-            [],
-            0,
-        )
+    def restart(self, snapshot: Snapshot) -> None:
+        """Replace everything by a snapshot."""
+        self.snapshot = snapshot
+        self.start, self.start_term = snapshot.index, snapshot.term
+        self.entries = []
+        self.bytes = 0
--- a/beechrock/agree/messages.py
+++ b/beechrock/agree/messages.py
@@ -1,42 +1,46 @@
-"""What the members say to each other, what they write down, and what the core asks its shell to do.
+"""Data of the agreed log: messages, journal records, and what the core asks its shell to do.
 
 All are frozen. Indices and terms begin at 1; 0 is before all. ``round`` numbers a leader's broadcasts, so
-that an answer tells which question it answers.
+that an answer names the broadcast that it answers. ``codec`` writes the fields by their order.
 """
 
 from dataclasses import dataclass
 from enum import IntEnum
 
 
-class Kind(IntEnum):
-    NOTHING = 0         # a new leader's first entry
+class EntryKind(IntEnum):
+    """What an entry of the log is."""
+
+    NO_OP = 0           # a new leader's first entry
     COMMAND = 1
     VOTERS = 2          # the whole new set; in force when it is written
-    READMIT = 3         # one whose disk had forgotten votes again, as the epoch that is told
+    READMIT = 3         # lets a barred member vote again, under the epoch that is named
 
 
-class Standing(IntEnum):
-    """What a member's memory is worth."""
+class MemoryStatus(IntEnum):
+    """Whether a member's journal is known to hold all that its former processes promised."""
 
-    UNPROVEN = 0        # just started: not yet heard from enough others
+    UNPROVEN = 0        # just started: not yet confirmed by enough others
     PROVEN = 1
-    BARRED = 2          # its disk is older than was told, or empty: no vote before it is readmitted
+    BARRED = 2          # its disk is older than was reported, or empty: no vote before it is readmitted
 
 
 class Verdict(IntEnum):
+    """How a member's journal compares with what another one knew of it."""
+
     SAME = 0
     NEWER = 1
-    OLDER = 2           # of that folder, but writes that it had told as synced are gone
+    OLDER = 2           # of that folder, but writes that were reported as synced are missing
     OTHER = 3           # another history: an older copy that went on, or an emptied folder
 
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """``acked``: all numbers of this proposer below it are settled for it."""
+    """An entry of the log. ``acked``: all numbers of this proposer below it are settled for it."""
 
     index: int
     term: int
-    kind: Kind
+    kind: EntryKind
     data: bytes = b""
     proposer: str = ""
     life: int = 0
@@ -44,48 +48,51 @@
     acked: int = 0
 
     def cost(self) -> int:
-        """Bytes, roughly, in memory and on the wire."""
+        """Return its size in bytes, roughly, in memory and on the wire."""
         return len(self.data) + 64
 
 
 @dataclass(frozen=True, slots=True)
 class Epoch:
-    """One opening of a journal; ``at``: records that it held then."""
+    """One opening of a journal; ``position``: records that it held then."""
 
     count: int
     id: str
-    at: int
+    position: int
 
 
 @dataclass(frozen=True, slots=True)
 class Mark:
-    """What was heard of a member's journal: its epoch, and records that it told as synced."""
+    """What is known of a member's journal: its epoch, and records that it reported as synced."""
 
     count: int
     id: str
     position: int
 
 
+EpochCount = tuple[str, int]        # a member's name, and the count of its newest known epoch
+
+
 # --- on the wire ---------------------------------------------------------------------------------------
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
-    """Is my journal what you know of me?"""
+class MemoryQuery:
+    """Asks whether the sender's journal is the one that the receiver knows."""
 
-    chain: tuple[Epoch, ...]
+    epochs: tuple[Epoch, ...]
     empty: bool
 
 
 @dataclass(frozen=True, slots=True)
-class Told:
-    """Answer to ``Ask`` for ``epoch``; ``known``: the count of the epoch that the teller knows."""
+class MemoryReport:
+    """Answer to a ``MemoryQuery`` of ``epoch``; ``known_count``: of the newest epoch known to the sender."""
 
     epoch: str
     verdict: Verdict
-    known: int
-    begun: bool
-    standing: Standing
+    known_count: int
+    begun: bool             # the sender's own log or term is not empty
+    memory: MemoryStatus
     term: int
     last_index: int
     last_term: int
@@ -95,45 +102,53 @@
 
 @dataclass(frozen=True, slots=True)
 class PreVote:
-    term: int           # which it would stand in
+    """Asks whether the receiver would vote for the sender in ``term``."""
+
+    term: int
     last_index: int
     last_term: int
 
 
 @dataclass(frozen=True, slots=True)
 class PreVoteReply:
-    term: int           # which was asked, or the higher one of who refuses
+    """``term``: the one that was asked about, or the receiver's where it refuses."""
+
+    term: int
     granted: bool
 
 
 @dataclass(frozen=True, slots=True)
 class Vote:
-    """``handed``: the leader gave up its lease and asked this candidate to stand."""
+    """Asks for a vote. ``transferred``: the leader gave up its lease and chose this candidate."""
 
     term: int
     last_index: int
     last_term: int
-    handed: bool = False
+    transferred: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class VoteReply:
+    """Answer to a ``Vote``."""
+
     term: int
     granted: bool
     mark: Mark
-    seen: tuple[tuple[str, int], ...]       # newest epoch, by its count, known of each other
+    known_epochs: tuple[EpochCount, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class HandOver:
-    """From a leader that leaves, to who may stand at once."""
+class LeadershipTransfer:
+    """From a leader that leaves, to the member that may stand for election at once."""
 
     term: int
 
 
 @dataclass(frozen=True, slots=True)
 class Append:
-    """``check_*``: the leader's digest of all that is applied up to an index; 0 where none is told. ``mark``:
+    """Entries, and the heartbeat.
+
+    ``check_*``: the leader's digest of all that is applied up to an index; 0 where none is sent. ``mark``:
     how far the leader's own journal is synced.
     """
 
@@ -157,40 +172,42 @@
     ok: bool
     match: int
     hint: int
-    standing: Standing
+    memory: MemoryStatus
     mark: Mark
-    seen: tuple[tuple[str, int], ...]
+    known_epochs: tuple[EpochCount, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class Chunk:
-    """A piece of the leader's snapshot; ``head`` is told with the first."""
+class SnapshotChunk:
+    """``data``: the piece of the leader's snapshot at ``offset``; ``size``: of the whole, in bytes."""
 
     term: int
     round: int
     index: int
-    at: int
+    offset: int
     size: int
     data: bytes
-    snap_term: int
+    snapshot_term: int
     voters_index: int
     voters: tuple[str, ...]
     digest: bytes
 
 
 @dataclass(frozen=True, slots=True)
-class ChunkReply:
+class SnapshotChunkReply:
+    """``offset``: bytes of the snapshot held so far."""
+
     term: int
     round: int
     index: int
-    at: int             # bytes held so far
-    standing: Standing
+    offset: int
+    memory: MemoryStatus
     mark: Mark
 
 
 @dataclass(frozen=True, slots=True)
-class Forward:
-    """A proposal handed to the leader; sent again until its end is known."""
+class ForwardedProposal:
+    """A proposal sent to the leader; sent again until its end is known."""
 
     proposer: str       # one start of a node: its numbers begin anew, and no other start shares them
     life: int
@@ -200,8 +217,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Refused:
-    """The leader did not take it: none, full, or the number is out of its window."""
+class ProposalRejected:
+    """The receiver did not accept it: not the leader, full, or the number is out of its window."""
 
     life: int
     seq: int
@@ -209,29 +226,32 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReadAsk:
+class ReadIndexRequest:
+    """Asks the leader for an index to read at."""
+
     life: int
     token: int
 
 
 @dataclass(frozen=True, slots=True)
-class ReadAnswer:
-    """``index``: apply up to it, then read; 0: not the leader."""
+class ReadIndexReply:
+    """``index``: apply up to it, then read; 0: not the leader, or too many reads wait."""
 
     life: int
     token: int
     index: int
 
 
-Message = (Ask | Told | PreVote | PreVoteReply | Vote | VoteReply | HandOver | Append | AppendReply | Chunk
-           | ChunkReply | Forward | Refused | ReadAsk | ReadAnswer)
+Message = (MemoryQuery | MemoryReport | PreVote | PreVoteReply | Vote | VoteReply | LeadershipTransfer
+           | Append | AppendReply | SnapshotChunk | SnapshotChunkReply | ForwardedProposal | ProposalRejected
+           | ReadIndexRequest | ReadIndexReply)
 
 
 # --- in the journal ------------------------------------------------------------------------------------
 
 
 @dataclass(frozen=True, slots=True)
-class Hard:
+class HardState:
     """``vote``: empty, a name, or ``?`` where it may have been given and is forgotten."""
 
     term: int
@@ -239,23 +259,29 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Opened:
+class EpochOpened:
+    """The journal was opened."""
+
     epoch: Epoch
 
 
 @dataclass(frozen=True, slots=True)
-class Seen:
+class PeerMark:
+    """What is known of another member's journal."""
+
     peer: str
     mark: Mark
 
 
 @dataclass(frozen=True, slots=True)
-class Barred:
+class BarredState:
+    """Whether this member is barred."""
+
     barred: bool
 
 
 @dataclass(frozen=True, slots=True)
-class Snap:
+class Snapshot:
     """All machines and sessions at ``index``, with what the log needs to go on from there."""
 
     index: int
@@ -266,7 +292,8 @@
     data: bytes
 
 
-Record = Hard | Opened | Seen | Barred | Snap | Entry      # an entry cuts all at its index and after
+# An entry replaces all at its index and after.
+Record = HardState | EpochOpened | PeerMark | BarredState | Snapshot | Entry
 
 
 # --- what the shell does -------------------------------------------------------------------------------
@@ -274,7 +301,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Persist:
-    """Write in order, sync, then tell ``synced(number)``; many may be synced at once."""
+    """Write in order, sync, then call ``on_written(number)``; many may be synced at once."""
 
     number: int
     records: tuple[Record, ...]
@@ -282,32 +309,38 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
+    """Send the message to a member."""
+
     to: str
     message: Message
 
 
 @dataclass(frozen=True, slots=True)
 class Apply:
+    """Apply the entry to its machine; ``digest``: of all entries up to it."""
+
     entry: Entry
     digest: bytes
 
 
 @dataclass(frozen=True, slots=True)
 class Restore:
-    snap: Snap
+    """Set all machines to the snapshot."""
+
+    snapshot: Snapshot
 
 
 @dataclass(frozen=True, slots=True)
-class Lead:
+class LeadershipChanged:
     """The role changed; the right to act is asked of ``leading``."""
 
-    on: bool
+    leads: bool
     term: int
 
 
 @dataclass(frozen=True, slots=True)
-class ReadAt:
-    """Own read ``token`` holds once ``index`` is applied; 0: it failed, ask again."""
+class ReadIndexReady:
+    """The own read ``token`` is valid once ``index`` is applied; 0: it failed, ask again."""
 
     token: int
     index: int
@@ -315,8 +348,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Readmitted:
+    """The member may vote again, under the epoch with this count."""
+
     name: str
     count: int
 
 
-Action = Persist | Send | Apply | Restore | Lead | ReadAt | Readmitted
+Action = Persist | Send | Apply | Restore | LeadershipChanged | ReadIndexReady | Readmitted
--- a/beechrock/agree/view.py
+++ b/beechrock/agree/view.py
@@ -1,53 +1,69 @@
-"""What an operator sees of the agreed log."""
+"""What an operator sees of the agreed log at ``/agree``."""
 
 from typing import Any
 
-from beechrock.agree.core import Core
+from beechrock.agree.core import ConsensusCore
 from beechrock.agree.disk import Disk
-from beechrock.agree.state import Role
+from beechrock.agree.durable_state import Role
+from beechrock.agree.messages import MemoryStatus
 from beechrock.errors import OperatorError
 
 
 def view(
-    core: Core | None, disk: Disk | None, broken: OperatorError | None, now: float, open_: int
+    core: ConsensusCore | None,
+    disk: Disk | None,
+    broken: OperatorError | None,
+    now_s: float,
+    open_proposals: int,
 ) -> dict[str, Any]:
-    """Indices are of the log; ``lag``: entries that a node has not acknowledged, told by the leader alone."""
+    """Return the view; indices are of the log.
+
+    ``peers``: shown by the leader alone; ``lag``: entries that a node has not acknowledged.
+    """
     if core is None or disk is None:
         return {"state": "starting"}
-    leads = core.role is Role.LEADER
-    told: dict[str, Any] = {
+    rows: dict[str, Any] = {
         "state": "broken" if broken else "running",
         "error": str(broken) if broken else "",
         "name": core.name,
         "role": core.role.name.lower(),
         "leader": core.leader,
-        "leading": not broken and core.leading(now),
+        "leading": not broken and core.leading(now_s),
         "term": core.term,
-        "standing": core.standing.name.lower(),
+        "standing": core.memory.name.lower(),
         "voter": core.name in core.voters,
         "voters": list(core.voters.names),
         "last": core.log.last,
         "commit": core.commit,
         "applied": core.applied,
         "digest": core.digest.hex(),
-        "synced": core.synced,
-        "snapshot": core.log.snap.index if core.log.snap else 0,
+        "synced": core.synced_index,
+        "snapshot": core.log.snapshot.index if core.log.snapshot else 0,
         "log_bytes": core.log.bytes,
         "disk_bytes": disk.store.bytes_held,
         "syncs": disk.syncs,
-        "proposals_open": open_,
-        "not_heard_from": []
-        if core.standing.name == "PROVEN"
-        else sorted(set(core.others) - set(core.words)),
+        "proposals_open": open_proposals,
+        "not_heard_from": _missing_reports(core),
     }
-    if leads:
-        told["lease_left_s"] = round(core.lease_end() - now, 3)
-        told["peers"] = {
-            name: {
-                "lag": core.log.last - peer.match,
-                "standing": peer.standing.name.lower(),
-                "heard_s": round(now - peer.heard_at, 3) if peer.heard_at > 0 else None,
-            }
-            for name, peer in core.peers.items()
+    if core.role is Role.LEADER:
+        rows["lease_left_s"] = round(core.lease_end_s() - now_s, 3)
+        rows["peers"] = _peers(core, now_s)
+    return rows
+
+
+def _missing_reports(core: ConsensusCore) -> list[str]:
+    """Return the members whose reports on the own memory are still wanted."""
+    if core.memory is MemoryStatus.PROVEN:
+        return []
+    return sorted(set(core.others) - set(core.reports))
+
+
+def _peers(core: ConsensusCore, now_s: float) -> dict[str, Any]:
+    return {
+        name: {
+            "lag": core.log.last - peer.match,
+            "standing": peer.memory.name.lower(),
+            "heard_s": round(now_s - peer.answered_s, 3) if peer.answered_s > 0 else None,
         }
-    return told
+        for name, peer in core.peers.items()
+    }
--- a/beechrock/lab/agree_checks.py
+++ b/beechrock/lab/agree_checks.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from beechrock.agree.journal import Found, read
+from beechrock.agree.journal import RecoveredState, from_records
 from beechrock.agree.messages import Record
 
 
@@ -47,10 +47,10 @@
     def copy(self) -> "Disk":
         return Disk(list(self.base), self.position, self.tail[: self.synced], self.synced)
 
-    def found(self) -> Found:
-        found = read(self.base, self.position)
+    def found(self) -> RecoveredState:
+        found = from_records(self.base, self.position)
         for record in self.tail:
-            found.take(record)
+            found.apply(record)
         return found
 
 
--- a/beechrock/lab/agree_faults.py
+++ b/beechrock/lab/agree_faults.py
@@ -3,7 +3,7 @@
 """
 
 from beechrock.agree.errors import VotersError
-from beechrock.agree.messages import Standing
+from beechrock.agree.messages import MemoryStatus
 from beechrock.agree.rules import Rules
 from beechrock.lab.agree_checks import Disk
 from beechrock.lab.agree_sim import Process, Sim
@@ -100,8 +100,10 @@
             case _:
                 lead = sim.leader()
                 if lead is not None:
-                    self.random.choice((lambda: self.crash(lead.name), lambda: setattr(lead, "paused", True),
-                                        lambda: lead.guarded(lambda: lead.core.hand_over(lead.clock()))))()
+                    self.random.choice((
+                        lambda: self.crash(lead.name),
+                        lambda: setattr(lead, "paused", True),
+                        lambda: lead.guarded(lambda: lead.core.transfer_leadership(lead.clock()))))()
 
     def crash(self, name: str) -> None:
         if not self.sim.processes[name].dead:
@@ -111,7 +113,7 @@
         """Only once the one before has its memory proved again: of two at a time no proof is claimed."""
         if self.forgot is not None:
             now = self.sim.processes[self.forgot.name]
-            if now.dead or now.core.standing is not Standing.PROVEN:
+            if now.dead or now.core.memory is not MemoryStatus.PROVEN:
                 return
         self.crash(name)
         disk = self.sim.disks[name]
--- a/beechrock/lab/agree_sim.py
+++ b/beechrock/lab/agree_sim.py
@@ -11,26 +11,26 @@
 import random
 from collections.abc import Callable
 
-from beechrock.agree.core import Core
+from beechrock.agree.core import ConsensusCore
+from beechrock.agree.durable_state import Role
 from beechrock.agree.errors import BrokenInvariantError
-from beechrock.agree.journal import whole
-from beechrock.agree.machine import Hosts, wrap
+from beechrock.agree.journal import to_records
+from beechrock.agree.machines import StateMachines, wrap
 from beechrock.agree.messages import (
     Action,
     Apply,
     Entry,
-    Forward,
-    Lead,
+    ForwardedProposal,
+    LeadershipChanged,
     Message,
     Persist,
-    ReadAt,
+    ReadIndexReady,
     Record,
     Restore,
     Send,
 )
 from beechrock.agree.proposals import Proposals
 from beechrock.agree.rules import DRIFT, Guard, Rules
-from beechrock.agree.state import Role
 from beechrock.lab.agree_checks import Counter, Disk, Operation, Violation, linearizable
 
 COMPACT_AFTER = 60  # applied entries, here: so that snapshots are sent in short histories
@@ -45,15 +45,15 @@
         self.paused, self.dead = False, False
         self.inbox: list[Callable[[], None]] = []
         self.counter = Counter()
-        self.hosts = Hosts({"c": self.counter}, sim.rules.on(Guard.DEDUP))
+        self.hosts = StateMachines({"c": self.counter}, sim.rules.on(Guard.DEDUP))
         self.mirror = disk.found()
         self.proposals = Proposals(self.identity, number, 0.3)
         self.waiting: dict[int, Operation] = {}  # own proposals by number
         self.reading: dict[int, Operation] = {}  # own reads by token
         self.reads_at: list[tuple[int, Operation]] = []  # wait until an index is applied
-        if self.mirror.snap is not None:
-            self.hosts.restore(self.mirror.snap.data)
-        self.core = Core(
+        if self.mirror.snapshot is not None:
+            self.hosts.restore(self.mirror.snapshot.data)
+        self.core = ConsensusCore(
             name,
             sim.names,
             sim.told,
@@ -89,14 +89,14 @@
         self.sim.at(self.sim.rules.tick_s, self.tick)
 
     def hear(self, sender: str, message: Message) -> None:
-        if isinstance(message, Forward):
+        if isinstance(message, ForwardedProposal):
             self.guarded(lambda: self.take(sender, message))
         else:
-            self.guarded(lambda: self.core.hear(self.clock(), sender, message))
+            self.guarded(lambda: self.core.receive(self.clock(), sender, message))
 
     # --- proposals and reads ---------------------------------------------------------------------------
 
-    def take(self, proposer: str, message: Forward) -> list[Action]:
+    def take(self, proposer: str, message: ForwardedProposal) -> list[Action]:
         """The proposer's identity is told in place of the sender's name."""
         self.core.propose(
             self.clock(), message.command, message.proposer, message.life, message.seq, message.acked
@@ -107,9 +107,9 @@
         leader = self.core.leader
         if not leader:
             return
-        for one in self.proposals.due(self.clock()):
-            one.handed = True
-            message = Forward(
+        for one in self.proposals.take_due(self.clock()):
+            one.forwarded = True
+            message = ForwardedProposal(
                 self.identity, self.proposals.life, one.seq, self.proposals.acked, one.command
             )
             if leader == self.name:
@@ -139,7 +139,7 @@
                     sim.saw_written(self, action.records)
                     for record in action.records:
                         self.disk.tail.append(record)
-                        self.mirror.take(record)
+                        self.mirror.apply(record)
                     size = len(self.disk.tail)
                     sim.at(
                         sim.random.expovariate(1 / sim.sync_s),
@@ -152,11 +152,11 @@
                 case Apply():
                     self.apply(action)
                 case Restore():
-                    self.hosts.restore(action.snap.data)
+                    self.hosts.restore(action.snapshot.data)
                     self.counter.twice.clear()
-                case Lead():
+                case LeadershipChanged():
                     sim.saw_lead(self, action)
-                case ReadAt():
+                case ReadIndexReady():
                     operation = self.reading.get(action.token)
                     if operation is not None and action.index:
                         self.reads_at.append((action.index, operation))
@@ -174,7 +174,7 @@
             return
         if base is self.disk.base:
             self.disk.synced = max(self.disk.synced, size)
-        self.guarded(lambda: self.core.wrote(self.clock(), number))
+        self.guarded(lambda: self.core.on_written(self.clock(), number))
 
     def apply(self, action: Apply) -> None:
         entry = action.entry
@@ -193,12 +193,12 @@
             return
         core = self.core
         core.keep_entries = 20
-        snap = core.snapshot(self.clock(), core.applied, core.digest, self.hosts.snapshot())
-        self.mirror.compact(snap)
-        self.disk.base, self.disk.position = whole(self.mirror), self.mirror.position
+        snapshot = core.snapshot(self.clock(), core.applied, core.digest, self.hosts.snapshot())
+        self.mirror.compact(snapshot)
+        self.disk.base, self.disk.position = to_records(self.mirror), self.mirror.position
         self.disk.tail, self.disk.synced = [], 0
-        number = core.number
-        self.sim.at(0.0, lambda: self.guarded(lambda: core.wrote(self.clock(), number)))
+        number = core.last_write
+        self.sim.at(0.0, lambda: self.guarded(lambda: core.on_written(self.clock(), number)))
 
 
 class Sim:
@@ -264,7 +264,7 @@
     def start(self, name: str) -> Process:
         self.starts[name] += 1
         process = self.processes[name] = Process(self, name, self.disks[name], self.starts[name])
-        process.carry(process.core.drain())
+        process.carry(process.core.take_actions())
         self.at(self.random.uniform(0, self.rules.tick_s), process.tick)
         return process
 
@@ -319,9 +319,9 @@
                 ):
                     raise Violation(f"{process.name} wrote {record} after term {before}, another {known}")
 
-    def saw_lead(self, process: Process, action: Lead) -> None:
+    def saw_lead(self, process: Process, action: LeadershipChanged) -> None:
         self.events.append((self.now, process.name, action))
-        if not action.on:
+        if not action.leads:
             return
         if self.leaders.setdefault(action.term, process.name) != process.name:
             raise Violation(f"term {action.term}: {self.leaders[action.term]} and {process.name} lead")
--- a/tests/agree/test_disk.py
+++ b/tests/agree/test_disk.py
@@ -1,5 +1,6 @@
-"""The journal and the messages as bytes: what is read back is what was written, also across snapshots and a
-lost end.
+"""The journal and the messages as bytes: what is read back is what was written.
+
+Also across snapshots, a full disk and a lost end.
 """
 
 import asyncio
@@ -13,19 +14,20 @@
 from beechrock.agree import codec
 from beechrock.agree.disk import Disk
 from beechrock.agree.errors import BadMessageError
-from beechrock.agree.journal import Found
+from beechrock.agree.journal import RecoveredState
 from beechrock.agree.messages import (
-    Barred,
+    BarredState,
     Entry,
+    EntryKind,
     Epoch,
-    Hard,
-    Kind,
+    EpochOpened,
+    HardState,
     Mark,
-    Opened,
+    MemoryStatus,
+    PeerMark,
     Persist,
-    Seen,
-    Snap,
-    Standing,
+    Record,
+    Snapshot,
     Verdict,
 )
 from beechrock.lab.fleet.disk import Faults, LyingFiles, tell
@@ -36,20 +38,20 @@
     "str": "n1",
     "bytes": b"\0x",
     "bool": True,
-    "Standing": Standing.BARRED,
+    "MemoryStatus": MemoryStatus.BARRED,
     "Verdict": Verdict.OLDER,
-    "Kind": Kind.VOTERS,
+    "EntryKind": EntryKind.VOTERS,
     "Mark": Mark(3, "a", 9),
     "Epoch": Epoch(3, "a", 9),
     "tuple[str, ...]": ("a", "b"),
     "tuple[Epoch, ...]": (Epoch(1, "b", 0),),
     "tuple[tuple[str, int], ...]": (("a", 1),),
-    "tuple[Entry, ...]": (Entry(1, 2, Kind.COMMAND, b"x", "p", 1, 2, 3),),
+    "tuple[Entry, ...]": (Entry(1, 2, EntryKind.COMMAND, b"x", "p", 1, 2, 3),),
 }
 
 
-def test_every_message_and_record_comes_back_and_what_is_none_is_refused() -> None:
-    for number, kind in codec.CLASSES.items():
+def test_every_message_and_record_survives_a_round_trip_and_others_are_refused() -> None:
+    for number, kind in codec.TYPES.items():
         made = kind(
             *(
                 SAMPLES[
@@ -73,112 +75,108 @@
                 codec.decode(codec.encode_records([made]))
 
 
+def put_random_write(draw: random.Random, disk: Disk, number: int) -> None:
+    """An append that may replace the end, a snapshot of its own or from the leader, or other records."""
+    state = disk.mirror
+    start = state.snapshot.index if state.snapshot else 0
+    end = max([start, *(entry.index for entry in state.entries)])
+    choice = draw.randrange(8)
+    if choice == 0 and end > start:
+        snapshot = Snapshot(draw.randint(start + 1, end), 1, 0, ("a",), b"d" * 16, draw.randbytes(20))
+        disk.compact(snapshot, number)
+        return
+    records: tuple[Record, ...]
+    if choice == 1:
+        records = (Snapshot(end + 5, 1, 0, ("a",), b"d" * 16, draw.randbytes(20)),)
+    elif choice == 2:
+        records = (HardState(number, "b"), PeerMark("b", Mark(1, "x", number)), BarredState(number % 2 == 0))
+    elif choice == 3:
+        records = (EpochOpened(Epoch(number, f"o{number}", number)),)
+    else:
+        first = draw.randint(start + 1, end + 1)
+        records = tuple(
+            Entry(first + at, number, EntryKind.COMMAND, draw.randbytes(9))
+            for at in range(draw.randint(1, 4))
+        )
+    disk.put(Persist(number, records))
+
+
 @pytest.mark.parametrize("seed", range(6))
-def test_a_journal_opened_again_is_what_was_written(
+def test_reopened_journal_holds_what_was_written(
     tmp_path: Path, seed: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Appends that replace the end, snapshots of one's own and from the leader, in drawn order, on a disk
-    that is full now and then.
-    """
+    """Writes of all kinds in drawn order, on a disk that is full now and then."""
     draw, number = random.Random(seed), 0
 
-    async def written(disk: Disk) -> None:
+    async def write(disk: Disk) -> None:
         nonlocal number
-        last: list[int] = []
-        writing = asyncio.ensure_future(disk.run(last.append))
+        synced: list[int] = []
+        writing = asyncio.ensure_future(disk.run(synced.append))
         for _ in range(60):
             number += 1
-            found = disk.mirror
-            start = found.snap.index if found.snap else 0
-            end = max([start, *(entry.index for entry in found.entries)])
-            what = draw.randrange(8)
-            if what == 0 and end > start:
-                snap = Snap(draw.randint(start + 1, end), 1, 0, ("a",), b"d" * 16, draw.randbytes(20))
-                disk.compact(snap, number)
-            elif what == 1:
-                disk.put(Persist(number, (Snap(end + 5, 1, 0, ("a",), b"d" * 16, draw.randbytes(20)),)))
-            elif what == 2:
-                disk.put(
-                    Persist(
-                        number,
-                        (Hard(number, "b"), Seen("b", Mark(1, "x", number)), Barred(number % 2 == 0)),
-                    )
-                )
-            elif what == 3:
-                disk.put(Persist(number, (Opened(Epoch(number, f"o{number}", number)),)))
-            else:
-                first = draw.randint(start + 1, end + 1)
-                disk.put(
-                    Persist(
-                        number,
-                        tuple(
-                            Entry(first + at, number, Kind.COMMAND, draw.randbytes(9))
-                            for at in range(draw.randint(1, 4))
-                        ),
-                    )
-                )
+            put_random_write(draw, disk, number)
             if draw.random() < 0.3:
                 await asyncio.sleep(0.001)
             if draw.random() < 0.2:         # full in the middle of a write, and with room again
                 room = draw.choice((1 << 40, 200, 60))
                 tell(control, Faults(full_bytes=room + sum(map(len, disk.store.files.held.values()))))
         tell(control, Faults())
-        while not last or last[-1] < number:
+        while not synced or synced[-1] < number:
             await asyncio.sleep(0.001)
         writing.cancel()
 
-    monkeypatch.setattr("beechrock.agree.disk.FIRST_S", 0.002)
-    monkeypatch.setattr("beechrock.agree.disk.MOST_S", 0.002)
+    monkeypatch.setattr("beechrock.agree.disk.FIRST_RETRY_S", 0.002)
+    monkeypatch.setattr("beechrock.agree.disk.MAX_RETRY_S", 0.002)
     control, folder = tmp_path / "disk.json", tmp_path / "state"
     for _ in range(3):
         tell(control, Faults())
         disk = Disk(LyingFiles(folder, control), 64 << 20)
-        asyncio.run(written(disk))
+        asyncio.run(write(disk))
         disk.close()
-        again = Disk(Files(folder), 64 << 20)
-        assert again.found == disk.mirror == again.mirror
-        again.close()
+        reopened = Disk(Files(folder), 64 << 20)
+        assert reopened.recovered == disk.mirror == reopened.mirror
+        reopened.close()
 
 
 @pytest.mark.parametrize("fails", ["write", "sync", "write sync sync_names"])
-def test_nothing_is_told_as_written_that_a_failing_disk_may_have_dropped(
+def test_nothing_is_reported_as_written_that_a_failing_disk_may_have_dropped(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, fails: str,
 ) -> None:
-    monkeypatch.setattr("beechrock.agree.disk.FIRST_S", 0.002)
-    monkeypatch.setattr("beechrock.agree.disk.MOST_S", 0.002)
+    monkeypatch.setattr("beechrock.agree.disk.FIRST_RETRY_S", 0.002)
+    monkeypatch.setattr("beechrock.agree.disk.MAX_RETRY_S", 0.002)
     control, folder = tmp_path / "disk.json", tmp_path / "state"
     tell(control, Faults())
     disk = Disk(LyingFiles(folder, control), 64 << 20)
-    told: list[int] = []
+    reported: list[int] = []
 
-    def durable() -> Found:
+    def durable() -> RecoveredState:
         """As a start finds it after a kill, which takes all that was never written."""
         copy = tmp_path / "copy"
         shutil.rmtree(copy, ignore_errors=True)
         shutil.copytree(folder, copy)
-        again = Disk(Files(copy), 64 << 20)
-        again.close()
-        return again.found
+        reopened = Disk(Files(copy), 64 << 20)
+        reopened.close()
+        return reopened.recovered
 
     async def run() -> None:
-        writing = asyncio.ensure_future(disk.run(told.append))
+        writing = asyncio.ensure_future(disk.run(reported.append))
         for number in range(100, 600, 100):
-            disk.put(Persist(number, (Hard(number, "b"),)))
+            disk.put(Persist(number, (HardState(number, "b"),)))
             if number == 300:
-                disk.compact(Snap(1, 1, 0, ("a",), b"d" * 16, b"state"), number)
-            while not told or told[-1] < number:
+                disk.compact(Snapshot(1, 1, 0, ("a",), b"d" * 16, b"state"), number)
+            while not reported or reported[-1] < number:
                 await asyncio.sleep(0.001)
             assert durable().term == number
             tell(control, Faults(fails=fails))
-            disk.put(Persist(number + 10, (Hard(number + 10, "b"),)))
-            disk.put(Persist(number + 20, (Hard(number + 20, "b"),)))
-            tried = disk.refused
-            while disk.refused < tried + 3:
+            disk.put(Persist(number + 10, (HardState(number + 10, "b"),)))
+            disk.put(Persist(number + 20, (HardState(number + 20, "b"),)))
+            failed_tries = disk.failed_tries
+            while disk.failed_tries < failed_tries + 3:
                 assert not writing.done()
                 await asyncio.sleep(0.001)
-            assert told[-1] == number == durable().term
+            assert reported[-1] == number == durable().term
             tell(control, Faults())
-            while told[-1] < number + 20:
+            while reported[-1] < number + 20:
                 await asyncio.sleep(0.001)
             assert durable().term == number + 20
         writing.cancel()
--- a/tests/agree/test_guards.py
+++ b/tests/agree/test_guards.py
@@ -1,25 +1,34 @@
-"""Each guard of the agreed log: a story in which nothing breaks, and in which something does once it is taken
-out.
-"""
+"""Each guard of the agreed log: a scenario that holds with it, and breaks once it is taken out."""
 
 from collections.abc import Callable
 from contextlib import suppress
 
 import pytest
 
+from beechrock.agree.durable_state import Role
 from beechrock.agree.errors import BrokenInvariantError, VotersError
-from beechrock.agree.messages import Append, Entry, Hard, Kind, Mark, Message, Readmitted, Standing
-from beechrock.agree.rules import MOST_ENTRIES, Guard, Rules
-from beechrock.agree.state import Role
+from beechrock.agree.messages import (
+    Append,
+    Entry,
+    EntryKind,
+    HardState,
+    Mark,
+    MemoryStatus,
+    Message,
+    Readmitted,
+)
+from beechrock.agree.rules import MAX_APPEND_ENTRIES, Guard, Rules
 from beechrock.lab.agree_checks import Disk, Violation
 from beechrock.lab.agree_sim import Process, Sim
 
 SEEDS = range(8)
-Story = Callable[[int, Rules], None]
+Scenario = Callable[[int, Rules], None]
 
 
-def led(seed: int, rules: Rules, voters: int = 3, learners: int = 0) -> tuple[Sim, Process, list[str]]:
-    """A simulation with a leader, which all follow; its name and the others'."""
+def with_leader(
+    seed: int, rules: Rules, voters: int = 3, learners: int = 0
+) -> tuple[Sim, Process, list[str]]:
+    """Return a simulation in which all follow a leader, the leader, and the names of the others."""
     sim = Sim(seed, voters, learners, rules, drop=0.0, double=0.0)
     assert sim.within(10.0, lambda: sim.leader() is not None)
     leader = sim.leader()
@@ -28,7 +37,7 @@
     return sim, leader, [name for name in sim.names if name != leader.name]
 
 
-def part(sim: Sim, *sides: list[str]) -> None:
+def partition(sim: Sim, *sides: list[str]) -> None:
     sim.cuts = {(a, b) for side in sides for a in side for other in sides if other is not side for b in other}
 
 
@@ -39,8 +48,8 @@
 
 
 def sync_first(seed: int, rules: Rules) -> None:
-    sim, a, (b, c) = led(seed, rules)
-    part(sim, [a.name, b], [c])
+    sim, a, (b, c) = with_leader(seed, rules)
+    partition(sim, [a.name, b], [c])
     sim.sync_s = 1000.0
     a.write(b"x")
     sim.run(0.5)
@@ -56,28 +65,28 @@
 
 
 def lease_end(seed: int, rules: Rules) -> None:
-    sim, a, others = led(seed, rules)
-    part(sim, [a.name], others)
+    sim, a, others = with_leader(seed, rules)
+    partition(sim, [a.name], others)
     sim.run(6.0)
 
 
 def lease_gap(seed: int, rules: Rules) -> None:
-    _, a, _ = led(seed, rules)
+    _, a, _ = with_leader(seed, rules)
     assert a.core.leading(a.clock())
-    if a.core.leading(a.core.ticked + 0.6 * rules.lease_s):
-        raise Violation("acts right after a gap, before anything was heard")
+    if a.core.leading(a.core.last_tick_s + 0.6 * rules.lease_s):
+        raise Violation("acts right after a gap, before anything was received")
 
 
 def lease_promise(seed: int, rules: Rules) -> None:
-    sim, a, (_, c) = led(seed, rules)
-    part(sim, [a.name], [c])
+    sim, a, (_, c) = with_leader(seed, rules)
+    partition(sim, [a.name], [c])
     sim.run(6.0)
 
 
 def pre_vote(seed: int, rules: Rules) -> None:
-    sim, a, (b, c) = led(seed, rules)
+    sim, a, (b, c) = with_leader(seed, rules)
     term = a.core.term
-    part(sim, [a.name, b], [c])
+    partition(sim, [a.name, b], [c])
     sim.run(6.0)
     sim.cuts.clear()
     sim.run(3.0)
@@ -86,8 +95,8 @@
 
 
 def check_quorum(seed: int, rules: Rules) -> None:
-    sim, a, others = led(seed, rules)
-    part(sim, [a.name], others)
+    sim, a, others = with_leader(seed, rules)
+    partition(sim, [a.name], others)
     sim.run(4 * rules.lease_s)
     if a.core.role is Role.LEADER:
         raise Violation("cut off from all, and still takes proposals")
@@ -96,19 +105,19 @@
 def own_term(seed: int, rules: Rules) -> None:
     """Raft's figure 8: what a majority holds of an older term can still be replaced by one of a newer."""
     sim = Sim(seed, 5, 0, rules, drop=0.0, double=0.0)
-    old = [Entry(at, 2, Kind.COMMAND, b"\1c" + bytes([at])) for at in range(1, MOST_ENTRIES + 8)]
+    old = [Entry(at, 2, EntryKind.COMMAND, b"\1c" + bytes([at])) for at in range(1, MAX_APPEND_ENTRIES + 8)]
     n = sim.names
-    disks = {n[0]: old, n[1]: old, n[2]: [], n[3]: [], n[4]: [Entry(1, 3, Kind.COMMAND, b"\1cz")]}
+    disks = {n[0]: old, n[1]: old, n[2]: [], n[3]: [], n[4]: [Entry(1, 3, EntryKind.COMMAND, b"\1cz")]}
     for name, entries in disks.items():
         sim.crash(name)
-        sim.disks[name] = Disk(tail=[*entries, Hard(3, "?")], synced=len(entries) + 1)
-    part(sim, list(n[:4]), [n[4]])
+        sim.disks[name] = Disk(tail=[*entries, HardState(3, "?")], synced=len(entries) + 1)
+    partition(sim, list(n[:4]), [n[4]])
 
     def only_first(sender: str, to: str, message: Message) -> bool:
         """To the third, of the leader's log only entries of the older term; to the fourth none."""
         if not isinstance(message, Append) or not message.entries:
             return True
-        return to != n[3] and (to != n[2] or message.entries[-1].index <= MOST_ENTRIES)
+        return to != n[3] and (to != n[2] or message.entries[-1].index <= MAX_APPEND_ENTRIES)
 
     sim.filter = only_first
     for name in n:
@@ -121,10 +130,10 @@
 
 
 def one_change(seed: int, rules: Rules) -> None:
-    sim, a, others = led(seed, rules, 3, 2)
+    sim, a, others = with_leader(seed, rules, 3, 2)
     voters = [name for name in others if name in a.core.voters]
     learners = [name for name in others if name not in voters]
-    part(sim, [a.name, *learners], voters)
+    partition(sim, [a.name, *learners], voters)
     for name in learners:
         with suppress(VotersError):
             a.guarded(lambda name=name: a.core.change_voters(a.clock(), add=name))  # type: ignore[misc]
@@ -134,14 +143,14 @@
 
 
 def old_disk(seed: int, rules: Rules) -> None:
-    sim, a, (b, c) = led(seed, rules)
-    part(sim, [a.name, b], [c])
+    sim, a, (b, c) = with_leader(seed, rules)
+    partition(sim, [a.name, b], [c])
     copy = sim.disks[b].copy()
     a.write(b"x")
     assert sim.within(2.0, lambda: sim.processes[b].counter.count == 1)
     sim.crash(b)
     sim.disks[b] = copy
-    part(sim, [a.name], [b, c])
+    partition(sim, [a.name], [b, c])
     sim.start(b)
     sim.run(6.0)
 
@@ -150,7 +159,7 @@
     """What a follower acknowledged and then forgot must not make up a majority with what others
     acknowledge later.
     """
-    sim, a, (x, d, b, e) = led(seed, rules, 5)
+    sim, a, (x, d, b, e) = with_leader(seed, rules, 5)
     sim.cuts = {(a.name, name) for name in (b, d, e)}
     copy = sim.disks[x].copy()
     a.write(b"x")
@@ -168,7 +177,7 @@
 
 
 def dedup(seed: int, rules: Rules) -> None:
-    sim, _, (b, _) = led(seed, rules)
+    sim, _, (b, _) = with_leader(seed, rules)
     sim.double = 1.0
     for at in range(5):
         sim.processes[b].write(bytes([at]))
@@ -177,8 +186,8 @@
 
 
 def read_round(seed: int, rules: Rules) -> None:
-    sim, a, others = led(seed, rules)
-    part(sim, [a.name], others)
+    sim, a, others = with_leader(seed, rules)
+    partition(sim, [a.name], others)
     assert sim.within(10.0, lambda: any(sim.processes[name].core.settled_term for name in others))
     for name in others:
         sim.processes[name].write(name.encode())
@@ -189,8 +198,8 @@
 
 
 def log_up_to_date(seed: int, rules: Rules) -> None:
-    sim, a, (b, c) = led(seed, rules)
-    part(sim, [a.name, b], [c])
+    sim, a, (b, c) = with_leader(seed, rules)
+    partition(sim, [a.name, b], [c])
     a.write(b"x")
     assert sim.within(2.0, lambda: a.counter.count == 1)
     sim.crash(a.name)
@@ -198,8 +207,8 @@
     sim.run(6.0)
 
 
-# Some are backed up by another guard, which is then out in both plays.
-STORIES: dict[Guard, tuple[Story, set[Guard]]] = {
+# Some are backed up by another guard, which is then out in both runs.
+SCENARIOS: dict[Guard, tuple[Scenario, set[Guard]]] = {
     Guard.PRE_VOTE: (pre_vote, set()),
     Guard.CHECK_QUORUM: (check_quorum, set()),
     Guard.SYNC_FIRST: (sync_first, set()),
@@ -216,42 +225,43 @@
 }
 
 
-def breaks(story: Story, without: set[Guard]) -> list[str]:
-    found = []
+def breaks(scenario: Scenario, without: set[Guard]) -> list[str]:
+    violations = []
     for seed in SEEDS:
         try:
-            story(seed, Rules(tick_s=0.1, strict=True, without=frozenset(without)))
+            scenario(seed, Rules(tick_s=0.1, strict=True, without=frozenset(without)))
         except Violation as violation:
-            found.append(str(violation))
-    return found
+            violations.append(str(violation))
+    return violations
 
 
 @pytest.mark.parametrize("guard", Guard)
-def test_fails_without_it_and_holds_with_it(guard: Guard) -> None:
-    story, out = STORIES[guard]
-    assert not breaks(story, out)
-    assert breaks(story, out | {guard})
+def test_scenario_fails_without_the_guard_and_holds_with_it(guard: Guard) -> None:
+    scenario, out = SCENARIOS[guard]
+    assert not breaks(scenario, out)
+    assert breaks(scenario, out | {guard})
 
 
-def test_a_follower_that_applied_something_else_is_found() -> None:
-    sim, a, (b, _) = led(1, Rules(tick_s=0.1))
+def test_diverged_follower_is_detected() -> None:
+    sim, a, (b, _) = with_leader(1, Rules(tick_s=0.1))
     sim.processes[b].core.digest = bytes(16)
     with pytest.raises(Violation, match="applied something else"):
         a.write(b"x")
         sim.run(2.0)
 
 
-def test_nothing_that_is_committed_is_ever_cut() -> None:
-    sim, a, (b, _) = led(1, Rules(tick_s=0.1))
+def test_committed_entries_are_never_cut() -> None:
+    sim, a, (b, _) = with_leader(1, Rules(tick_s=0.1))
     follower = sim.processes[b].core
-    other = Entry(1, a.core.term + 1, Kind.COMMAND, b"\1cz")
+    other = Entry(1, a.core.term + 1, EntryKind.COMMAND, b"\1cz")
     with pytest.raises(BrokenInvariantError, match="would be cut"):
-        follower.hear(follower.now, a.name, Append(a.core.term + 1, 1, 0, 0, 0, Mark(1, "x", 0), (other,)))
+        append = Append(a.core.term + 1, 1, 0, 0, 0, Mark(1, "x", 0), (other,))
+        follower.receive(follower.now_s, a.name, append)
     assert follower.log.last == a.core.log.last
 
 
-def test_an_older_copy_of_the_disk_of_one_that_led_all_the_time_is_noticed() -> None:
-    sim, a, _ = led(1, Rules(tick_s=0.1))
+def test_older_disk_copy_of_a_permanent_leader_is_detected() -> None:
+    sim, a, _ = with_leader(1, Rules(tick_s=0.1))
     copy = sim.disks[a.name].copy()
     for n in range(5):
         a.write(bytes([n]))
@@ -260,6 +270,6 @@
     sim.crash(a.name)
     sim.disks[a.name] = copy
     sim.start(a.name)
-    assert sim.within(20.0, lambda: sim.processes[a.name].core.standing is Standing.PROVEN)
+    assert sim.within(20.0, lambda: sim.processes[a.name].core.memory is MemoryStatus.PROVEN)
     readmitted = [event.name for _, _, event in sim.events if isinstance(event, Readmitted)]
     assert a.name in readmitted     # else it passed as the one it was
--- a/tests/agree/test_histories.py
+++ b/tests/agree/test_histories.py
@@ -1,6 +1,4 @@
-"""Random histories of the agreed log on a driven clock; every claim is checked after every step
-(lab/agree_sim.py).
-"""
+"""Random histories of the agreed log on a driven clock; lab/agree_sim.py checks each claim at each step."""
 
 import pytest
 
@@ -10,14 +8,14 @@
 
 
 @pytest.mark.parametrize("first", range(0, 120, 10))
-def test_disks_that_forget(first: int) -> None:
+def test_random_histories_with_disks_that_forget(first: int) -> None:
     for seed in range(first, first + 10):
         history = History(seed, voters=5 if seed % 4 == 0 else 3)
         history.run(7.0)
 
 
 @pytest.mark.parametrize("first", range(1000, 1060, 10))
-def test_all_comes_back_once_healed(first: int) -> None:
+def test_all_members_recover_once_faults_are_healed(first: int) -> None:
     """Crashes and cuts, no disk that forgets: a leader again, and every node applies what it commits."""
     for seed in range(first, first + 10):
         history = History(seed, forget=False, rules=Rules(tick_s=0.1))
--- a/tests/agree/test_processes.py
+++ b/tests/agree/test_processes.py
@@ -1,4 +1,4 @@
-"""Real processes that agree, with the laboratory's faults between them and on their disks."""
+"""Real processes with one agreed log, with the laboratory's faults between them and on their disks."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -8,37 +8,37 @@
 from beechrock.lab.agree_checks import Operation, linearizable
 from beechrock.lab.fleet import Fleet, LabError
 
-Work = Callable[[Fleet], Awaitable[None]]
+Scenario = Callable[[Fleet], Awaitable[None]]
 NAMES = ["a", "b", "c"]
 
 
-def play(
-    tmp_path: Path, voters: list[str], work: Work, names: list[str] | None = None, **more: Any
+def run_scenario(
+    tmp_path: Path, voters: list[str], scenario: Scenario, names: list[str] | None = None, **more: Any
 ) -> None:
-    async def whole() -> None:
+    async def with_fleet() -> None:
         tables = {"agree": {"voters": voters, "snapshot_each": 40}}
         async with Fleet(tmp_path, 7, names or voters, tables=tables, **more) as fleet:
             await fleet.start()
             await fleet.proven()
-            await work(fleet)
+            await scenario(fleet)
             check(fleet)
 
-    asyncio.run(whole())
+    asyncio.run(with_fleet())
 
 
 def check(fleet: Fleet) -> None:
-    """Over all that every process told: one leader a term, one digest an index, probes linearizable."""
+    """Check all events of every process: one leader a term, one digest an index, probes linearizable."""
     assert not fleet.troubles(), fleet.save_history()
-    leads: dict[int, str] = {}
+    leaders: dict[int, str] = {}
     digests: dict[int, str] = {}
     for event in fleet.events():
         if event["event"] == "agree.lead":
-            assert leads.setdefault(event["term"], event["node"]) == event["node"], fleet.save_history()
+            assert leaders.setdefault(event["term"], event["node"]) == event["node"], fleet.save_history()
         elif event["event"] in ("agree.commit", "agree.restored"):
             known = digests.setdefault(event["index"], event["digest"])
             assert known == event["digest"], fleet.save_history()
         assert event["event"] != "agree.broken", fleet.save_history()
-    assert leads
+    assert leaders
     probes = [e for e in fleet.events(event="agree.probe") if not e["error"]]
     assert not linearizable(
         [Operation(e["what"] == "write", e["begun_s"], e["ended_s"], e["value"]) for e in probes]
@@ -52,8 +52,8 @@
 
 async def leader(fleet: Fleet, other_than: str = "") -> str:
     async def found() -> str:
-        told = [n for n, view in (await views(fleet)).items() if view.get("leading") and n != other_than]
-        return told[0] if told else ""
+        leading = [n for n, view in (await views(fleet)).items() if view.get("leading") and n != other_than]
+        return leading[0] if leading else ""
 
     return str(await fleet.until(found, what="a leader"))
 
@@ -62,9 +62,9 @@
     """All that run have applied the same, and all may vote."""
 
     async def same() -> bool:
-        told = (await views(fleet)).values()
-        return len({(v["applied"], v["digest"]) for v in told}) == 1 and all(
-            v["standing"] == "proven" and v["applied"] > 0 for v in told
+        shown = (await views(fleet)).values()
+        return len({(v["applied"], v["digest"]) for v in shown}) == 1 and all(
+            v["standing"] == "proven" and v["applied"] > 0 for v in shown
         )
 
     await fleet.until(same, what="all level")
@@ -93,7 +93,7 @@
 
 
 def test_leader_stopped_beyond_its_lease_then_killed_then_cut_one_way(tmp_path: Path) -> None:
-    async def work(fleet: Fleet) -> None:
+    async def scenario(fleet: Fleet) -> None:
         first = await leader(fleet)
         await level(fleet)
         await load(fleet)
@@ -107,22 +107,22 @@
         await loaded(fleet)
         await load(fleet, 40)
         others = [name for name in NAMES if name != third]
-        fleet.links.cut(third, others)  # it hears, and is not heard
+        fleet.links.cut(third, others)  # it receives, and is not received from
         fourth = await leader(fleet, third)
         fleet.links.heal()
         fleet.links.cut(
             [name for name in NAMES if name != fourth], fourth
-        )  # it is heard, and does not hear
+        )  # it is received from, and receives nothing
         await leader(fleet, fourth)
         fleet.links.heal()
         await loaded(fleet)
         await level(fleet)
 
-    play(tmp_path, NAMES, work)
+    run_scenario(tmp_path, NAMES, scenario)
 
 
 def test_all_killed_and_started_and_leader_leaves_in_order(tmp_path: Path) -> None:
-    async def work(fleet: Fleet) -> None:
+    async def scenario(fleet: Fleet) -> None:
         await leader(fleet)
         await level(fleet)
         await load(fleet)
@@ -138,11 +138,11 @@
         await load(fleet, 5)
         await loaded(fleet)
 
-    play(tmp_path, NAMES, work)
+    run_scenario(tmp_path, NAMES, scenario)
 
 
-def test_a_voter_with_an_emptied_folder_and_one_with_an_older_copy_are_readmitted(tmp_path: Path) -> None:
-    async def work(fleet: Fleet) -> None:
+def test_voters_with_an_empty_folder_or_an_older_copy_are_readmitted(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
         await leader(fleet)
         await level(fleet)
         fleet.stop("b")
@@ -159,11 +159,11 @@
         await load(fleet, 5)
         await loaded(fleet)
 
-    play(tmp_path, NAMES, work)
+    run_scenario(tmp_path, NAMES, scenario)
 
 
-def test_a_disk_that_lost_what_it_told_as_synced(tmp_path: Path) -> None:
-    async def work(fleet: Fleet) -> None:
+def test_disk_that_lost_synced_writes(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
         await leader(fleet)
         await level(fleet)
         fleet.disk("c", lose=True)
@@ -179,21 +179,21 @@
             await fleet.start("c")
         await readmitted(fleet, "c")
 
-    play(tmp_path, NAMES, work, lying=True)
+    run_scenario(tmp_path, NAMES, scenario, lying=True)
 
 
-def test_voters_change_one_at_a_time_and_who_does_not_vote_follows(tmp_path: Path) -> None:
-    async def work(fleet: Fleet) -> None:
+def test_voters_change_one_at_a_time_and_non_voters_follow(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
         async def change(query: str, wanted: list[str]) -> None:
             async def asked() -> bool:
                 status, text = await fleet.call(await leader(fleet), "POST", f"/agree/voters?{query}")
                 return status == 200 or "cannot be" in text  # the last try was taken
 
             async def seen() -> bool:
-                # Told at once, in force once committed: until then the old leader leads.
-                told = await views(fleet)
-                leads = [name for name, view in told.items() if view.get("leading")]
-                return all(view["voters"] == wanted for view in told.values()) and set(leads) <= set(wanted)
+                # Shown at once, in force once committed: until then the old leader leads.
+                shown = await views(fleet)
+                leading = {name for name, view in shown.items() if view.get("leading")}
+                return all(view["voters"] == wanted for view in shown.values()) and leading <= set(wanted)
 
             await fleet.until(asked)
             await fleet.until(seen, what=query)
@@ -209,11 +209,11 @@
         await load(fleet, 5, "a")  # which follows, and no longer votes
         await loaded(fleet)
 
-    play(tmp_path, NAMES, work, names=[*NAMES, "d"])
+    run_scenario(tmp_path, NAMES, scenario, names=[*NAMES, "d"])
 
 
-def test_a_voter_whose_disk_takes_two_seconds_is_full_tears_or_flips(tmp_path: Path) -> None:
-    async def again(fleet: Fleet, name: str) -> None:
+def test_voter_with_a_slow_full_torn_or_corrupt_disk(tmp_path: Path) -> None:
+    async def restart(fleet: Fleet, name: str) -> None:
         """Where its store sees it, an empty folder, as the page for on-call staff says."""
         try:
             await fleet.start(name)
@@ -223,7 +223,7 @@
             await fleet.start(name)
         fleet.disk(name)
 
-    async def work(fleet: Fleet) -> None:
+    async def scenario(fleet: Fleet) -> None:
         await level(fleet)
         lead = await leader(fleet)
         other, third = (name for name in NAMES if name != lead)
@@ -245,14 +245,14 @@
             await load(fleet, 10)
             await fleet.until(lambda: fleet.events(third, "agree.commit"))
             await fleet.kill(third)
-            await again(fleet, third)
+            await restart(fleet, third)
             await loaded(fleet)
             await level(fleet)
         await fleet.kill(third)
         fleet.disk(third, flip=True, seed=1)
-        await again(fleet, third)
+        await restart(fleet, third)
         await level(fleet)
         await load(fleet, 5)
         await loaded(fleet)
 
-    play(tmp_path, NAMES, work, lying=True)
+    run_scenario(tmp_path, NAMES, scenario, lying=True)
