Plays of copies read them at rest: verdicts too, and between two equal looks

The play held the fleet for level once all roots were equal and all nodes whole, and read node by node. A peer that was cut off while n5 was emptied and whole again had not yet said its word on n5's new memory; with that word n5, whole and equal by then, sets its records aside (docs/replication.md, rule 6).

Ruled out: roots equal over other content, and a note lost (all copies are equal after the whole copy); writes still under way alone explain one note, not several, and are covered now as well.

Rest wants what level did, and that each node accepts each other's memory in its present opening (the view tells openings for it), and root and turns of stage the same before the reading and after it; within the same 180 s. The checkers are as they were, and what lasts is handed to them as read. What the old check caught by chance, a node that sets its records aside without cause, is now looked for in the whole history: no fault that forgets, no set-aside. So no less is asked of an end.

--- a/beechrock/lab/replica_play.py
+++ b/beechrock/lab/replica_play.py
@@ -6,12 +6,11 @@
 process of the same name, one of another format, or one that speaks the format of before and takes part. A
 play of over a minute begins with a node that is away for a real one. Who may have forgotten something is
 whole again before the next such fault, as one forgetful disk at a time is what is promised; voters keep
-theirs. Meanwhile notes are written and deleted, and a budget is spent. At the end all copies have to be
-equal, and the whole history is judged.
+theirs. Meanwhile notes are written and deleted, and a budget is spent. At the end all copies have to come to
+rest (``lab/replica_level.py``) and to be equal, and the whole history is judged.
 """
 
 import asyncio
-import json
 import random
 import shutil
 import signal
@@ -27,9 +26,11 @@
 from beechrock.lab.fleet.plan import Kind, Rules, plan
 from beechrock.lab.fleet.process import Process
 from beechrock.lab.fleet.runfile import _one as link_fault
+from beechrock.lab.replica_level import at_rest, copies, set_aside_for_nothing
 from beechrock.lab.scgi_servers import Server
 
 WHOLE, KEYS, QUIET_S = 200, 8, 180.0
+NOTES = tuple(f"k{n}" for n in range(KEYS))
 STALL_S, FULL_BYTES, LEAP_S = 5.0, 1 << 16, 300.0
 INVENTORY = """
 teams: {{hosts: {{a: {{}}}}}}
@@ -271,17 +272,6 @@
     await fleet._up(name)
 
 
-async def copies(fleet: Fleet) -> None:
-    """What each holds of every note, for the checkers."""
-    for name in fleet.names:
-        held = {}
-        for n in range(KEYS):
-            told = json.loads((await fleet.call(name, "POST", f"/replica/get?kind=note&key=k{n}"))[1])
-            if any(value is not None for value in (told["values"] or {}).values()):
-                held[f"note k{n}"] = told["values"]
-        fleet.note("copies", name, held=held)
-
-
 async def play(folder: Path, seed: int, seconds: float = 20.0) -> Outcome:
     """One history. LabError: what was waited for never came."""
     draw = random.Random(seed)
@@ -316,20 +306,19 @@
             if not fleet.nodes[name].up:
                 await work.up(name)
 
-        async def level() -> bool:
-            views = [await fleet.view(name, "/replica") for name in names]
-            return len({view["root"] for view in views}) == 1 and await work.whole(*names)
-
         try:
-            await fleet.until(level, QUIET_S, "equal copies")
+            held = await at_rest(fleet, names, NOTES, QUIET_S)
         except LabError as error:
             work.broken.append(f"play: {error}")
-        await copies(fleet)
+            held = {name: await copies(fleet, name, NOTES) for name in names}
+        for name in names:
+            fleet.note("copies", name, held=held[name])
         if server.runs > WHOLE:
             work.broken.append(f"play: {server.runs} runs of a budget of {WHOLE}")
         history = fleet.history()
         work.broken += [f"play: {name} wrote a traceback" for name in fleet.troubles()]
         work.broken += check(history, ("agree", "replica", "sound"))
+        work.broken += set_aside_for_nothing(history, FORGETS)
         kept = sum(event["event"] == "replica.kept" for event in history)
         found = Outcome(len(names), work.faults, len(laid), kept, server.runs, work.broken,
                         fleet.save_history())
--- a/beechrock/replica/operators.py
+++ b/beechrock/replica/operators.py
@@ -31,7 +31,8 @@
 
 
 def view(replica: "Replica") -> dict[str, Any]:
-    """Lag is in records that a peer has not acknowledged; ``acked_s`` how long the newest answer took."""
+    """Lag is in records that a peer has not acknowledged; ``acked_ms`` how long the newest answer took;
+    ``memory`` is the verdict on that ``opening`` of the peer's store; its own it shows under ``store``."""
     core, now, peers = replica.core, replica.clock(), dict[str, Any]()
     for name, peer in core.spread.peers.items():
         heard = core.heard[name]
@@ -42,7 +43,7 @@
             "by_kind": {one.name: len(peer.waiting[one.priority])
                         for one in core.kinds.by_name.values()},
             "acked_ms": round(1000 * peer.last_lag_s, 1), "memory": heard.verdict,
-            "outdated": heard.outdated}
+            "outdated": heard.outdated, "opening": heard.opening.hex()}
     catchup, store = core.catchup, replica.disk.store
     told: dict[str, Any] = {
         "name": core.name, "writer": core.writer, "broken": str(replica.broken or ""), "peers": peers,
@@ -54,7 +55,8 @@
         "tombstones": {"fresh": len(core.table.fresh), "settled": len(core.table.settled)},
         "refused": core.refused, "given_bytes": core.giving.given, "waiting": len(replica.waiting),
         "sent_bytes": dict(replica.sent), "heard_bytes": dict(replica.heard),
-        "store": {"bytes": store.bytes_held, "first": store.first, "last": store.last, "epoch": store.epoch},
+        "store": {"bytes": store.bytes_held, "first": store.first, "last": store.last, "epoch": store.epoch,
+                  "opening": store.digest.hex()},
         **({"trial": replica.trial.figures()} if replica.trial is not None else {})}
     if replica.leasing is not None:
         holder = replica.leasing.holder
