Keys are in doubt by their birth and their own class's window, and no longer

Seen in a test that fails first: after a process was killed whose claims were not all heard, keyed tries were refused until the longest window of all classes and the longest due time were over, whatever their own class and birth. Asked whether a process that was alone, killed and started again in one TMPDIR should refuse keys at all: it has to, as its table is lost and what it ran must not run again there within its window.

Ruled out: a shorter time by the moment of the kill; nothing tells it but the next start.

Change: what the lost process ran was born before its end, so a try born past that and a window of its class is no repeat and runs; one that was born in the window is refused whenever it is read. Claims beyond the bound are in doubt until their own ends.

--- a/beechrock/handover/claims.py
+++ b/beechrock/handover/claims.py
@@ -88,7 +88,9 @@
         self.mine: dict[bytes, Mine] = {}
         self.asked: dict[bytes, Asked[T]] = {}
         self.out: list[wire.Message] = []
-        self.doubt_until = 0.0
+        self.doubt_until = 0.0      # and until then a try that is read late may be one of those in doubt
+        self.lost_at = -math.inf    # when a process was gone of which not all claims were heard
+        self.beyond_until = -math.inf   # the latest end of claims for which there was no room
         self.unread = False     # a predecessor was there, and not all of its claims were heard
         self.result_bytes = self.waiting = 0
 
@@ -105,7 +107,7 @@
         """A try came whose key nobody here holds; it is owed its answer when it is ``due``."""
         if self.find(key, born) is not None:
             return Answer.GO
-        if self.side is Side.STRANGER or now < self.doubt_until:
+        if self.side is Side.STRANGER or (now < self.doubt_until and self._in_doubt(born, until - born)):
             return Answer.BACK
         if self.side is not Side.PREDECESSOR:
             return Answer.GO
@@ -133,6 +135,14 @@
         self.waiting += 1
         return Answer.WAIT
 
+    def _in_doubt(self, born: float, window_s: float) -> bool:
+        """Whether a run that nobody here knows of may have this try in its window.
+
+        Seen in a test: refused until the longest window and due time were over, keys of a shorter window
+        waited in vain, as did all born past theirs. What the other ran was born before its end.
+        """
+        return born <= max(self.lost_at + window_s, self.beyond_until) + SLACK_S
+
     def kept(self, key: bytes, digest: bytes, until: float) -> None:
         """A try here is about to run."""
         mine = self.mine.get(key)
@@ -242,6 +252,7 @@
             self.result_bytes -= len(old.result)
             del self.theirs[claim.key]
         if len(self.theirs) >= self.most:   # what there is no room for may run: in doubt until it is over
+            self.beyond_until = max(self.beyond_until, claim.until)
             self.doubt_until = max(self.doubt_until, claim.until + SLACK_S + self.linger_s)
             return
         self.theirs[claim.key] = claim
@@ -276,6 +287,7 @@
         """The other process is gone, and all that it said has been read."""
         # Seen with a predecessor killed within its copy: the keys that had not come over ran a second time.
         if self.side is Side.STRANGER or self.unread:   # nobody knows what it ran
+            self.lost_at = max(self.lost_at, now)
             self.doubt_until = max(self.doubt_until, now + self.window_s + SLACK_S + self.linger_s)
         self.side, self.unread = Side.ALONE, False
         self.mine.clear()
--- a/tests/test_claims_grants.py
+++ b/tests/test_claims_grants.py
@@ -97,3 +97,23 @@
         known = other.find(KEY, 12.0)
         assert known is not None and known.over and not known.good and other.find(KEY, 12.06) is None
         assert want(mine, 12.06) is (Answer.WAIT if mine is new else Answer.GO) or mine.mine[KEY].uses
+
+
+def test_keys_are_in_doubt_for_as_long_as_a_run_of_the_lost_process_may_be_repeated_and_no_longer() -> None:
+    claims: Claims[str] = Claims(60.0, LINGER_S, 100, 1000)     # of another class
+    claims.unread = True
+    claims.lost(10.0)
+    ends = 10.0 + WINDOW_S + SLACK_S
+    for born, now, found in ((10.0, 10.0, Answer.BACK), (ends - 0.001, ends, Answer.BACK),
+                             (ends - 0.001, ends + LINGER_S, Answer.BACK),
+                             (ends + 0.001, ends + 0.001, Answer.GO)):
+        assert claims.want(KEY, BODY, born, born + WINDOW_S, "", now) is found
+    assert claims.want(KEY, BODY, ends, ends + 60.0, "", ends) is Answer.BACK      # of the longest window
+
+
+def test_claims_without_room_are_in_doubt_until_their_own_ends() -> None:
+    claims: Claims[str] = Claims(WINDOW_S, LINGER_S, 0, 1000)
+    claims.side = Side.PREDECESSOR
+    claims.heard(wire.Claimed(KEY, BODY, 12.0), False)
+    assert want(claims, 12.0) is Answer.BACK
+    assert claims.want(KEY, BODY, 12.06, 14.06, "", 12.06) is Answer.WAIT
