--- a/tests/test_handover_alone.py
+++ b/tests/test_handover_alone.py
@@ -6,7 +6,7 @@
 
 import pytest
 from callers import Caller, request
-from pair import Pair, run
+from pair import CHECK, WORD, Pair, run
 from test_closing import CHECK_1, leave
 
 
@@ -44,3 +44,47 @@
             left.close()
 
     run(work, folder)
+
+
+def test_reports_follow_who_takes_connections_whatever_becomes_of_successors(folder: Path) -> None:
+    """Ready while another process goes on as this node; draining as soon as none does."""
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        old.program.leave()
+        await old.play("beat BEAT n1 draining\n")
+        for _ in range(2):
+            new = await pair.start()
+            await pair.following(old, new)
+            old.beats.clear()
+            await old.play("beat BEAT n1 ready\n")
+            old.beats.clear()
+            await old.play("beat BEAT n1 ready\n")      # and goes on so
+            assert set(old.beats) == {"BEAT n1 ready"} == set(new.beats)
+            await pair.end(new)
+            await pair.serving(old)
+            old.beats.clear()
+            await old.play("beat BEAT n1 draining\n")
+            old.beats.clear()
+            await old.play("beat BEAT n1 draining\n")
+            assert set(old.beats) == {"BEAT n1 draining"}
+
+    run(work, folder)
+
+
+def test_an_operators_drain_and_its_end_are_told_by_health_checks_and_not_by_reports(folder: Path) -> None:
+    """The platform takes the node off its list by the checks, and may take it back at once after ``ok``."""
+    async def work(pair: Pair) -> None:
+        one = await pair.start(admin=True)
+        await pair.serving(one)
+        await one.play("a = connect frames\n" + CHECK % (1, 1) + WORD % ("fail", "failed")
+                       + 'a > {04 00000002 00}\na < {05 00000002 01 01 06"advice" 0006"0.0000"}\n')
+        one.beats.clear()
+        await one.play("beat BEAT n1 ready\n" + WORD % ("ok", "ready") + CHECK % (3, 3))
+        one.beats.clear()
+        await one.play("beat BEAT n1 ready\n")
+        assert set(one.beats) == {"BEAT n1 ready"}
+        one.program.leave()
+        await one.play("a < {06 00000000}\nbeat BEAT n1 draining\n")
+
+    run(work, folder)
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -227,3 +227,22 @@
     desk.tell(Leave(4.0))
     desk.tell(after=3.9)
     assert verdicts("ran") == [FAILED]
+
+
+@pytest.mark.parametrize("grace_s", [0.0, None])
+def test_without_a_grace_what_is_held_at_the_notice_gets_its_answer_and_what_comes_later_never_runs(
+    grace_s: float | None,
+) -> None:
+    desk = Desk(drain_grace_s=grace_s)
+    fill(desk)
+    first(desk)
+    repeat(desk)
+    assert not verdicts("first")        # held
+    desk.tell(Leave(4.0))
+    desk.tell(Taken(request("after", born=desk.now + 0.01)), after=0.01)
+    assert verdicts("after") == [REFUSED] and "after" not in desk.launched()
+    desk.tell(after=3.9)
+    assert "first" not in desk.launched() and verdicts("first") == [REFUSED]
+    # A repeat that waits for a run which never begins is told so in the safer word.
+    assert verdicts("repeat") == [FAILED]
+    assert all(len(verdicts(trace)) == 1 for trace in desk.launched()) and desk.actor.open == 0
