The slow-start budget counts by work as well, and all processes of a node together

Change: number and work of launches both keep the budget; work is that of the hint, or of the class beside all that is read. A cold process tells its launches of the window as its runs; of what the others leave it takes half, as word of them is up to 10 ms old; what one launched that has left counts on, and is told a third.

--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -256,12 +256,15 @@
         if self.last_id == 0 and self.leaving_until is None:
             self.generation += 1
             started = replace(self._parted(self.settings, now), cold_start=self.settings.cold_start or cold)
+            other = self.node.other
             self.node = Node(started, self.seed, now)
             self.node.started = now - age_s
-            actions = self.node.decide(now, [])
+            # Seen by reading: the other process says only what changes, and was forgotten with the old node.
+            heard: list[api.Event] = [other] if other.there else []
+            actions = self.node.decide(now, heard)
             if self.tracer is not None:
                 self.tracer.started(now, self.seed, started, self.node.started)
-                self.tracer.batch(now, [], actions)
+                self.tracer.batch(now, heard, actions)
             for action in actions:
                 self._carry_out(action, now)
 
@@ -323,7 +326,8 @@
 
     def load(self) -> api.Elsewhere:
         """What this process has on the cores, holds and has in calls, as the other's module is told it."""
-        return api.Elsewhere(*self.node.load())
+        runs, kb, calls = self.node.load()
+        return api.Elsewhere(max(runs, self.node.launched_lately(self.clock())), kb, calls)
 
     # --- timers
 
--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -84,6 +84,7 @@
             self.claims.unread = True
             self.before = ChannelPeer(self, successor=False)
             self.before.post(wire.Hello())
+            self._elsewhere(wire.Load(0, 0.0, 0, 0))    # it is there, also if it has nothing to tell yet
             self._pulse_on()
             await self.before.serve(*found)
             self.before = None
@@ -92,7 +93,7 @@
                 return
             together = not self.claims.unread
             self.life.cut()
-            self._elsewhere(wire.Load(0, 0.0, 0, 0))
+            self._elsewhere(wire.Load(0, 0.0, 0, 0), there=False)
             self.counters.add("handover.channels_ended")
             await asyncio.sleep(0 if together else AGAIN_S)
 
@@ -154,7 +155,7 @@
             self.ours.clear()
             self._lost()
             self.life.alone()
-            self._elsewhere(wire.Load(0, 0.0, 0, 0))
+            self._elsewhere(wire.Load(0, 0.0, 0, 0), there=False)
             self.changed()
             self._join_next()
 
@@ -174,6 +175,7 @@
             return
         self.waiting.remove(peer)
         self.after = peer
+        self._elsewhere(wire.Load(0, 0.0, 0, 0))
         self.life.joined()
         self.counters.add("handover.successors")
         self.claims.side = Side.SUCCESSOR
@@ -341,9 +343,9 @@
         linger_s = self.claims.linger_s
         self.ours = {key: until for key, until in self.ours.items() if until + SLACK_S + linger_s > now}
 
-    def _elsewhere(self, load: wire.Load) -> None:
+    def _elsewhere(self, load: wire.Load, there: bool = True) -> None:
         self.others_connections = load.connections
-        self.module.post(Elsewhere(load.runs, load.kb, load.calls))
+        self.module.post(Elsewhere(load.runs, load.kb, load.calls, there))
         self.changed()
 
     # --- the operators, and the way out
--- a/beechrock/interface.py
+++ b/beechrock/interface.py
@@ -228,11 +228,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Elsewhere:
-    """What another process of this node, beside this one, has on the same cores, holds, and has in calls."""
+    """What another process of this node, beside this one, has on the same cores, holds, and has in calls.
+
+    ``runs``: of a cold node its launches of the last window, if these are more. ``there``: False once it
+    has gone.
+    """
 
     runs: int = 0
     kb: float = 0.0
     calls: int = 0
+    there: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/beechrock/policy/__init__.py
+++ b/beechrock/policy/__init__.py
@@ -52,7 +52,7 @@
             case api.Renewed(settings):
                 self._renew(settings)
             case api.Elsewhere():
-                self.other = event
+                self._hear_other(event)
             case api.Leaving(left, replaced):   # what comes before the grace ends may still run
                 self.leave_at = min(self.leave_at, self.now)
                 self.kill_at = self.now + left * (1 - DRAIN_MARGIN)
@@ -69,6 +69,7 @@
             self.started = self.now
         self.calls_per = _kept(self.calls_per, old.classes, s.classes, 1.0)
         self.works = _kept(self.works, old.classes, s.classes, 1.0)
+        self.read = _kept(self.read, old.classes, s.classes, 0.0)
         self.tenants, self.spent, self.periods = (
             _kept(v, old.tenants, s.tenants, 0.0) for v in (self.tenants, self.spent, self.periods))
         self.mean_aim, self.limit = s.mean_aim_s, self.limit * s.cores / old.cores
@@ -124,12 +125,12 @@
                     self._turn_away(job)
                     continue
                 if (self.count[RUNNING] >= self._run_limit() or not self._room_on_cores()
-                        or self._launches_left() < 1
+                        or not self._may_launch(job)
                         or (job.must_call and self.count[AT_CALL] > self.call_limit)
                         or self._memory_full(job.req.kb * (self.kb_factor[RUNNING] - 1), MEMORY_RUN)):
                     break
                 self.out.append(api.Run(job.req.id))
-                job.launch = self.launch_budget.begin(self.now)
+                job.launch = self.launch_budget.begin(self.now, self._launch_work(job))
                 self._move(job, RUNNING)
                 job.ran = True
                 if self.s.fresh_s and job.c.effect is api.Effect.SAFE and job.req.key and not job.req.write:
--- a/beechrock/policy/admission.py
+++ b/beechrock/policy/admission.py
@@ -34,6 +34,7 @@
 class Admission(Books):
     def _arrived(self, req: api.Request) -> None:
         c = self.s.classes[req.klass]
+        self.read[req.klass] += 1
         if not req.retry and not req.repeats:
             self.arrivals += 1
             self.tenants = [n * TENANT_KEPT + (i == req.tenant) for i, n in enumerate(self.tenants)]
--- a/beechrock/policy/books.py
+++ b/beechrock/policy/books.py
@@ -89,9 +89,11 @@
         self.carry = self.arrivals = self.lam = self.peak_rate = self.run_s = self.read_s = 0.0
         self.tenants = [(t.share or 0.0) / (1 - TENANT_KEPT) for t in s.tenants]
         self.slot_end, self.said, self.unread_s, self.healthy = now + self.slot_s, -1.0, 0.0, True
-        self.other = api.Elsewhere()    # what another process of this node has, on the same cores
+        self.other = api.Elsewhere(there=False)     # another process of this node
+        self.gone, self.gone_until = 0, now     # launches of one that left; until when they count
         self.calls, self.worth = Meter(self.mean_aim), sum(c.worth for c in s.classes) / len(s.classes)
         self.calls_per, self.works = ([1.0] * len(s.classes) for _ in range(2))     # calls; work by the mean
+        self.read = [0.0] * len(s.classes)      # requests by class
         self.most_calls = CALLS_MARGIN * s.calls_share if s.calls_share is not None else (
             OPEN_CALLS[s.downstream is api.Downstream.TIER] * s.cores)
         self.call_limit, self.calls_from, self.call_fails, self.call_heard = self.most_calls, now, 0, now
@@ -186,8 +188,11 @@
 
     def _run_limit(self, crowding: bool = False) -> int:
         """Rule: runs on the cores stay under the crowd survived; as many are let in as keep these busy."""
-        crowd = CROWD_MARGIN * crowd_survived(self.s, self._speed_share())
-        return max(1, int(self._rest(crowd if crowding else min(self.limit, crowd), self.other.runs)))
+        survived = crowd_survived(self.s, self._speed_share())
+        crowd = CROWD_MARGIN * survived
+        most = max(1, int(self._rest(crowd if crowding else min(self.limit, crowd), self.other.runs)))
+        # Seen with two processes on a core that survives 1.5: each let one in, as long as both had work.
+        return max(0, min(most, int(survived - self.other.runs))) if self.other.runs else most
 
     def _most_out(self) -> float:
         """Rule: runs on the cores and in calls; what is in calls may come back in one moment, unheld.
@@ -212,9 +217,56 @@
     def _speed_share(self) -> float:
         return speed_share(self.s, self.now - self.started)
 
+    def _launch_room(self) -> tuple[float, float]:
+        """Rule: a cold node launches no more in a window than its settings allow, in all its processes."""
+        gone = self._gone_launches(self.now)
+        elsewhere = self.other.runs + gone if self.other.there or gone else None
+        return self.launch_budget.room(self.s, self.now, self.started, elsewhere)
+
     def _launches_left(self) -> float:
-        """Rule: a cold node launches no more in a window than its settings allow; others' runs count."""
-        return self.launch_budget.left(self.s, self.now, self.started) - self.other.runs
+        return min(self._launch_room())
+
+    def launched_lately(self, now: float) -> int:
+        """For the other process: launches of the window while cold, in requests of mean work; 0 once warm.
+
+        Those of one that has left are among them: a third that comes then never heard of it.
+        """
+        warm = self.launch_budget.left(self.s, now, self.started) == math.inf
+        return 0 if warm else math.ceil(self.launch_budget.begun()) + self._gone_launches(now)
+
+    def _gone_launches(self, now: float) -> int:
+        return self.gone if now < self.gone_until else 0
+
+    def _hear_other(self, other: api.Elsewhere) -> None:
+        """Of one that has left, what it launched counts until it leaves the window."""
+        if self.other.there and not other.there:
+            self.gone = self._gone_launches(self.now) + self.other.runs
+            self.gone_until = self.now + (self.s.crowd_over_s or 0.0)
+        self.other = other
+
+    def _launch_work(self, job: Job) -> float:
+        """A run's work by the mean: by its hint, or as its class's runs were beside all that is read.
+
+        Seen on two cold nodes of the simulator: while the cores filled up, both classes' runs took over twice
+        the mean of the time before; by that alone each counted as more than one.
+        """
+        hint = job.req.work_s
+        if hint and self.mean_work:
+            return hint / self.mean_work
+        mean = sum(n * work for n, work in zip(self.read, self.works, strict=True)) / (sum(self.read) or 1.0)
+        return self.works[job.req.klass] / (mean or 1.0)
+
+    def _may_launch(self, job: Job) -> bool:
+        """Whether the budget has room for all of its work; one alone in the window may go beyond it.
+
+        Seen by reading: the rule counts requests of mean work. With a class of 8 times the mean a budget that
+        counts runs alone let in 8 times what it allows.
+        """
+        runs, work = self._launch_room()
+        if work == math.inf:
+            return True
+        alone = work >= 1 and not self.launch_budget.launches
+        return runs >= 1 and (alone or work >= self._launch_work(job))
 
     def _launch_wait_s(self, ahead: int) -> float:
         """Seconds until the launch budget, where that is spent, has room behind this many held requests."""
--- a/beechrock/policy/slow_start.py
+++ b/beechrock/policy/slow_start.py
@@ -36,8 +36,8 @@
     return expected + 2 * root + 2 if expected >= MANY else expected + 3 * root + 3
 
 
-def most_launches(settings: api.Settings, share: float, served: int) -> float:
-    """Return how many runs may begin in a window at this share of speed, with this many served in it.
+def most_launches(settings: api.Settings, share: float, served: float) -> float:
+    """Return how many runs of mean work may begin in a window at this share of speed, so much served in it.
 
     The allowance falls where N passes ``MANY``; N may be higher than known: the less holds.
     """
@@ -49,9 +49,10 @@
 
 @dataclass(slots=True)
 class Launch:
-    """One run that began, and whether it was served since."""
+    """One run that began, its work by the mean, and whether it was served since."""
 
     at: float
+    work: float = 1.0
     served: bool = False
 
 
@@ -61,22 +62,43 @@
     def __init__(self) -> None:
         self.launches: deque[Launch] = deque()      # of the last window; emptied on a warm node
 
-    def begin(self, now: float) -> Launch:
-        """Count a run that begins now."""
-        self.launches.append(launch := Launch(now))
+    def begin(self, now: float, work: float = 1.0) -> Launch:
+        """Count a run that begins now, of this work by the mean."""
+        self.launches.append(launch := Launch(now, work))
         return launch
 
-    def left(self, settings: api.Settings, now: float, started: float) -> float:
-        """Return how many runs may begin now; infinite for a warm node, and where no window is told."""
+    def begun(self) -> float:
+        """Return what began in the window, in requests of mean work; a light one is a request as well."""
+        return max(len(self.launches), sum(launch.work for launch in self.launches))
+
+    def left(
+        self, settings: api.Settings, now: float, started: float, elsewhere: float | None = None,
+    ) -> float:
+        """Return how many runs of mean work may begin now; infinite where warm, or with no window told."""
+        return min(self.room(settings, now, started, elsewhere))
+
+    def room(
+        self, settings: api.Settings, now: float, started: float, elsewhere: float | None = None,
+    ) -> tuple[float, float]:
+        """Return how many runs may begin now, and of how much work by the mean: the budget holds for both.
+
+        ``elsewhere``: launches of other processes on these cores; None where there are none. Of what these
+        leave, half is for this one. Seen with two of them: what one hears of the other is up to 10 ms old,
+        and both spent all the rest in the same moment; and what had ended there did not count.
+        """
         window_s = settings.crowd_over_s or 0.0
         share = speed_share(settings, now - window_s - started)
         if not window_s or share >= 1:
             self.launches.clear()
-            return math.inf
+            return math.inf, math.inf
         while self.launches and self.launches[0].at <= now - window_s:
             self.launches.popleft()
-        served = sum(launch.served for launch in self.launches)
-        return max(0.0, most_launches(settings, share, served) - len(self.launches))
+        served = [launch.work for launch in self.launches if launch.served]
+        most = most_launches(settings, share, len(served)), most_launches(settings, share, sum(served))
+        if elsewhere is not None:
+            most = (most[0] - elsewhere) // 2, (most[1] - elsewhere) // 2
+        work = sum(launch.work for launch in self.launches)
+        return max(0.0, most[0] - len(self.launches)), max(0.0, most[1] - work)
 
     def frees_at(self, window_s: float, place: int) -> float:
         """Return when the run of this place (0 the oldest) leaves the window; past the last, a later one."""
--- a/beechrock/trace/records.py
+++ b/beechrock/trace/records.py
@@ -123,8 +123,8 @@
             return "renewed", now, settings_text(settings)
         case api.Leaving(left, replaced):
             return "replaced" if replaced else "leaving", now, left
-        case api.Elsewhere(runs, kb, calls):
-            return "elsewhere", now, runs, kb, calls
+        case api.Elsewhere(runs, kb, calls, there):
+            return "elsewhere", now, runs, kb, calls, there
         case _:
             return _EVENT_KINDS[type(event)], now, event.id
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -379,3 +379,20 @@
     assert desk.launched() == ["k0"]
     desk.tell(RunEnded("k0", api.Outcome.OK, 0.1, b"r"), after=0.1)
     assert all(verdicts(f"k{n}") == [Verdict.SERVED] for n in range(30))
+
+
+def test_a_cold_node_tells_the_other_process_what_it_launched_lately() -> None:
+    desk = Desk(cold_start=True)
+    for n in range(3):
+        desk.tell(Taken(request(f"t{n}", klass=0)))
+        desk.tell(RunEnded(f"t{n}", api.Outcome.ERROR, 0.001))
+    assert (desk.actor.load().runs, desk.actor.node.load()[0]) == (3, 0)
+    desk.tell(after=(desk.actor.settings.crowd_over_s or 0.0) + 0.1)
+    assert desk.actor.load().runs == 0
+
+
+def test_cores_that_come_up_later_make_no_node_that_forgot_the_other_process() -> None:
+    desk = Desk()
+    desk.tell(api.Elsewhere(2, 500.0, 1))
+    desk.tell(WorkUp(True, 0.0))
+    assert desk.actor.node.other == api.Elsewhere(2, 500.0, 1)
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -173,7 +173,10 @@
     driver = Driver(settings(cold_start=True, cores=6, cold_from=0.21, ramp_s=18.0, crowd_over_s=3.0))
     left = driver.node._launches_left()
     driver.tell(api.Elsewhere(runs=3))
-    assert driver.node._launches_left() == left - 3
+    assert driver.node._launches_left() == (left - 3) // 2
+    driver.tell(api.Elsewhere(runs=20))
+    assert driver.node._launches_left() == (left - 20) // 2
+    driver.tell(api.Elsewhere(runs=3))
     driver.tell(after=0.1)
     while driver.node._launches_left() >= 1:
         ident, said = driver.arrive()
