Drawn histories with hung runs, cores a tenth as fast, stalls of 0.1 to 30 s and hours of quiet

The histories drew one stall of 5 s at most and runs that all end. Eight seeds of it stand in the suite and pass.

--- a/benchmarks/drawn_histories.py
+++ b/benchmarks/drawn_histories.py
@@ -4,7 +4,7 @@
 callers gone, stalls, notices to leave and other settings at drawn moments; a checker over the whole history
 (tests/histories.py). A finding is printed with its seed, which plays the same again: ``--seed N --count 1``.
 
-    python benchmarks/drawn_histories.py [--short] [--actor] [--seed 0] [--count 10000] [--jobs 2]
+    python benchmarks/drawn_histories.py [--short] [--actor | --hard] [--seed 0] [--count 10000] [--jobs 2]
 """
 
 import argparse
@@ -37,11 +37,16 @@
     return found
 
 
-def played(seeds: range) -> list[tuple[int, str, int, int]]:
+def hard_played(seeds: range) -> list[tuple[int, str, int, int]]:
+    """With runs that never end, cores that slow down, stalls and hours of quiet."""
+    return played(seeds, hard=True)
+
+
+def played(seeds: range, hard: bool = False) -> list[tuple[int, str, int, int]]:
     """By seed what broke, how many batches it took, and how many requests were read."""
     found = []
     for seed in seeds:
-        history, broken = drawn_history(seed), ""
+        history, broken = drawn_history(seed, hard=hard), ""
         try:
             history.play()
             if not history.told_again():
@@ -57,6 +62,7 @@
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--short", action="store_true")
     parser.add_argument("--actor", action="store_true", help="one level up: the module's actor and its book")
+    parser.add_argument("--hard", action="store_true", help="hung runs, slow cores, stalls, hours of quiet")
     parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--count", type=int, default=10_000)
     parser.add_argument("--jobs", type=int, default=2)
@@ -67,7 +73,8 @@
     batches = requests = 0
     began = time.monotonic()
     with ProcessPoolExecutor(told.jobs) as pool:
-        for piece in pool.map(actors_played if told.actor else played, pieces):
+        play = actors_played if told.actor else hard_played if told.hard else played
+        for piece in pool.map(play, pieces):
             for seed, broken, count, read in piece:
                 batches, requests = batches + count, requests + read
                 if broken:
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -17,13 +17,16 @@
 from beechrock.settings import settings_from
 
 STALL_S = (0.05, 5.0)       # of the whole process: nothing is read, timers wait
+HARD_STALL_S = (0.1, 30.0)
 MOST_BATCHES = 4000
 
 
 class History:
     """One node from its start to its kill, or until all is over."""
 
-    def __init__(self, seed: int, told: dict[str, Any], model: Model, arrivals: int = 150) -> None:
+    def __init__(
+        self, seed: int, told: dict[str, Any], model: Model, arrivals: int = 150, hard: bool = False,
+    ) -> None:
         self.random, self.json, self.model, self.left = random.Random(seed), told, model, arrivals
         self.told, self.gauges = settings_from(told)
         self.now = self.last = 1000.0 + self.random.random()
@@ -54,6 +57,15 @@
         self.renew_at = self.now + draw.uniform(0, length) if draw.random() < 0.25 else math.inf
         self.stall_at = self.now + draw.uniform(0, length) if draw.random() < 0.3 else math.inf
         self.beside = draw.random() < 0.1
+        self.speed, self.hung_share, self.quiet_at, self.slow_at = model.speed, 0.0, math.inf, math.inf
+        self.again = random.Random(f"hard {seed}")  # its own, so that what was drawn before stays as it was
+        self.hard = hard
+        if hard:
+            draw = self.again
+            self.hung_share = draw.choice([0.0, 0.0, 0.03, 0.3])
+            self.quiet_at = self.now + draw.uniform(0, length) if draw.random() < 0.4 else math.inf
+            self.slow_at = self.now + draw.uniform(0, length) if draw.random() < 0.5 else math.inf
+            self.stall_at = min(self.stall_at, self.now + draw.uniform(0, length))
 
     # --- what happens
 
@@ -78,7 +90,10 @@
         calls = self.model.calls[klass % len(self.model.calls)]
         due = max(self.now, arrived + c.give_up_s) if left is None else self.now + left
         kb = self.model.request_kb * draw.choice([1.0, draw.uniform(0.2, 2.5)])
-        one = Try(self.next_id, klass, kb, arrived, due, c, key, first, [works / (calls + 1)] * (calls + 1))
+        parts = [works / (calls + 1)] * (calls + 1)
+        if self.hung_share and self.again.random() < self.hung_share:
+            parts[-1] = math.inf        # a run that never ends
+        one = Try(self.next_id, klass, kb, arrived, due, c, key, first, parts)
         self.tries[one.id] = one
         if c.effect is api.Effect.KEYED and key is not None:
             self.fresh[key] = one
@@ -134,7 +149,7 @@
     def progress(self, seconds: float) -> None:
         """Work on the cores and below, for so long."""
         on = self.in_state("running")
-        part = seconds * self.model.speed * min(1.0, self.told.cores / len(on)) if on else 0.0
+        part = seconds * self.speed * min(1.0, self.told.cores / len(on)) if on else 0.0
         for one in on:
             one.parts[0] -= part
             if one.parts[0] <= 1e-9:
@@ -158,7 +173,7 @@
 
     def next_moment(self) -> float:
         on = [one.parts[0] for one in self.in_state("running")]
-        speed = self.model.speed * min(1.0, self.told.cores / max(1, len(on)))
+        speed = self.speed * min(1.0, self.told.cores / max(1, len(on)))
         done = self.now + min(on) / speed if on else math.inf
         ends = [one.call_end for one in self.in_state("in call")]
         timer_at = self.timers[0][0] if self.timers else math.inf
@@ -312,15 +327,34 @@
         self.told, _ = settings_from({**self.json, "grades": [*grades, more]})
         self.events.append(api.Renewed(self.told))
 
+    def open(self) -> list[Try]:
+        """Those that are not over, but for runs that never end and were answered."""
+        return [one for one in self.tries.values()
+                if math.inf not in one.parts or one.state != "running" or not (one.answered or one.gone)]
+
+    def trouble(self, at: float) -> float:
+        """Cores a tenth as fast from a moment on; hours in which nothing comes, told of only after them."""
+        if at >= self.slow_at:
+            self.slow_at, self.speed = math.inf, self.model.speed / 10
+        if at >= self.quiet_at and not self.tries and not self.events and self.check.kill_at == math.inf:
+            self.quiet_at, at = math.inf, at + log_span(self.again, 600.0, 20_000.0)
+            self.arrive_at = at     # and then many at once
+            self.gap_s /= 10
+        return at
+
     def play(self) -> "History":
         """To the kill, or until nothing is open."""
         while len(self.batches) < MOST_BATCHES:
             at = self.next_moment()
-            if at == math.inf or (not self.left and not self.tries and not self.events):
+            if at == math.inf or (not self.left and not self.events and not self.open()):
                 break
+            at = self.trouble(at)
             if at >= self.stall_at:
                 self.stall_at = math.inf
                 stall = log_span(self.random, *STALL_S)
+                if self.hard:
+                    stall = log_span(self.again, *HARD_STALL_S)
+                    self.stall_at = at + stall + self.gap_s * self.again.uniform(1.0, 80.0)
                 if self.check.kill_at == math.inf:      # cores stand still, calls below do not
                     self.now, self.check.stalled_s = self.now + stall, self.check.stalled_s + stall
                     at = max(at, self.now)
@@ -337,7 +371,9 @@
             self.last = self.now
         if len(self.batches) == MOST_BATCHES:
             return self
-        assert not self.tries, f"never over: {[(one.id, one.state) for one in self.tries.values()][:5]}"
+        assert not self.open(), f"never over: {[(one.id, one.state) for one in self.open()][:5]}"
+        if self.tries:      # what hangs is answered and stays on the cores
+            return self
         assert not self.node.jobs and abs(self.node.memory_kb) < 1e-6 and not any(self.node.count[1:])
         return self
 
@@ -348,6 +384,6 @@
                    for (now, events), said in zip(self.batches, self.said, strict=False))
 
 
-def drawn_history(seed: int, arrivals: int = 150) -> History:
+def drawn_history(seed: int, arrivals: int = 150, hard: bool = False) -> History:
     told, model = deployment(random.Random(seed))
-    return History(seed, told, model, arrivals)
+    return History(seed, told, model, arrivals, hard)
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -29,6 +29,12 @@
     assert History(seed, *drawn, arrivals=80).play().told_again()
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_no_rule_breaks_where_runs_hang_cores_slow_down_and_the_process_stalls(seed: int) -> None:
+    """Runs that never end, cores a tenth as fast, stalls of 0.1 to 30 s again and again, hours of quiet."""
+    assert drawn_history(seed, 60, hard=True).play().told_again()
+
+
 @options(max_examples=15, **PLAYED)
 @given(deployments, st.integers(0, 2**32))
 def test_no_rule_breaks_at_fronts_and_agent_under_any_settings(
