Half a request keeps its place; floods end; a check's stream loses no answer

Seen, each by a test in tests/test_closing_rare.py that failed before: - a full table ended a connection in the middle of a request before idle ones; who writes slowly wrote the rest long after our end, and it was never answered. The first closes of the way out cut such a one as well. - a request on the stream of a health check whose work was under way: the check's end took the request out of what is open, and its answer went nowhere. - bad requests that come faster than they are read kept their connection for ever, as bytes always waited. - a listener without room, looked at several times within its rest (the way out looks each 4 ms), left timers behind its close that raised ValueError.

The change: State.BEGUN, for a part of a message that goes on, ends after all but what is needed; it lapses after about a second without bytes. The way out awaits such until cut_s. MOST_FLOOD (256). A request on an open check's stream is answered 'failed' there.

Existing tests: the stand-ins for a connection in test_connections.py and limits/test_places.py have the new method begun(); the random histories draw halves of messages too and assert that none ends for another while others can be spared; State values shift by one name.

--- a/beechrock/connections/table.py
+++ b/beechrock/connections/table.py
@@ -10,6 +10,8 @@
 - ``RETURNING``: has carried more, and owes nothing.
 - ``EXPECTED``: was refused and asked to come back, and that time has not passed.
 - ``FRESH``: has said nothing whole yet, and is too new for that to tell anything.
+- ``BEGUN``: is in the middle of a message, of which more came lately. Seen in a test: it was ended before
+  idle ones, and who writes slowly wrote the rest of its request long after our end.
 - ``NEEDED``: owes an answer, or has bytes that nobody read yet. Never ended.
 
 Invariants, whatever the history (``tests/test_connections.py``):
@@ -53,12 +55,15 @@
     def input_waits(self) -> bool:
         """Whether bytes have arrived that were not read yet."""
 
+    def begun(self) -> bool:
+        """Whether a part of a message has been read, and that not so long ago that it will not go on."""
+
 
 C = TypeVar("C", bound=Connection)
 
 
 class State(IntEnum):
-    CLOSING, SILENT, ONCE, RETURNING, EXPECTED, FRESH, NEEDED = range(7)
+    CLOSING, SILENT, ONCE, RETURNING, EXPECTED, FRESH, BEGUN, NEEDED = range(8)
 
 
 class Room(IntEnum):
@@ -82,6 +87,8 @@
     """Its state but for what makes it ``NEEDED``."""
     if c.closing:
         return State.CLOSING
+    if c.begun():
+        return State.BEGUN
     if not c.uses:
         return State.SILENT if now - c.opened_at > CROSSING_S else State.FRESH
     if c.back_at and now <= expected_until(c):
@@ -139,7 +146,7 @@
     left = MOST_TURNED - len(turned) - arriving
     if left > 0:
         return min(left, at_once), None
-    spare = [c for c in turned if not (c.owes() or c.input_waits())
+    spare = [c for c in turned if not (c.owes() or c.begun() or c.input_waits())
              and (c.uses or c.closing or now - c.opened_at > CROSSING_S)]
     oldest = min(spare, key=lambda c: c.opened_at, default=None)
     return min(at_once, max(0, left + (oldest is not None))), oldest
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -21,9 +21,11 @@
 MOST_RESULT = 4096
 MOST_OUT = 524_288
 MOST_ASK = 16_384       # a request with every field and the longest body is far below; more is never stored
+BEGUN_SWEEPS = 1.0      # counted so, after which a part of a message keeps no place in a full table
 MOST_BAD = 16           # requests that cannot be served, after which a connection ends
 MAILBOX = 4096
 SLOW_PART = 0.25        # what a sweep counts in which a part of a message came; a whole one has 8 s to come
+MOST_FLOOD = 256        # and after so many it ends, whatever is unread
 MOST_GAPS = 512         # stream numbers remembered one by one above the highest that are known as a whole
 MOST_WAITING = 32       # health checks that wait for real work, over all connections
 
@@ -167,6 +169,8 @@
             self.post(Reply(ANSWER, 0, FAILED, body=f"{self.bad} bad requests".encode()))
             self.post(Reply(NO_MORE))
             self.end()
+        elif self.bad == MOST_FLOOD:    # seen in a test: with bytes coming without end it never ended
+            self.finish()
 
     def _too_long(self, kind: int, stream: int, length: int) -> None:
         if kind != ASK or not stream or not self.streams.use(stream):
@@ -177,6 +181,9 @@
         if not self.streams.use(stream):    # an answer on that stream would be a second one
             self._bad(0, f"stream {stream} was used before")
             return
+        if stream in self.open:     # seen in a test: the check's end took the request's answer with it
+            self._bad(stream, f"stream {stream} is that of a health check")
+            return
         try:
             request = self._request(stream, *fields_of(payload))
         except BadRequestError as error:
@@ -285,6 +292,9 @@
     def settled(self) -> bool:
         return not self.open
 
+    def begun(self) -> bool:
+        return len(self.inbox) > 0 and self.silent <= BEGUN_SWEEPS
+
     def input_ended(self) -> None:
         # A front end that has sent its last request may still wait for answers.
         self.finish()
--- a/beechrock/net/front.py
+++ b/beechrock/net/front.py
@@ -93,7 +93,7 @@
 
     def _dismiss_all(self, cut: bool) -> None:
         """End all connections that owe nothing; with ``cut`` what is open, and what comes, is answered."""
-        for peer in [peer for peer in self.peers if not peer.closing]:
+        for peer in [peer for peer in self.peers if not peer.closing and (cut or not peer.begun())]:
             if not self.dismiss(peer) and cut:
                 peer.turned = True
                 peer.answer_all()
--- a/beechrock/net/listener.py
+++ b/beechrock/net/listener.py
@@ -142,7 +142,13 @@
         self._pause()
 
     def _pause(self) -> None:
+        """Look again a little later; once, however often it was looked meanwhile, as the way out does.
+
+        Seen in a test: of several timers ``close`` cancelled the last, and the others met no socket.
+        """
         self._loop.remove_reader(self._sock.fileno())
+        if self._retry is not None:
+            self._retry.cancel()
         self._retry = self._loop.call_later(RETRY_S, self._watch)
 
     async def _set_up(self, connection: socket.socket) -> None:
--- a/beechrock/net/peer.py
+++ b/beechrock/net/peer.py
@@ -70,6 +70,10 @@
     def owes(self) -> bool:
         return not (self.settled() and self.flushed)
 
+    def begun(self) -> bool:
+        """Whether a part of a message has come, and may go on."""
+        return False
+
     def input_waits(self) -> bool:
         """Whether bytes have come that were not read, in the kernel or in the stream.
 
--- a/tests/limits/test_places.py
+++ b/tests/limits/test_places.py
@@ -27,6 +27,9 @@
     def input_waits(self) -> bool:
         return self.waits
 
+    def begun(self) -> bool:
+        return False    # SCGI connections have an answer before they end, whatever was said of their request
+
     def said_nothing(self) -> bool:
         return not self.heard
 
--- /dev/null
+++ b/tests/test_closing_rare.py
@@ -0,0 +1,146 @@
+"""Ends of connections in rarer states: half a request, a flood, a check on the same stream, a rest."""
+
+import asyncio
+import contextlib
+
+import pytest
+from callers import request, turns
+from play import Stand, run, until
+from test_closing import CHECK_1, CHECK_2, connect, leave, node
+
+from beechrock.net.frames import ANSWER, CHECK, FAILED, MOST_BAD, REFUSED, fields, frame
+
+
+def test_a_listener_that_is_closed_in_its_rest_leaves_no_timer_whoever_looked_meanwhile() -> None:
+    async def work(stand: Stand) -> None:
+        front, _ = await node(stand, 0)
+        server, raised = front.server, list[dict[str, object]]()
+        assert server is not None
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: raised.append(context))
+        server.room = lambda arriving: 0
+        for _ in range(3):      # the way out looks more often than a rest takes
+            assert not server.close_empty()
+        front.close()
+        await asyncio.sleep(0.05)
+        assert raised == []
+
+    run(work)
+
+
+def test_a_request_on_the_stream_of_a_check_that_waits_has_an_answer_of_its_own() -> None:
+    async def work(stand: Stand) -> None:
+        _, [caller] = await node(stand)
+        await stand.play('g = accept agent\ng < "subscribe 0\\r\\n"\n'
+                         'g > "greeting LOADED 60000\\r\\n"\nup agent\n')
+        caller.send(frame(CHECK, 5, fields({"thorough": "1"})))
+        [peer] = stand.program.frames.peers     # type: ignore[union-attr]
+        await until(lambda: peer.owes(), lambda: "unread")
+        caller.send(request(5))
+        await until(lambda: any(kind == ANSWER for kind, _, _ in caller.frames()) or caller.read(),
+                    lambda: f"{caller.frames()}")
+        assert [payload[0] for kind, _, payload in caller.frames() if kind == ANSWER] == [FAILED]
+        stand.now += 4.0        # the work of the check did not come about
+        await caller.answered()
+
+    run(work)
+
+
+def test_who_brings_bad_requests_without_end_is_ended_all_the_same() -> None:
+    async def work(stand: Stand) -> None:
+        front, [caller] = await node(stand)
+        [peer] = front.peers
+        flood, sent = request(2, route="dance") * 400, 0
+        for _ in range(2000):
+            with contextlib.suppress(BlockingIOError):
+                sent += caller.socket.send(flood[sent % len(flood):])
+            caller.read()
+            if peer.closing:
+                break
+            await asyncio.sleep(0)
+        assert peer.closing, "it goes on for as long as bytes come"
+        assert peer.bad > MOST_BAD
+
+    run(work)
+
+
+@pytest.mark.parametrize("uses", [0, 1, 2])
+def test_a_full_table_ends_no_connection_in_the_middle_of_a_request_while_another_can_be_spared(
+    uses: int,
+) -> None:
+    async def work(stand: Stand) -> None:
+        front, _ = await node(stand, 0)
+        slow, idle = connect(front), connect(front)
+        await until(lambda: len(front.peers) == 2, lambda: "no connections")
+        for caller, count in ((slow, uses), (idle, 2)):
+            stand.now += 0.01
+            for stream in range(1, count + 1):
+                caller.send(frame(CHECK, stream, b"\0"))
+                await caller.answered()
+        front.most = 2
+        stand.now += 0.2
+        data = request(7)
+        slow.socket.sendall(data[:20])
+        await until(lambda: any(len(peer.inbox) for peer in front.peers), lambda: "unread")
+        late = connect(front)
+        late.send(CHECK_1)
+        await late.answered()
+        await idle.closed()
+        slow.send(data[20:])
+        slow.owed[ANSWER, 7] += 1
+        stand.now += 10.0       # refused once it is due
+        await slow.answered()
+
+    run(work)
+
+
+def test_a_request_that_is_half_said_as_the_closes_begin_may_be_whole_before_the_last_ones() -> None:
+    async def work(stand: Stand) -> None:
+        front, [slow, other] = await node(stand, 2)
+        data = request(2)
+        slow.socket.sendall(data[:20])
+        await until(lambda: any(len(peer.inbox) for peer in front.peers), lambda: "unread")
+        leave(stand, 0.2)
+        ending = asyncio.ensure_future(stand.program._end_connections())
+        await other.closed()
+        other.socket.close()
+        await turns(20)
+        slow.send(data[20:])
+        slow.owed[ANSWER, 2] += 1
+        await slow.closed()
+        assert [payload[0] for kind, _, payload in slow.frames() if kind == ANSWER] == [REFUSED]
+        slow.socket.close()
+        await ending
+
+    run(work)
+
+
+def test_a_half_said_request_is_not_awaited_beyond_the_last_closes() -> None:
+    async def work(stand: Stand) -> None:
+        front, [slow] = await node(stand)
+        slow.socket.sendall(request(2)[:20])
+        await until(lambda: any(len(peer.inbox) for peer in front.peers), lambda: "unread")
+        leave(stand, 0.05)
+        ending = asyncio.ensure_future(stand.program._end_connections())
+        await slow.closed()
+        slow.socket.close()
+        await ending
+
+    run(work)
+
+
+def test_half_a_request_that_does_not_go_on_keeps_no_place_in_a_full_table() -> None:
+    async def work(stand: Stand) -> None:
+        front, [half, idle] = await node(stand, 2)
+        front.most = 2
+        half.socket.sendall(request(2)[:20])
+        await until(lambda: any(len(peer.inbox) for peer in front.peers), lambda: "unread")
+        stand.now += 0.1
+        idle.send(CHECK_2)
+        await idle.answered()
+        for _ in range(3):      # in the first of them its bytes came
+            front._sweep()
+        assert front._make_room()
+        await half.closed()
+        assert not idle.ended
+
+    run(work)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -31,6 +31,7 @@
     turned: bool = False
     open: int = 0
     unread: bool = False
+    part: bool = False
     silent: int = 0
 
     def owes(self) -> bool:
@@ -39,6 +40,9 @@
     def input_waits(self) -> bool:
         return self.unread
 
+    def begun(self) -> bool:
+        return self.part
+
 
 def one(uses: int, spoke_at: float = 0.0, **more: float) -> One:
     return One(0.0, spoke_at, uses, **more)  # type: ignore[arg-type]
@@ -54,7 +58,7 @@
     def connect(self) -> None:
         most, spare = table.acceptable(self.connections, MOST, 0, 1, self.now)
         if spare is not None:
-            assert spare.turned and not (spare.open or spare.unread)
+            assert spare.turned and not (spare.open or spare.unread or spare.part)
             self.connections.remove(spare)
         if not most:
             return      # it stays in the backlog
@@ -69,6 +73,9 @@
             if least.back_at and self.now <= least.back_at and not least.turned:
                 assert all(table.state_of(c, self.now) >= State.EXPECTED
                            for c in self.connections if not c.turned)
+            if least.part and not least.closing:
+                assert all(table.state_of(c, self.now) >= State.BEGUN
+                           for c in self.connections if not c.turned), "one was ended amid a message"
             self.connections.remove(least)
         new = One(self.now, self.now, turned=room is Room.NONE)
         if new.turned:
@@ -78,6 +85,7 @@
     def ask(self, c: One) -> None:
         if not c.closing:
             c.uses, c.open, c.spoke_at, c.back_at, c.unread, c.silent = c.uses + 1, 1, self.now, 0.0, False, 0
+            c.part = False
 
     def refuse(self, c: One, after: float) -> None:
         if c.open:
@@ -99,7 +107,7 @@
 
 
 STEPS = st.lists(st.tuples(
-    st.sampled_from(["connect", "connect", "ask", "serve", "refuse", "bytes", "sweep", "end"]),
+    st.sampled_from(["connect", "connect", "ask", "serve", "refuse", "bytes", "part", "sweep", "end"]),
     st.integers(0, 30), st.floats(0.0, 4.0)), max_size=120)
 
 
@@ -125,6 +133,8 @@
                     history.refuse(c, seconds)
                 case "bytes":
                     c.unread = not c.closing
+                case "part":
+                    c.part = not c.closing
                 case "end":
                     history.connections.remove(c)
         history.check()
@@ -147,6 +157,7 @@
     answered, silent, new = (
         One(at, at, uses, turned=True) for at, uses in ((99.99, 1), (99.9, 0), (99.99, 0)))
     owed, unread = (One(90.0, 90.0, 1, turned=True, **more) for more in ({"open": 1}, {"unread": True}))
+    half = One(90.0, 90.0, 1, turned=True, part=True)
     others = [One(90.0, 90.0, 1, turned=True, open=1) for _ in range(table.MOST_TURNED - 3)]
 
     def acceptable(*turned: One, arriving: int = 0) -> tuple[int, One | None]:
@@ -155,6 +166,7 @@
     assert table.acceptable(busy[1:], MOST, 0, 16, 100.0) == (16, None)
     assert acceptable() == (3, None) and acceptable(owed, arriving=1) == (1, None)
     assert acceptable(owed, unread, new) == acceptable(owed, unread, arriving=1) == (0, None)
+    assert acceptable(owed, half, new) == (0, None)
     assert acceptable(owed, unread, silent) == (1, silent)
     assert acceptable(owed, unread, answered) == (1, answered)
     rests = [table.ends_at_sweep(c, 0, 101.1, IDLE_S, CALLERS_IDLE_S) for c in (answered, owed, unread)]
@@ -175,6 +187,7 @@
     (one(1), State.ONCE), (one(2), State.RETURNING), (one(2, back_from=98.0, back_at=100.0), State.EXPECTED),
     (one(2, back_from=98.0, back_at=99.4), State.RETURNING),
     (one(2, back_from=98.0, back_at=99.6), State.EXPECTED),
+    (one(2, part=True), State.BEGUN), (One(90.0, 90.0, part=True), State.BEGUN),
     (one(2, open=1, closing=True), State.NEEDED)])
 def test_states(c: One, state: State) -> None:
     assert table.state_of(c, 100.0) is state
