An exception in one message or timer no longer takes its neighbours with it

Ruled out: an exception in decide; there the book answers when due, which now has a test as well.

The change: each message of a batch is taken in by itself, a request that cannot be is answered 'failed' at once; the wheel goes on behind a timer that raised, in the next tick. Both guards are proved.

--- a/beechrock/core/module.py
+++ b/beechrock/core/module.py
@@ -161,21 +161,14 @@
         if self.parts is not None and (parted := self.parts.due(now, self.node)) is not None:
             events.append(api.Renewed(parted))
         for message in self.mailbox.drain():
-            # Seen on a rough day: 200 requests of one key, all taken back at once, came up one a batch for
-            # 0.4 s; each was launched in vain, and its wait made the module call itself full.
-            if isinstance(message, Taken) and message.request.gone:
-                self.counters.add("intake.gone_unread")
-                self._done_with(message.request)
-                continue
-            if isinstance(message, Taken) and not self._cleared(message.request):
-                continue
-            if isinstance(message, Taken) and (key := KeyTable.key(message.request)) is not None:
-                if key in new and not self._repeats_a_kept_try(message.request):
-                    # Whether the first of them is kept shows only after this batch.
-                    later.append(message)
-                    continue
-                new.add(key)
-            self._take_in(message, events, now)
+            try:
+                if not isinstance(message, Taken) or self._of_this_batch(message, new, later):
+                    self._take_in(message, events, now)
+            except Exception as error:
+                # Seen with a fault put in: all that came in the batch was thrown away with this message.
+                self.counters.trouble("tick", error)
+                if isinstance(message, Taken):
+                    self._answer(message.request, Answer(Verdict.FAILED, b"internal error"), now)
         for message in later:
             self.mailbox.put(message)
         if events:
@@ -190,6 +183,23 @@
             self.mailbox.wake()
         return len(later)
 
+    def _of_this_batch(self, message: Taken, new: set[tuple[str, str]], later: list[Message]) -> bool:
+        """Whether a request is taken in now; else nobody waits for it, or it waits for another batch."""
+        # Seen on a rough day: 200 requests of one key, all taken back at once, came up one a batch for
+        # 0.4 s; each was launched in vain, and its wait made the module call itself full.
+        if message.request.gone:
+            self.counters.add("intake.gone_unread")
+            self._done_with(message.request)
+            return False
+        if not self._cleared(message.request):
+            return False
+        if (key := KeyTable.key(message.request)) is not None:
+            if key in new and not self._repeats_a_kept_try(message.request):
+                later.append(message)   # whether the first of them is kept shows only after this batch
+                return False
+            new.add(key)
+        return True
+
     def _repeats_a_kept_try(self, request: Request) -> bool:
         """Whether its key is kept already; such tries are taken in at once, however many they are.
 
--- a/beechrock/core/wheel.py
+++ b/beechrock/core/wheel.py
@@ -54,10 +54,24 @@
                 self._slots[tick % SLOTS] = [timer for timer in slot if timer.due > target]
                 self._armed -= len(due)
                 fired += len(due)
-                for timer in due:
-                    timer.action()
+                self._fire(due, tick)
         return fired
 
+    def _fire(self, due: list[Timer], tick: int) -> None:
+        """Fire these; if one raises, the next turn goes on behind it, with its tick's and all later ones.
+
+        Seen in a test: they were lost with it, and so were the alarm of a link that was to be made anew, the
+        sweep of connections, and the last word to requests that were due.
+        """
+        for place, timer in enumerate(due, 1):
+            try:
+                timer.action()
+            except Exception:
+                self._slots[tick % SLOTS] += due[place:]
+                self._armed += len(due) - place
+                self._done = tick - 1
+                raise
+
     def sweep(self) -> None:
         """Drop what was cancelled; to be called now and then.
 
--- /dev/null
+++ b/tests/test_faults_inside.py
@@ -0,0 +1,85 @@
+"""Faults of our own, put in: each costs what it is about, and nothing beside it."""
+
+import pytest
+from callers import request
+from play import Stand, run, until
+from test_closing import node
+
+from beechrock.core.requests import Request
+from beechrock.core.wheel import Wheel
+from beechrock.net.frames import ANSWER, FAILED, REFUSED
+
+
+def test_a_timer_that_raises_takes_no_other_with_it() -> None:
+    """Those of its tick, and those of later ticks that are due as well, fire in the next one."""
+    wheel, fired = Wheel(0.004, 50.0), list[int]()
+
+    def fails() -> None:
+        raise RuntimeError
+
+    wheel.at(50.1, lambda: fired.append(1))
+    wheel.at(50.1, fails)
+    wheel.at(50.1, lambda: fired.append(2))
+    cancelled = wheel.at(50.1, lambda: fired.append(3))
+    wheel.at(50.2, lambda: fired.append(4))
+    wheel.at(50.3, lambda: fired.append(5))
+    with pytest.raises(RuntimeError):
+        wheel.advance(50.25)
+    cancelled.cancel()
+    assert fired == [1] and wheel.next_due() <= 50.255
+    wheel.advance(50.26)
+    assert fired == [1, 2, 4]
+    wheel.advance(50.4)
+    assert fired == [1, 2, 4, 5] and wheel._armed == 0
+
+
+def test_a_request_that_cannot_be_taken_in_is_answered_and_takes_no_other_with_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """All three are read in one batch."""
+    async def work(stand: Stand) -> None:
+        _, [first] = await node(stand)
+        module = stand.program.module
+        take, batches = module._taken, set[float]()
+
+        def taken(asked: Request, events: list[object], now: float) -> None:
+            batches.add(now)
+            if asked.trace.endswith("3"):
+                raise RuntimeError("put in")
+            take(asked, events, now)    # type: ignore[arg-type]
+
+        monkeypatch.setattr(module, "_taken", taken)
+        first.send(request(2) + request(3) + request(4))
+        await until(lambda: bool(first.answers()[ANSWER, 3]), lambda: f"{first.frames()}")
+        assert module.last_id == 2 and len(batches) == 1
+        stand.now += 10.0       # nobody runs the others: they are refused once they are due
+        await first.answered()
+        codes = {stream: payload[0] for kind, stream, payload in first.frames() if kind == ANSWER}
+        assert codes == {2: REFUSED, 3: FAILED, 4: REFUSED}
+        assert stand.program.counters["trouble.tick"] == 1
+        assert module.open == 0 and module.tally.concurrent == 0
+
+    run(work)
+
+
+def test_what_the_module_never_heard_of_is_answered_as_it_is_due(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work(stand: Stand) -> None:
+        _, [caller] = await node(stand)
+        module = stand.program.module
+        decide, heard = module.node.decide, list[object]()
+
+        def fails(now: float, events: list[object]) -> list[object]:
+            heard.extend(events)
+            if len(heard) == len(events) > 0:
+                raise RuntimeError("put in")
+            return decide(now, events)      # type: ignore[arg-type,return-value]
+
+        monkeypatch.setattr(module.node, "decide", fails)
+        caller.send(request(2))
+        await until(lambda: stand.program.counters["trouble.tick"] == 1, lambda: "not raised")
+        await stand.step(["clock", "7.1"], "")
+        await caller.answered()
+        assert [payload[0] for kind, _, payload in caller.frames() if kind == ANSWER] == [FAILED]
+        assert module.open == 0 and not module.book
+
+    run(work)
