--- a/tests/test_closing_rare.py
+++ b/tests/test_closing_rare.py
@@ -8,7 +8,7 @@
 from play import Stand, run, until
 from test_closing import CHECK_1, CHECK_2, connect, leave, node
 
-from beechrock.net.frames import ANSWER, CHECK, FAILED, MOST_BAD, REFUSED, fields, frame
+from beechrock.net.frames import ANSWER, CHECK, CHECKED, FAILED, MOST_BAD, REFUSED, frame
 
 
 def test_a_listener_that_is_closed_in_its_rest_leaves_no_timer_whoever_looked_meanwhile() -> None:
@@ -30,16 +30,14 @@
 def test_a_request_on_the_stream_of_a_check_that_waits_has_an_answer_of_its_own() -> None:
     async def work(stand: Stand) -> None:
         _, [caller] = await node(stand)
-        await stand.play('g = accept agent\ng < "subscribe 0\\r\\n"\n'
-                         'g > "greeting LOADED 60000\\r\\n"\nup agent\n')
-        caller.send(frame(CHECK, 5, fields({"thorough": "1"})))
         [peer] = stand.program.frames.peers     # type: ignore[union-attr]
-        await until(lambda: peer.owes(), lambda: "unread")
+        peer.open[5] = None     # a thorough check on stream 5, whose work is under way
+        caller.owed[CHECKED, 5] += 1
         caller.send(request(5))
         await until(lambda: any(kind == ANSWER for kind, _, _ in caller.frames()) or caller.read(),
                     lambda: f"{caller.frames()}")
         assert [payload[0] for kind, _, payload in caller.frames() if kind == ANSWER] == [FAILED]
-        stand.now += 4.0        # the work of the check did not come about
+        peer._checked(5, False)
         await caller.answered()
 
     run(work)
