--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -101,6 +101,22 @@
                 assert c.turned or not c.back_at or self.now > min(c.back_at, c.spoke_at + CALLERS_IDLE_S)
                 c.closing = True
 
+    def act(self, kind: str, connection: One, seconds: float) -> None:
+        """One step of a connection that stands."""
+        match kind:
+            case "ask":
+                self.ask(connection)
+            case "serve":
+                connection.open = 0
+            case "refuse":
+                self.refuse(connection, seconds)
+            case "bytes":
+                connection.unread = not connection.closing
+            case "part":
+                connection.part = not connection.closing
+            case "end":
+                self.connections.remove(connection)
+
     def check(self) -> None:
         turned = sum(c.turned for c in self.connections)
         assert len(self.connections) - turned <= MOST and turned <= table.MOST_TURNED
@@ -116,27 +132,14 @@
 def test_over_random_histories_what_is_needed_is_kept_and_the_bounds_hold(
         steps: list[tuple[str, int, float]]) -> None:
     history = History()
-    for what, which, seconds in steps:
+    for kind, which, seconds in steps:
         history.now += seconds / 8
-        if what == "connect":
+        if kind == "connect":
             history.connect()
-        elif what == "sweep":
+        elif kind == "sweep":
             history.sweep()
         elif history.connections:
-            c = history.connections[which % len(history.connections)]
-            match what:
-                case "ask":
-                    history.ask(c)
-                case "serve":
-                    c.open = 0
-                case "refuse":
-                    history.refuse(c, seconds)
-                case "bytes":
-                    c.unread = not c.closing
-                case "part":
-                    c.part = not c.closing
-                case "end":
-                    history.connections.remove(c)
+            history.act(kind, history.connections[which % len(history.connections)], seconds)
         history.check()
 
 
--- a/tests/test_front_histories.py
+++ b/tests/test_front_histories.py
@@ -52,34 +52,47 @@
                 self.caller.socket.sendall(frame(GONE, draw.randint(1, self.stream)))
 
 
+async def act(stand: Stand, draw: random.Random, kind: str) -> None:
+    """One step that concerns the node alone."""
+    if kind == "sweep":
+        assert stand.program.frames is not None
+        stand.program.frames._sweep()
+    elif kind == "turns":
+        await turns(draw.randint(1, 12))
+    elif kind == "clock":
+        stand.now += draw.choice([0.01, 0.06, 0.5, 2.0])
+        stand.program.module.idle_s = draw.choice([0.0, 1.0])
+
+
+def act_as_caller(caller: Drawn, draw: random.Random, kind: str, trace: int) -> bool:
+    """One step of a caller whose connection stands; whether it began a request with this trace."""
+    begins = kind in ("whole", "begin") and not caller.half
+    if begins:
+        caller.begin(draw, trace)
+    if kind == "whole" or (kind == "go on" and caller.half):
+        caller.write(draw.choice([1, 20, 1000]) if kind == "go on" else 1000)
+    elif kind == "begin":
+        caller.write(draw.randint(1, 12))
+    elif kind == "back":
+        caller.take_back(draw)
+    elif kind == "end" and not caller.half and draw.random() < 0.3:
+        caller.over = True
+        caller.caller.socket.shutdown(1)    # half a close: what is open is answered
+    return begins
+
+
 async def history(stand: Stand, draw: random.Random) -> None:
     front, _ = await node(stand, 0)
     front.most, drawn, traces = MOST, list[Drawn](), 0
     for _ in range(STEPS):
-        what = draw.choice(KINDS)
-        one = draw.choice(drawn) if drawn else None
-        if what == "connect" and len(drawn) < 3 * MOST:
+        kind = draw.choice(KINDS)
+        caller = draw.choice(drawn) if drawn else None
+        if kind == "connect" and len(drawn) < 3 * MOST:
             drawn.append(Drawn(front))
-        elif what == "sweep":
-            front._sweep()
-        elif what == "turns":
-            await turns(draw.randint(1, 12))
-        elif what == "clock":
-            stand.now += draw.choice([0.01, 0.06, 0.5, 2.0])
-            stand.program.module.idle_s = draw.choice([0.0, 1.0])
-        elif one is not None and not one.over:
-            if what in ("whole", "begin") and not one.half:
-                traces += 1
-                one.begin(draw, traces)
-            if what == "whole" or (what == "go on" and one.half):
-                one.write(draw.choice([1, 20, 1000]) if what == "go on" else 1000)
-            elif what == "begin":
-                one.write(draw.randint(1, 12))
-            elif what == "back":
-                one.take_back(draw)
-            elif what == "end" and not one.half and draw.random() < 0.3:
-                one.over = True
-                one.caller.socket.shutdown(1)   # half a close: what is open is answered
+        elif kind in ("sweep", "turns", "clock"):
+            await act(stand, draw, kind)
+        elif caller is not None and not caller.over:
+            traces += act_as_caller(caller, draw, kind, traces + 1)
     leave(stand, draw.choice([0.0, 0.05]))
     ending = asyncio.ensure_future(stand.program._end_connections())
     for one in drawn:       # the rest of what was begun comes amid the closes
