Inventory, marker, trace, starts: what a disk did not take for a while is owed, counted once, and told

Each was tested with every step failing for a while (EIO, ENOSPC), short writes and kills; seen and mended: - inventory: a disk that failed at the start, or as a change was taken up, had the node without a last good inventory, or with an earlier one, until the next start or change; it is written down each 5 s now until it stands (another file, synced, renamed). A good inventory that was read while the disk was full stayed refused until its files changed again; it is read again. EIO at the last good one is no damage (KeptUnreadableError). - releases' marker: the file was gone, the folder's sync failed, and the next try took it for done; and a failed try to take it away was not made again at all. It stays owed, and never takes a later permit's marker. - trace: rows of blocks that had been written were counted as dropped with the one that failed, their gap was told twice, and what a failed write left in the buffer came to disk as the file was closed. - starts: a witness or life number that cannot be read is a StoreFailedError that says what to do; a folder that a killed process had made is synced in the folder above it. - budgets, copies, fences: nothing found by every step failing and by kills after each byte of each write. Changed tests: a new folder's durability also covers the folder above; the agreed log's fault also as ENOSPC; guards whose text moved name the new one; two edges' guards: an event that the disk refuses has a test of its own, as the part now waits where it stopped before.

--- a/beechrock/edges/part.py
+++ b/beechrock/edges/part.py
@@ -35,7 +35,7 @@
 from beechrock.net.scgi import Reply, ScgiError
 from beechrock.parts import Context
 from beechrock.store import files
-from beechrock.store.errors import StoreFailedError
+from beechrock.store.errors import StoreFailedError, at_start
 from beechrock.store.log import Store
 from beechrock.store.witness import Witness
 
@@ -70,9 +70,9 @@
         self.wake = asyncio.Event()
         self.disk = Recovering()
         folder = self.talk.told.state
-        folder.mkdir(parents=True, exist_ok=True)
-        at = self.files = files.at(folder)
-        at.remove(ROOM)
+        with at_start(folder):
+            at = self.files = files.at(folder)
+            at.remove(ROOM)
         self.member: Member | None = None
         self.runs: Runs | None = None
         if told.at_edge:
@@ -209,7 +209,8 @@
             (self.named or self.runs.upstream).compact()
         for store in self.kept:         # a snapshot or a fence that the disk did not take
             if store.failed:
-                self.fell(now, StoreFailedError(store.failed))
+                self.fell(now, StoreFailedError(
+                    store.failed, where=str(self.files.folder / store.prefix)))
 
     async def _synced(self, now: float) -> None:
         """All that this turn wrote, or nothing of it counts: see ``Runs.fell`` and ``Member.promised``."""
--- a/beechrock/inventory/errors.py
+++ b/beechrock/inventory/errors.py
@@ -42,6 +42,13 @@
     event: ClassVar[str] = "inventory.damaged"
 
 
+class KeptUnreadableError(DamagedError):
+    """The disk does not give the last good generation now; nothing is known of what it holds."""
+
+    exit_code: ClassVar[int] = 2
+    event: ClassVar[str] = "inventory.kept_unreadable"
+
+
 class MissingError(OperatorError):
     """There is no snapshot: a first start, and no damage."""
 
--- a/beechrock/inventory/keeper.py
+++ b/beechrock/inventory/keeper.py
@@ -16,12 +16,14 @@
 Taken = Callable[[Generation], bool]                # False: not now, ask again soon
 ReadApart = Callable[[Path, Path, int, float], watch.Done]
 AGAIN_S = 0.05
+KEEP_S = 5.0            # between tries to write down what a disk did not take
 
 
 class Keeper:
     """One task. Files are looked at off the event loop and read in a process of their own.
 
-    ``first`` has its entries; they are written to the state folder, or to a temporary one, and let go.
+    ``first`` has its entries; they are written to the state folder, or to a temporary one, and let go. What
+    the state folder did not take is owed to it, and tried again for as long as the node lives.
     """
 
     def __init__(
@@ -38,6 +40,8 @@
         self._apart: tempfile.TemporaryDirectory[str] | None = None
         self.mailbox: Mailbox[watch.Word] = Mailbox(4)
         self._read_at = 0.0
+        # The state folder lacks what is in force; when it is tried again.
+        self._owed_at: float | None = None
 
     def word(self) -> None:
         """The operator asks to read now, or gives leave to what is held."""
@@ -60,6 +64,8 @@
         if self._first is not None:
             await asyncio.to_thread(self._keep_first, self._first)
             self._first = None
+        if self._owed_at is not None and self.clock() >= self._owed_at:
+            await self._keep_owed()
         stamp = await asyncio.to_thread(reader.stamp, self.path)
         actions = self.life.take(self.clock(), watch.Word() if word else watch.Seen(stamp))
         while actions:
@@ -73,14 +79,16 @@
                 return
             except OSError as error:
                 self._not_kept(self.state, error)
-                self.state = None
-        self._apart = tempfile.TemporaryDirectory(prefix="beechrock-")
+        if self._apart is None:
+            self._apart = tempfile.TemporaryDirectory(prefix="beechrock-")
         snapshot.save(Path(self._apart.name), first)
 
     @property
     def folder(self) -> Path:
         """Where the generation in force is written."""
-        return self.state if self.state is not None else Path(self._apart.name if self._apart else ".")
+        if self._apart is not None:
+            return Path(self._apart.name)
+        return self.state if self.state is not None else Path(".")
 
     async def _carry_out(self, action: watch.Action) -> list[watch.Action]:
         number = self.life.running.number
@@ -118,10 +126,36 @@
             await asyncio.to_thread(snapshot.adopt, self.folder / reader.CANDIDATE, self.folder)
         except OSError as error:
             self._not_kept(self.folder, error)
+        else:
+            if self._apart is None:     # what was owed before is of an earlier one
+                self._owed_at = None
+
+    async def _keep_owed(self) -> None:
+        """What is in force, to the state folder, which did not take it."""
+        # Seen: a disk that was full at the start, or as a change was taken up, had the node without a last
+        # good inventory, or with an earlier one, until its next start or change.
+        if self.state is None:
+            return
+        found = (self.folder / snapshot.NAME, self.folder / reader.CANDIDATE)
+        try:
+            kept = await asyncio.to_thread(
+                snapshot.keep_again, found, self.state, self.life.running.digest)
+        except OSError as error:
+            self._not_kept(self.state, error)
+            return
+        self._owed_at = None if kept else self.clock() + KEEP_S
+        if kept:
+            apart, self._apart = self._apart, None
+            if apart is not None:
+                await asyncio.to_thread(apart.cleanup)
+            logs.event("inventory.kept", folder=str(self.state), generation=self.life.running.number)
 
     def _not_kept(self, folder: Path, error: OSError) -> None:
         self.counters.add("trouble.inventory_snapshot")
-        logs.event("inventory.not_kept", "error", folder=str(folder), why=error.strerror)
+        if self._owed_at is None:       # told of once
+            logs.event("inventory.not_kept", "error", folder=str(folder), why=error.strerror,
+                       do="look at the disk; it is tried again, and goes on by itself")
+        self._owed_at = self.clock() + KEEP_S
 
     def _tell(self, name: str, new: Generation, change: Change, **more: object) -> None:
         fields = {"generation": new.number, "digest": new.digest[:12], **change.counts,
--- a/beechrock/inventory/reader.py
+++ b/beechrock/inventory/reader.py
@@ -22,7 +22,7 @@
 
 from beechrock.inventory import generation, model, snapshot, sources
 from beechrock.inventory import terms as limits
-from beechrock.inventory.errors import ReadingError
+from beechrock.inventory.errors import KeptUnreadableError, ReadingError
 from beechrock.inventory.model import FrontEnds, Inventory
 from beechrock.inventory.plan import MOST_REMOVED, Change, plan
 from beechrock.inventory.problems import Problems
@@ -59,9 +59,14 @@
     told: dict[str, Any] = {"problems": problems.lines()}
     if found is not None:
         new = generation.from_checked(number, *found)
-        change = plan(snapshot.load(folder), new, most_removed).summary()
-        snapshot.write(folder / CANDIDATE, new)
-        told |= {"digest": new.digest, "change": asdict(change), "meaning": _told(new.meaning)}
+        try:
+            change = plan(snapshot.load(folder), new, most_removed).summary()
+            snapshot.write(folder / CANDIDATE, new)
+        except (OSError, KeptUnreadableError) as error:
+            # Seen: a disk that was full for a moment had a good inventory refused until it was changed again.
+            told |= {"problems": [f"{folder}: the disk failed: {error}"], "failed": True}
+        else:
+            told |= {"digest": new.digest, "change": asdict(change), "meaning": _told(new.meaning)}
     return ujson.dumps({**told, "before": before, "after": stamp(root)}).encode()
 
 
@@ -100,7 +105,7 @@
         before, after = (tuple(tuple(part) for part in told[key]) for key in ("before", "after"))
         problems = tuple(told["problems"])
         if "digest" not in told:
-            return Done(None, None, problems, before, after)
+            return Done(None, None, problems, before, after, bool(told.get("failed")))
         what = told["change"]
         change = Change(what["counts"], tuple(what["refused"]), tuple(what["held"]))
         new = generation.Generation(number, told["digest"], _meant(told["meaning"]))
--- a/beechrock/inventory/snapshot.py
+++ b/beechrock/inventory/snapshot.py
@@ -5,9 +5,11 @@
 """
 
 import os
+from collections.abc import Iterable
+from contextlib import suppress
 from pathlib import Path
 
-from beechrock.inventory.errors import DamagedError, MissingError
+from beechrock.inventory.errors import DamagedError, KeptUnreadableError, MissingError
 from beechrock.inventory.generation import FORMAT, Generation, content, digest_of, from_content
 
 NAME = "inventory.snapshot"
@@ -40,21 +42,49 @@
 
 def write(path: Path, generation: Generation) -> None:
     """Write it to the disk. OSError where that does not take it."""
+    _write(path, encode(generation))
+
+
+def _write(path: Path, data: bytes) -> None:
     path.parent.mkdir(parents=True, exist_ok=True)
+    path.unlink(missing_ok=True)        # another file than any whose sync failed
     with path.open("wb") as file:
-        file.write(encode(generation))
+        file.write(data)
         file.flush()
         os.fsync(file.fileno())
 
 
 def save(folder: Path, generation: Generation) -> None:
     """Write it whole, as the one that ``load`` finds; where the disk does not take it the old one stays."""
+    _save(folder, encode(generation))
+
+
+def _save(folder: Path, data: bytes) -> None:
     candidate = folder / f".{NAME}.{os.getpid()}"
     try:
-        write(candidate, generation)
+        _write(candidate, data)
         adopt(candidate, folder)
     finally:
-        candidate.unlink(missing_ok=True)
+        with suppress(OSError):     # of a disk that fails; the next one takes it away
+            candidate.unlink(missing_ok=True)
+
+
+def keep_again(found: Iterable[Path], folder: Path, digest: str) -> bool:
+    """Save what is in force, which a disk did not keep, from the first of these files that still has it.
+
+    After a failed sync nothing is known of a file, or of a renaming: so it is another file, synced and
+    renamed anew. False: none of them has it any more. OSError: the disk still does not take it.
+    """
+    for path in found:
+        try:
+            data = path.read_bytes()
+            if decode(data).digest != digest:
+                continue
+        except (FileNotFoundError, DamagedError):
+            continue
+        _save(folder, data)
+        return True
+    return False
 
 
 def adopt(candidate: Path, folder: Path) -> None:
@@ -75,8 +105,9 @@
     except FileNotFoundError:
         raise MissingError("none", where=str(folder / NAME), do=WRITTEN) from None
     except OSError as error:
-        raise DamagedError(str(error.strerror), where=str(folder / NAME),
-                           do="let this user read it, or move it away") from None
+        raise KeptUnreadableError(
+            str(error.strerror), where=str(folder / NAME),
+            do="look at the disk and the kernel's log, and let this user read it") from None
     if len(data) > MOST_BYTES:
         raise DamagedError(f"over {MOST_BYTES} bytes", where=str(folder / NAME), do=MOVE)
     try:
--- a/beechrock/inventory/watch.py
+++ b/beechrock/inventory/watch.py
@@ -30,6 +30,7 @@
     settle_s: float = 0.5
     longest_s: float = 10.0     # what never settles is read all the same
     confirm_s: float = 10.0
+    again_s: float = 5.0        # until what the node's own disk did not take is read again
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,13 +47,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Done:
-    """A reading: a generation and what it changes, or the lines of what is wrong; stamps before and after."""
+    """A reading: a generation and what it changes, or the lines of what is wrong; stamps before and after.
+
+    ``failed``: nothing is wrong with the files; the node's own disk did not take the reading.
+    """
 
     found: Generation | None
     change: Change | None
     problems: tuple[str, ...]
     before: Stamp
     after: Stamp
+    failed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +112,7 @@
         self._candidate, self._since, self._started = stamp, 0.0, 0.0
         self._held: str | None = None           # digest of what waits to be confirmed
         self._held_at = 0.0
+        self._again_at: float | None = None     # a reading that the node's own disk did not take
         self._word = self._again = False
 
     def take(self, now: float, event: Event) -> list[Action]:
@@ -126,7 +132,7 @@
                 return self._done(now, event) if self.state is State.READING else []
 
     def _read(self) -> list[Action]:
-        self.state = State.READING
+        self.state, self._again_at = State.READING, None
         return [Read()]
 
     def _seen(self, now: float, stamp: Stamp) -> list[Action]:
@@ -136,6 +142,8 @@
                 self._started = now
             case State.HELD if now - self._held_at >= self.rules.confirm_s:
                 return self._read()
+            case State.STEADY if self._again_at is not None and now >= self._again_at:
+                return self._read()
             case State.SETTLING if stamp != self._candidate:
                 self._settle(now, stamp)
         if self.state is State.SETTLING and (now - self._since >= self.rules.settle_s
@@ -157,7 +165,9 @@
             return []
         self.stamp = done.after
         if done.found is None or done.change is None:
-            return self._refuse(done.problems)
+            told, self._again_at = self.problems, now + self.rules.again_s if done.failed else None
+            refused = self._refuse(done.problems)
+            return [] if done.failed and told == done.problems else refused     # told of once
         self.problems = ()
         if done.found.digest == self.running.digest:
             self.state, self._held = State.STEADY, None
--- a/beechrock/releases/part.py
+++ b/beechrock/releases/part.py
@@ -34,6 +34,7 @@
 from beechrock.releases.told import EXIT, Told
 from beechrock.releases.words import Heard, Timed, Word, counted, decode, encode, encode_servers, proved
 from beechrock.store import files
+from beechrock.store.errors import at_start
 
 MACHINE = CHANNEL = "releases"
 DUTY = "releases:driver"
@@ -137,9 +138,10 @@
             raise ConfigError("a node goes out by its second address", where="releases",
                               wanted="LB_ADMIN_ADDR", do="or leave [releases] out")
         folder = self.talk.told.state / "releases"
-        folder.mkdir(parents=True, exist_ok=True)
-        self.marker = Marker(files.at(folder))
-        if self.marker.found():
+        with at_start(folder):
+            self.marker = Marker(files.at(folder))
+            found = self.marker.found()
+        if found:
             # A process that comes up in the middle of its way is not listed before its own proof.
             self.node.drained = True
             self.program.serving.fail()
@@ -157,6 +159,9 @@
             self._beat(now)
             for do in self.node.decide(now, self._facts()):
                 self._do(now, do)
+            # Seen: serving is decided once, so a disk that failed just then kept the marker for good.
+            if self.marker is not None and self.marker.owed:
+                self.once("unmark", self.marker.settle())
             self._show()
             self.below.turn()
             self.outage = self.watch.look(now, bool(self.agree.leader), self.machine)
@@ -257,7 +262,7 @@
                 if not self.by_hand:
                     self.program.serving.ok()
                 assert self.marker is not None
-                self.once("unmark", self.marker.back())
+                self.marker.owed = True
                 logs.event("node.in", target=self.name, version=self.told.version)
                 # Heard late, its old word would leave it down in the eyes of those who ask next.
                 self.beat_at = now - BEAT_S
--- a/beechrock/store/errors.py
+++ b/beechrock/store/errors.py
@@ -1,7 +1,13 @@
 """What the store tells an operator."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
 from beechrock.errors import OperatorError
 
+REOPEN = "look at the disk and the kernel's log, then start the node again; nothing is taken as empty"
+
 
 class StoreError(OperatorError):
     """The root of the store's errors."""
@@ -49,3 +55,13 @@
     """A call that would break the log's order; a fault of the program."""
 
     event = "store.misuse"
+
+
+@contextmanager
+def at_start(where: Path) -> Iterator[None]:
+    """What the disk says while a node starts, as an error that tells what to do: StoreFailedError."""
+    try:
+        yield
+    except OSError as error:
+        # Seen: a witness that could not be read ended the start with "[Errno 5] Input/output error" alone.
+        raise StoreFailedError(str(error), where=str(where), do=REOPEN) from None
--- a/beechrock/store/files.py
+++ b/beechrock/store/files.py
@@ -95,6 +95,9 @@
 def _make(folder: Path) -> None:
     """With the folders above it; each new name is durable, else a power cut takes all that is in it."""
     if folder.is_dir():
+        # Made by a process that was killed before it had synced the name, maybe.
+        with suppress(PermissionError):
+            _sync_folder(folder.parent)
         return
     _make(folder.parent)
     folder.mkdir(exist_ok=True)
--- a/beechrock/store/life.py
+++ b/beechrock/store/life.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from beechrock.store import rewrite
-from beechrock.store.errors import LifeError
+from beechrock.store.errors import LifeError, at_start
 from beechrock.store.files import Files
 
 NAME = "members.life"
@@ -17,17 +17,19 @@
 def begin(folder: Path | None, now_s: float, name: str = NAME) -> int:
     """The next life's number, on disk before it is used; ``now_s`` by the Unix clock.
 
-    OSError: it could not be saved, and is not to be used. LifeError: the file there is no number; it is not
-    passed over, as the next might fall behind one in use.
+    OSError: it could not be saved, and is not to be used. StoreFailedError: what is there could not be read.
+    LifeError: it is no number, and is not passed over, as the next might fall behind one in use.
     """
     started = int(now_s * 1000)
     if folder is None:
         return started
-    kept = Files(folder)
     path = folder / name
     before = 0
-    if name in kept.names():
-        text = kept.read(name)[:MOST_BYTES].decode("latin-1").strip()
+    kept = Files(folder)
+    with at_start(path):
+        found = kept.read(name) if name in kept.names() else None
+    if found is not None:
+        text = found[:MOST_BYTES].decode("latin-1").strip()
         if not (text.isascii() and text.isdigit()):
             raise LifeError(f"{text[:20]!r} is no number", where=str(path), wanted="a life number",
                             do="write one above those that `beechrock members` shows, or move it away")
--- a/beechrock/store/log.py
+++ b/beechrock/store/log.py
@@ -14,7 +14,7 @@
 
 from beechrock.store import format as form
 from beechrock.store import rewrite as anew
-from beechrock.store.errors import StoreFailedError, StoreFullError, StoreMisuseError
+from beechrock.store.errors import REOPEN, StoreFailedError, StoreFullError, StoreMisuseError
 from beechrock.store.files import Files
 from beechrock.store.format import Kind, Mark
 from beechrock.store.recover import PLACE, Recovery
@@ -23,7 +23,6 @@
 from beechrock.store.rules import Met as Met
 from beechrock.store.rules import Rules as Rules
 
-REOPEN = "look at the disk and the kernel's log, then start the node again; nothing is taken as empty"
 RETRY = "look at the disk and the kernel's log; it is tried again, and goes on by itself"
 NO_ROOM = {errno.ENOSPC, errno.EDQUOT, errno.EFBIG}
 
--- a/beechrock/store/witness.py
+++ b/beechrock/store/witness.py
@@ -12,6 +12,7 @@
 from blake3 import blake3
 
 from beechrock.store import rewrite
+from beechrock.store.errors import at_start
 from beechrock.store.files import Files
 from beechrock.store.format import Mark, damaged
 
@@ -57,12 +58,13 @@
     """The highest mark heard of each peer, in one file."""
 
     def __init__(self, files: Files, name: str = "witness") -> None:
-        """StoreDamagedError, OSError."""
+        """StoreDamagedError; StoreFailedError where the disk does not give it now."""
         self.files, self.name = files, name
         self.known: dict[str, Mark] = {}
         self.saved: dict[str, int] = {}     # records of each that our disk knows of
-        if name in files.names():
-            data = files.read(name)
+        with at_start(files.folder / name):
+            data = files.read(name) if name in files.names() else None
+        if data is not None:
             if blake3(data[32:]).digest() != data[:32]:
                 raise damaged("what is known of the others' stores does not fit its checksum", name)
             self.known = {peer: Mark.from_bytes(told) for peer, told in msgpack.unpackb(data[32:]).items()}
--- a/beechrock/trace/flow.py
+++ b/beechrock/trace/flow.py
@@ -79,16 +79,20 @@
         self.segment_bytes += size
         self.state = State.WRITING
 
-    def failed(self, now: float) -> None:
-        """The disk took nothing: the rows are dropped, and told as a gap once it does."""
-        rows, self.under_way = self.under_way, 0
-        self.pending -= rows
+    def failed(self, now: float, wrote: int = 0, gap_told: bool = False) -> int:
+        """The disk took so many of the rows, and maybe the gap before them; the others are dropped, and told
+        as a gap once it takes more. How many those are."""
+        rows, self.under_way = self.under_way - wrote, 0
+        self.pending -= rows + wrote
+        if gap_told:
+            self._gap_under_way = None
         if self._gap_under_way is not None:
             told, since = self._gap_under_way
             self.dropped, self.dropped_since = self.dropped + told, min(since, self.dropped_since)
             self._gap_under_way = None
         self._drop(now, rows)
         self.state, self._again_at = State.FAILING, now + self.rules.again_s
+        return rows
 
     def ended(self, now: float) -> bool:
         """Whether the file that is open ends: it is long enough, old enough, or took nothing more."""
--- a/beechrock/trace/format.py
+++ b/beechrock/trace/format.py
@@ -9,6 +9,7 @@
 """
 
 import contextlib
+import errno
 import os
 import struct
 from collections.abc import Iterable, Iterator
@@ -88,7 +89,9 @@
         if len(told) > MOST_META:
             raise FormatError(f"a header of {len(told)} bytes")
         head = HEAD.pack(MAGIC, VERSION, len(told)) + told
-        self._file: BinaryIO = path.open("xb")
+        # Seen with a buffer: what a failed write had left in it came to disk as the file was closed, though
+        # its rows had been counted as dropped.
+        self._file = path.open("xb", buffering=0)
         try:
             self._put(head + xxhash.xxh3_64_digest(head))
         except OSError:     # a file without its header is none, and would only be in the way
@@ -97,8 +100,12 @@
             raise
 
     def _put(self, data: bytes) -> None:
-        self._file.write(data)
-        self._file.flush()
+        left = memoryview(data)
+        while left:
+            done = self._file.write(left)
+            if not done:
+                raise OSError(errno.EIO, "the disk takes nothing, and says no error", str(self.path))
+            left = left[done:]
         self.size += len(data)
 
     def write(self, rows: list[Row]) -> int:
@@ -124,7 +131,7 @@
             self._file.close()
 
     def abandon(self) -> None:
-        """Close without an index, as a full disk takes none; a reader makes it again."""
+        """Close without an index, as such a disk takes none; a reader makes it again."""
         with contextlib.suppress(OSError):
             self._file.close()
 
--- a/beechrock/trace/recorder.py
+++ b/beechrock/trace/recorder.py
@@ -57,6 +57,7 @@
         self._numbers = itertools.count(1)
         self._writer: Writer | None = None
         self._writing = asyncio.Lock()
+        self._wrote = 0             # rows of the newest writing, its gap's included
 
     # --- Tracer: on the event loop
 
@@ -140,9 +141,7 @@
             size, opened = await asyncio.to_thread(self._write, notes, gap, ends)
         except (OSError, FormatError) as error:
             self.counters.add("trace.failed")
-            self.counters.add("trace.dropped", rows)
-            self.flow.failed(self.clock())
-            if self.flow.lost == rows:
+            if self._not_written(rows, gap is not None) == self.flow.lost:
                 self.counters.trouble("trace", error)
             return
         if opened:
@@ -154,7 +153,8 @@
     def _write(
         self, notes: list[tuple[int, Any]], gap: tuple[int, float] | None, ends: bool
     ) -> tuple[int, bool]:
-        """Bytes written, and whether a file was begun. OSError where the disk takes nothing."""
+        """Bytes written, and whether a file was begun. OSError where the disk does not take all of it."""
+        self._wrote = 0
         rows: list[Row] = [] if gap is None else [("gap", gap[1], gap[0], gap[1])]
         for _, note in notes:
             if callable(note):
@@ -171,13 +171,25 @@
         size = 0
         try:
             for at in range(0, len(rows), self.flow.rules.block_rows):
-                size += self._writer.write(rows[at:at + self.flow.rules.block_rows])
+                block = rows[at:at + self.flow.rules.block_rows]
+                size += self._writer.write(block)
+                self._wrote += len(block)
         except (OSError, FormatError):
             self._writer.abandon()
             self._writer = None
             raise
         return size, opened
 
+    def _not_written(self, rows: int, gap: bool) -> int:
+        """After a failed ``_write``: how many of its rows were dropped. Seen: blocks that had been written
+        before the one that failed were counted as dropped with it, and their gap was told twice."""
+        told = gap and self._wrote > 0
+        wrote = self._wrote - told
+        dropped = self.flow.failed(self.clock(), wrote, told)
+        self.counters.add("trace.rows", wrote)
+        self.counters.add("trace.dropped", dropped)
+        return dropped
+
     def _begin(self) -> Writer:
         self.folder.mkdir(parents=True, exist_ok=True)
         held = [(p.name, p.stat().st_size) for p in sorted(self.folder.glob(f"{self.name}-*{SUFFIX}"))]
@@ -211,6 +223,5 @@
                 self.flow.wrote(self.clock(), size)
                 self.counters.add("trace.rows", rows)
             except (OSError, FormatError):
-                self.flow.failed(self.clock())
-                self.counters.add("trace.dropped", rows)
+                self._not_written(rows, gap is not None)
         self._end()
--- a/tests/agree/test_disk.py
+++ b/tests/agree/test_disk.py
@@ -140,9 +140,10 @@
         again.close()
 
 
+@pytest.mark.parametrize("kind", ["EIO", "ENOSPC"])
 @pytest.mark.parametrize("fails", ["write", "sync", "write sync sync_names"])
 def test_nothing_is_told_as_written_that_a_failing_disk_may_have_dropped(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, fails: str,
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, fails: str, kind: str,
 ) -> None:
     monkeypatch.setattr("beechrock.agree.disk.FIRST_S", 0.002)
     monkeypatch.setattr("beechrock.agree.disk.MOST_S", 0.002)
@@ -169,7 +170,7 @@
             while not told or told[-1] < number:
                 await asyncio.sleep(0.001)
             assert durable().term == number
-            tell(control, Faults(fails=fails))
+            tell(control, Faults(fails=fails, fails_as=kind))
             disk.put(Persist(number + 10, (Hard(number + 10, "b"),)))
             disk.put(Persist(number + 20, (Hard(number + 20, "b"),)))
             tried = disk.refused
--- a/tests/edges/test_failing_disks.py
+++ b/tests/edges/test_failing_disks.py
@@ -146,6 +146,37 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("fails", ["sync", "write sync sync_names"])
+def test_a_named_holder_whose_disk_fails_under_traffic_gives_way_and_follows_once_it_works(
+    tmp_path: Path, fails: str,
+) -> None:
+    async def run() -> None:
+        ups = ("u1", "u2", "u3")
+        async with Play(tmp_path, edges={"e": ("e1", "e2")}, ups=ups, lying=True, duties=True) as play:
+            fleet, first = play.fleet, await play.holder()
+            async with traffic(play, "e1", "e2") as callers:
+                await callers.more("e1", 200, 202)
+                fleet.disk(first, fails=fails)
+                second = await play.holder(besides=first)
+                await callers.more("e1", 200, 202)
+                fleet.disk(first)
+
+                async def follows() -> bool:
+                    marks = await play.marks(first)
+                    return bool(marks["state"] == "standby" and marks["holder"] == second)
+
+                await fleet.until(follows)
+            await play.emptied()
+            # What was under way as the holder gave way is in doubt, and an operator's (``emptied``).
+            ended = {event["receipt"] for event in fleet.events(None, "edge.ended")}
+            nonces = tuple(event["nonce"] for event in fleet.events(None, "edge.accepted")
+                           if event["receipt"] in ended)
+            assert play.check(ended=nonces) == [] and len(nonces) < len(play.accepted)
+            assert fleet.events(first, "edges.disk_failing") and not fleet.events(first, "edges.stopped")
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("synced", [1, 2])
 def test_after_a_failed_sync_no_promise_of_that_turn_goes_out(synced: int) -> None:
     member = cast(Any, SimpleNamespace(store=SimpleNamespace(failed="no sync", synced=synced, last=2)))
--- a/tests/edges/test_recovering.py
+++ b/tests/edges/test_recovering.py
@@ -19,7 +19,7 @@
     Recovering,
     heals,
 )
-from beechrock.edges.words import Said, State
+from beechrock.edges.words import Action, Said, State
 from beechrock.lab.edges_full import FAILED, REFUSED, SERVED, Up, entry, play
 from beechrock.lab.edges_play import UP, Play
 from beechrock.lab.fleet.disk import Faults, LyingFiles, tell
@@ -89,6 +89,27 @@
     asyncio.run(run())
 
 
+def test_an_event_that_the_disk_refuses_takes_no_other_of_its_turn_with_it(tmp_path: Path) -> None:
+    async def run() -> None:
+        up, came = Up(tmp_path), list[int]()
+
+        def refused(now: float, now_s: float) -> list[Action]:
+            raise OSError(errno.EIO, "broken")
+
+        def taken(now: float, now_s: float) -> list[Action]:
+            came.append(1)
+            return []
+
+        up.part.post(refused)
+        up.part.post(taken)
+        await up.turn()
+        assert came and up.part.disk.state is Disk.FAILING
+        await up.look()
+        assert up.part.disk.running
+
+    asyncio.run(run())
+
+
 def test_an_end_told_twice_is_not_taken_for_the_next_run_of_its_key(tmp_path: Path) -> None:
     async def run() -> None:
         up = Up(tmp_path)
--- a/tests/store/failing.py
+++ b/tests/store/failing.py
@@ -37,8 +37,11 @@
 
     def __init__(
         self, fault: Fault | None = None, kill_at: int = 0, names: dict[str, Inode] | None = None,
+        piece: int | None = None,
     ) -> None:
         self.fault, self.kill_at, self.step = fault, kill_at, 0
+        self.piece = piece      # bytes of the write in which it is killed that come to the cache; None: half
+        self.whole = True       # fewer than it had
         self.live: dict[str, Inode] = dict(names or {})
         self.durable = dict(self.live)
 
@@ -69,7 +72,9 @@
         try:
             fails = self._step("write")
         except Killed:
-            self._put(name, at, data[:len(data) // 2])
+            piece = len(data) // 2 if self.piece is None else self.piece
+            self.whole = piece >= len(data)
+            self._put(name, at, data[:piece])
             raise
         if fails:
             self._put(name, at, data[:len(data) // 3])
--- a/tests/store/test_failing_disk.py
+++ b/tests/store/test_failing_disk.py
@@ -262,8 +262,11 @@
     monkeypatch.setattr("os.fsync", noted)
     Files(tmp_path / "deep" / "er")
     begin(tmp_path / "other" / "life", 1.0)
-    assert synced[:2] == [str(tmp_path), str(tmp_path / "deep")]
-    assert str(tmp_path / "other") in synced[2:]
+    assert synced[:3] == [str(tmp_path.parent), str(tmp_path), str(tmp_path / "deep")]
+    assert str(tmp_path / "other") in synced[3:]
+    synced.clear()
+    Files(tmp_path / "deep" / "er")     # the process that made it may have been killed before it was durable
+    assert synced == [str(tmp_path / "deep")]
 
 
 @pytest.mark.parametrize("call", ["fsync", "replace"])
@@ -360,6 +363,28 @@
             assert state(Store.open(files.power_cut(names_kept), "s", RULES)) == state(store)
 
 
+def test_the_log_does_not_go_on_before_a_snapshot_past_it() -> None:
+    probe = FailingFiles()
+    begun = _three(probe)
+    before, refused = probe.step, 0
+    begun.save_snapshot(9, b"new")
+    for first in range(before + 1, probe.step + 1):
+        files = FailingFiles(Fault(first, first + 1, errno.ENOSPC))
+        store = _three(files)
+        with suppress(StoreFailedError, StoreFullError):
+            store.save_snapshot(9, b"new")
+        try:        # by an owner that does not save it again
+            index = store.append(b"after")
+            store.sync()
+        except StoreFailedError:
+            refused += 1
+            store.rewrite()
+            index = store.append(b"after")
+            store.sync()
+        assert Store.open(files.power_cut(False), "s", RULES).entry(index) == b"after"
+    assert refused
+
+
 def _three(files: FailingFiles) -> Store:
     store = Store.open(files, "s", RULES)
     for n in range(3):
@@ -383,3 +408,22 @@
             Store.open(again, "s", RULES)
         assert opening.value.do == REOPEN
         assert state(Store.open(files.killed(), "s", RULES)) == state(store)
+
+
+def test_a_start_on_a_disk_that_does_not_read_says_what_to_do(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def broken(*given: object) -> bytes:
+        raise OSError(errno.EIO, "broken")
+
+    store = Store.open(FailingFiles(), "s")
+    files = FailingFiles()
+    Witness(files).hear("a", store.mark())
+    files.fault = Fault(files.step + 1, files.step + 2, kinds=("read",))
+    with pytest.raises(StoreFailedError, match="start the node again"):
+        Witness(files)
+    assert "a" in Witness(files).known
+    begin(tmp_path, 1.0)
+    with monkeypatch.context() as patch, pytest.raises(StoreFailedError, match="start the node again"):
+        patch.setattr(Files, "read", broken)
+        begin(tmp_path, 1.0)
