--- a/tests/agree/test_disk.py
+++ b/tests/agree/test_disk.py
@@ -138,9 +138,10 @@
         reopened.close()
 
 
+@pytest.mark.parametrize("kind", ["EIO", "ENOSPC"])
 @pytest.mark.parametrize("fails", ["write", "sync", "write sync sync_names"])
 def test_nothing_is_reported_as_written_that_a_failing_disk_may_have_dropped(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, fails: str,
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, fails: str, kind: str,
 ) -> None:
     monkeypatch.setattr("beechrock.agree.disk.FIRST_RETRY_S", 0.002)
     monkeypatch.setattr("beechrock.agree.disk.MAX_RETRY_S", 0.002)
@@ -167,7 +168,7 @@
             while not reported or reported[-1] < number:
                 await asyncio.sleep(0.001)
             assert durable().term == number
-            tell(control, Faults(fails=fails))
+            tell(control, Faults(fails=fails, fails_as=kind))
             disk.put(Persist(number + 10, (HardState(number + 10, "b"),)))
             disk.put(Persist(number + 20, (HardState(number + 20, "b"),)))
             failed_tries = disk.failed_tries
