--- a/beechrock/duties/errors.py
+++ b/beechrock/duties/errors.py
@@ -4,13 +4,13 @@
 
 
 class DutyError(OperatorError):
-    """The root of what duties refuse."""
+    """The root of the errors of ``duties``."""
 
     event = "duties"
 
 
 class UnknownDutyError(DutyError):
-    """A name that nobody declared."""
+    """No duty of this name was declared."""
 
 
 class NotMovedError(DutyError):
@@ -22,8 +22,8 @@
 
 
 class GrantsUnreadableError(DutyError):
-    """A snapshot of the grants that this program cannot read."""
+    """A snapshot of the grants cannot be read by this program."""
 
 
 class BrokenInvariantError(DutyError):
-    """What can never be was seen: this process takes no part in duties any more."""
+    """An invariant is broken: this process takes no part in duties any more."""
--- a/beechrock/duties/grantor.py
+++ b/beechrock/duties/grantor.py
@@ -1,314 +1,362 @@
 """The leader's part, volatile: whom it renews, whom it asks to yield, which grants it proposes.
 
-States of a grant, here: untaken (of this reign, and no answer has renewed it: nobody may act under it yet),
-renewed (until its lease, counted from the last answer, has run out), asked to yield,
-ending (no answer renews it any more), out (its lease has run out). Events: a member asks; ticks; an
-operator's word.
-
-Invariants: nothing is proposed in place of a grant that is not untaken, out or given back; of a grant from
-before this reign it is not known what the last leader renewed, so it is out a whole lease after the reign
-began at the earliest; what a proposal replaces is never renewed again in this reign; nothing is answered
-without the leader's own lease, asked for at the time of the answer; after a pause of its own, or a clock that
-leapt, none of the gap counts as time of a lease.
+States of a grant, here: unclaimed (of this leadership, and no answer has renewed it: nobody may act under it
+yet), renewed (until its lease, counted from the last answer, has run out), asked to yield, ending (no answer
+renews it any more), expired (its lease has run out). Events: a member's request; ticks; an operator's
+request.
+
+Invariants: nothing is proposed in place of a grant that is not unclaimed, expired or given back; of a grant
+from before this leadership it is not known what the last leader renewed, so it expires a whole lease after
+the leadership began at the earliest; what a proposal replaces is never renewed again in this leadership;
+nothing is answered without the leader's own lease, asked for at the time of the answer; after a pause of its
+own, or a clock that leapt, none of the gap counts as time of a lease.
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from beechrock.duties import grants as log
-from beechrock.duties.grants import Grants
-from beechrock.duties.messages import Answer, Ask
-from beechrock.duties.model import PAUSE, Duty, Grant, Kind, Member, barred
-from beechrock.duties.pace import HoldDown, Moves
-from beechrock.duties.spread import choose, most_each, relieved
-from beechrock.duties.untaken import Untaken
-
-HEARD = 0.5             # of a lease: who was heard within it is chosen before who was not
-SETTLE = 0.5            # of a lease: a new leader hears the members before it places anything
+from beechrock.duties.grantor_data import (
+    HOLD_DOWN_PROPOSAL,
+    Candidates,
+    LastProgress,
+    Propose,
+    Push,
+    Rules,
+    Vacancy,
+    YieldRequest,
+)
+from beechrock.duties.grants import GrantTable
+from beechrock.duties.guards import Guard
+from beechrock.duties.messages import HeldFence, RenewalReply, RenewalRequest, RenewedLease
+from beechrock.duties.model import PAUSE, Duty, Grant, Kind, Member, ineligibility_reason
+from beechrock.duties.pace import HoldDown, MoveRateLimit
+from beechrock.duties.placement import can_relieve, choose, max_per_member
+from beechrock.duties.unclaimed import UnclaimedGrants
+
+RECENT = 0.5            # of a lease: a member heard from within it is chosen before the others
+SETTLE = 0.5            # of a lease: a new leader receives requests before it places anything
 STALL = 3.0             # leases without progress while work waits
-YIELD = 2.0             # leases for one that was asked to yield; then it is not renewed
+YIELD = 2.0             # leases for a holder that was asked to yield; then it is not renewed
 PROPOSE = 2.0           # leases until a proposal that nobody answered is made again
-MOST_MEMBERS = 512
-MOST_WAITS = 64         # in one entry; the rest follows
-ORDER = {Kind.FLEET: 0, Kind.HALL: 1, Kind.SHARD: 2}    # what more depends on goes first
-
-
-@dataclass(frozen=True, slots=True)
-class Rules:
-    """``gone_s``: silence after which a member gets nothing."""
-
-    lease_s: float = 3.0
-    hold_down_s: float = 5.0
-    most_moves_per_s: float = 50.0
-
-    @property
-    def gone_s(self) -> float:
-        return self.lease_s
-
-
-@dataclass(frozen=True, slots=True)
-class Propose:
-    name: str
-    command: bytes
-    why: str
-
-
-@dataclass(frozen=True, slots=True)
-class Push:
-    """Tell the member at once, not only when it asks."""
-
-    member: str
-    answer: Answer
-    name: str
-    why: str
+MAX_MEMBERS = 512
+MAX_LOGGED_WAITS = 64   # in one entry; the rest follows
+MAX_REASONS = 8         # members whose ineligibility is shown to operators
+TOO_MANY = "too many on one"
+PLACEMENT_ORDER = {Kind.FLEET: 0, Kind.HALL: 1, Kind.SHARD: 2}      # what more depends on goes first
 
 
 class Grantor:
-    """One reign: made anew each time this member begins to lead. ``now``: the leader's own clock, seconds."""
+    """One leadership: made anew each time this member begins to lead. ``now_s``: the leader's own clock."""
 
-    def __init__(self, now: float, grants: Grants, rules: Rules,
+    def __init__(self, now_s: float, grants: GrantTable, rules: Rules,
                  without: frozenset[str] = frozenset()) -> None:
-        self.grants, self.rules, self.without = grants, rules, without
-        self.reign, self.began_s, self.ticked_s = grants.reign, now, now
-        first = float("-inf") if "new_leader_waits" in without else now
-        self.renewed_s = {grant.fence: first for grant in grants.held.values()}
-        self.untaken = Untaken(self.reign, without)
-        self.ending: set[int] = set()
-        self.asked: dict[int, tuple[float, str]] = {}       # fence: when it was asked to yield, why
-        self.progress: dict[int, tuple[int, float]] = {}    # fence: done, since when not more
-        self.proposed_s: dict[str, float] = {}              # duty: a proposal under way, since when
+        self.grants = grants
+        self.rules = rules
+        self.without = without
+        self.leader_epoch = grants.leader_epoch
+        self.began_s = self.last_tick_s = now_s
+        first_s = float("-inf") if Guard.NEW_LEADER_WAITS in without else now_s
+        self.renewed_s = {grant.fence: first_s for grant in grants.held.values()}
+        self.unclaimed = UnclaimedGrants(self.leader_epoch, without)
+        self.ending: set[int] = set()                       # fences
+        self.yield_requests: dict[int, YieldRequest] = {}   # by fence
+        self.progress: dict[int, LastProgress] = {}         # by fence
+        self.proposed_s: dict[str, float] = {}              # by duty: since when a proposal is under way
         self.members: dict[str, Member] = {}
-        self.digests: dict[str, int] = {}
-        self.left: set[str] = set()                         # said goodbye
-        self.why: dict[str, str] = {}                       # duty: why nobody holds it
-        self.moves, self.hold_down = Moves(rules.most_moves_per_s), HoldDown(rules.hold_down_s)
-        self.hold_down.begin(grants.waits, now)
+        self.supported_digests: dict[str, int] = {}         # by member
+        self.departed: set[str] = set()                     # members that said that they leave
+        self.unheld_reasons: dict[str, str] = {}            # by duty: why nobody holds it
+        self.moves = MoveRateLimit(rules.max_moves_per_s)
+        self.hold_down = HoldDown(rules.hold_down_s)
+        self.hold_down.restore(grants.waits, now_s)
+
+    # --- requests of members
 
-    # --- what members say
+    def on_request(
+        self, now_s: float, sender: str, request: RenewalRequest, leading: bool,
+    ) -> RenewalReply | None:
+        """Return the answer, or None for no answer.
 
-    def hear(self, now: float, sender: str, ask: Ask, leading: bool) -> Answer | None:
-        """``leading``: the leader's own lease holds at this moment. None: no word."""
-        if not leading and "leading" not in self.without:
+        ``leading``: the leader's own lease holds at this moment.
+        """
+        if not leading and Guard.LEADING not in self.without:
             return None     # a successor may lead already, and grant to others
-        member = self._member(now, sender, ask)
-        if member is None:
+        if not self._update_member(now_s, sender, request):
             return None
-        renewed, yields = [], []
-        for held in ask.held:
+        renewed: list[RenewedLease] = []
+        yield_fences: list[int] = []
+        for held in request.held:
             grant = self.grants.held.get(held.name)
-            if grant is None or (grant.fence, grant.holder, grant.life) != (held.fence, sender, ask.life):
+            if grant is None or (grant.fence, grant.holder, grant.life) != (held.fence, sender, request.life):
                 continue
-            self._note_progress(now, grant.fence, held.done, held.waiting)
-            if grant.fence in self.asked:
-                yields.append(grant.fence)
-            if grant.fence in self.ending and "ending" not in self.without:
+            self._record_progress(now_s, held)
+            if grant.fence in self.yield_requests:
+                yield_fences.append(grant.fence)
+            if grant.fence in self.ending and Guard.ENDING not in self.without:
                 continue    # what takes its place is under way
-            self.renewed_s[grant.fence] = now
-            self.untaken.renewed(held.name, grant.fence)
-            renewed.append((grant.fence, grant.lease_s))
-        return Answer(ask.seq, ask.life, tuple(renewed), tuple(yields),
-                      self.digests.get(sender) != ask.digest)
-
-    def _member(self, now: float, sender: str, ask: Ask) -> Member | None:
-        known = self.members.get(sender)
-        if known is None:
-            if len(self.members) >= MOST_MEMBERS:
-                return None
-            known = self.members[sender] = Member(
-                sender, ask.life, ask.hall, ask.hardware, ask.serving, frozenset(), now)
-        elif ask.life < known.life:
-            return None
-        if known.gone or ask.life > known.life:
-            if sender not in self.left:
-                self.hold_down.strike(sender, now)
-            if ask.life > known.life:
-                self.left.discard(sender)
-                self.digests.pop(sender, None)
-                known.able = frozenset()
-        known.life, known.hall, known.hardware = ask.life, ask.hall, ask.hardware
-        known.serving, known.gone, known.heard_s = ask.serving, False, now
-        if ask.leaving:
-            self.left.add(sender)
-        if ask.able is not None:
-            known.able, self.digests[sender] = frozenset(ask.able), ask.digest
-        return known
-
-    def _note_progress(self, now: float, fence: int, done: int, waiting: int) -> None:
-        before = self.progress.get(fence)
-        if before is None or done != before[0] or not waiting:
-            self.progress[fence] = (done, now)
+            self.renewed_s[grant.fence] = now_s
+            self.unclaimed.on_renewed(held.name, grant.fence)
+            renewed.append(RenewedLease(grant.fence, grant.lease_s))
+        send_supported = self.supported_digests.get(sender) != request.supported_digest
+        return RenewalReply(request.seq, request.life, tuple(renewed), tuple(yield_fences), send_supported)
+
+    def _update_member(self, now_s: float, sender: str, request: RenewalRequest) -> bool:
+        """Take over what a member says of itself; False where it is not to be answered."""
+        member = self.members.get(sender)
+        if member is None:
+            if len(self.members) >= MAX_MEMBERS:
+                return False
+            member = self.members[sender] = Member(
+                sender, request.life, request.hall, request.hardware, request.serving, frozenset(), now_s)
+        elif request.life < member.life:
+            return False
+        if member.silent or request.life > member.life:
+            self._on_member_back(now_s, member, request)
+        member.life, member.hall, member.hardware = request.life, request.hall, request.hardware
+        member.serving, member.silent, member.heard_s = request.serving, False, now_s
+        if request.leaving:
+            self.departed.add(sender)
+        if request.supported is not None:
+            member.supported = frozenset(request.supported)
+            self.supported_digests[sender] = request.supported_digest
+        return True
+
+    def _on_member_back(self, now_s: float, member: Member, request: RenewalRequest) -> None:
+        """Hold a member down that came back without having said that it leaves."""
+        if member.name not in self.departed:
+            self.hold_down.record_failure(member.name, now_s)
+        if request.life > member.life:
+            self.departed.discard(member.name)
+            self.supported_digests.pop(member.name, None)
+            member.supported = frozenset()
+
+    def _record_progress(self, now_s: float, held: HeldFence) -> None:
+        previous = self.progress.get(held.fence)
+        if previous is None or held.done != previous.done or not held.waiting:
+            self.progress[held.fence] = LastProgress(held.done, now_s)
 
     # --- ticks
 
-    def tick(self, now: float) -> list[Propose | Push]:
-        self._after_pause(now)
-        self.ticked_s = now
-        self._forget()
-        actions: list[Propose | Push] = []
+    def tick(self, now_s: float) -> list[Propose | Push]:
+        """Return what to propose and to send now."""
+        self._discount_pause(now_s)
+        self.last_tick_s = now_s
+        self._forget_ended()
         for member in self.members.values():
-            member.gone = member.gone or now - member.heard_s > self.rules.gone_s
+            member.silent = member.silent or now_s - member.heard_s > self.rules.silence_s
         load = self._load()
-        most = most_each(len(self.grants.duties), len(self._living()))
-        free: list[tuple[Duty, Grant | None]] = []
+        limit = max_per_member(len(self.grants.duties), self._living_count())
+        actions, vacancies = self._review(now_s, load, limit)
+        if now_s >= self.began_s + SETTLE * self.rules.lease_s:
+            vacancies.sort(key=lambda vacancy: (PLACEMENT_ORDER[vacancy.duty.kind], vacancy.duty.name))
+            actions += self._place(now_s, vacancies, load, limit)
+        return actions + self._log_hold_downs(now_s)
+
+    def _review(
+        self, now_s: float, load: dict[str, int], limit: int,
+    ) -> tuple[list[Propose | Push], list[Vacancy]]:
+        """Return the yields to ask for, and the duties to be placed."""
+        actions: list[Propose | Push] = []
+        vacancies: list[Vacancy] = []
         for name, duty in self.grants.duties.items():
             grant = self.grants.held.get(name)
-            if now - self.proposed_s.get(name, float("-inf")) < PROPOSE * duty.lease_s:
+            if now_s - self.proposed_s.get(name, float("-inf")) < PROPOSE * duty.lease_s:
                 continue
-            if grant is None:
-                free.append((duty, None))
-            elif self._out(now, duty, grant):
-                free.append((duty, grant))
-            elif why := self._to_move(now, duty, grant, load, most):
-                actions += self._ask_yield(now, name, grant, why)
-                load[grant.holder] -= why == "too many on one"
-        if now >= self.began_s + SETTLE * self.rules.lease_s:
-            free.sort(key=lambda one: (ORDER[one[0].kind], one[0].name))
-            actions += self._place(now, free, load, most)
-        return actions + self._tell_waits(now)
-
-    def _tell_waits(self, now: float) -> list[Propose | Push]:
-        """One proposal at a time, under no duty's name; if it is lost, the log still differs, and it is made
-        again.
+            if grant is None or self._may_replace(now_s, duty, grant):
+                vacancies.append(Vacancy(duty, grant))
+            elif reason := self._yield_reason(now_s, duty, grant, load, limit):
+                actions.append(self._ask_yield(now_s, name, grant, reason))
+                load[grant.holder] -= reason == TOO_MANY
+        return actions, vacancies
+
+    def _log_hold_downs(self, now_s: float) -> list[Propose | Push]:
+        """Propose changed hold-downs, one proposal at a time.
+
+        If it is lost, the log still differs, and it is made again.
         """
-        if now - self.proposed_s.get("", float("-inf")) < PROPOSE * self.rules.lease_s:
+        proposed_s = self.proposed_s.get(HOLD_DOWN_PROPOSAL, float("-inf"))
+        if now_s - proposed_s < PROPOSE * self.rules.lease_s:
             return []
-        changes = self.hold_down.changes(self.grants.waits, now, MOST_WAITS)
+        changes = self.hold_down.changes(self.grants.waits, now_s, MAX_LOGGED_WAITS)
         if not changes:
             return []
-        self.proposed_s[""] = now
-        return [Propose("", log.waits(changes, self.reign), f"hold-downs: {len(changes)} changed")]
+        self.proposed_s[HOLD_DOWN_PROPOSAL] = now_s
+        command = log.waits(changes, self.leader_epoch)
+        return [Propose(HOLD_DOWN_PROPOSAL, command, f"hold-downs: {len(changes)} changed")]
 
-    def _after_pause(self, now: float) -> None:
-        """Seen in the histories: a leader's clock leapt, and leases ran out that holders still counted on.
+    def _discount_pause(self, now_s: float) -> None:
+        """Count none of a pause, or of a leap of the clock, as time of a lease.
 
-        Of a gap it is not known how much of it was time, so none of it counts. (To count anew from here cost
-        a whole lease more after each short stall of the leader.)
+        Seen in the histories: a leader's clock leapt, and leases ran out that holders still counted on. Of a
+        gap it is not known how much of it was time. (To count anew from here cost a whole lease more after
+        each short stall of the leader.)
         """
-        gap_s = now - self.ticked_s
+        gap_s = now_s - self.last_tick_s
         pause_s = PAUSE * self.grants.shortest_s(self.rules.lease_s)
-        if not 0.0 <= gap_s <= pause_s and "leader_pause" not in self.without:
-            # What was heard in the gap, or before a clock went back, cannot be later than now.
-            shift_s = gap_s if gap_s > 0.0 else float("inf")
-            for fence, renewed_s in self.renewed_s.items():
-                self.renewed_s[fence] = min(now, renewed_s + shift_s)
-            for member in self.members.values():
-                member.heard_s = min(now, member.heard_s + shift_s)
-            self.progress = {fence: (done, now) for fence, (done, _) in self.progress.items()}
-
-    def _forget(self) -> None:
-        """What is no longer in the log."""
-        known = {grant.fence for grant in self.grants.held.values()}
-        for table in (self.renewed_s, self.asked, self.progress):
-            for fence in [fence for fence in table if fence not in known]:
+        if 0.0 <= gap_s <= pause_s or Guard.LEADER_PAUSE in self.without:
+            return
+        # What was received in the gap, or before a clock went back, cannot be later than now.
+        shift_s = gap_s if gap_s > 0.0 else float("inf")
+        for fence, renewed_s in self.renewed_s.items():
+            self.renewed_s[fence] = min(now_s, renewed_s + shift_s)
+        for member in self.members.values():
+            member.heard_s = min(now_s, member.heard_s + shift_s)
+        self.progress = {fence: LastProgress(last.done, now_s) for fence, last in self.progress.items()}
+
+    def _forget_ended(self) -> None:
+        """Forget grants that are no longer in the log."""
+        fences = {grant.fence for grant in self.grants.held.values()}
+        for table in (self.renewed_s, self.yield_requests, self.progress):
+            for fence in [fence for fence in table if fence not in fences]:
                 del table[fence]
-        self.ending &= known
-        self.untaken.forget(known, self.grants.duties)
+        self.ending &= fences
+        self.unclaimed.forget(fences, self.grants.duties)
 
-    def _living(self) -> list[Member]:
-        return [one for one in self.members.values() if one.serving and not one.gone and one.able]
+    def _living_count(self) -> int:
+        return sum(
+            member.serving and not member.silent and bool(member.supported)
+            for member in self.members.values())
 
     def _load(self) -> dict[str, int]:
+        """Return by member the duties that it holds and was not asked to give back."""
         load: dict[str, int] = {}
         for grant in self.grants.held.values():
-            if grant.fence not in self.asked:
+            if grant.fence not in self.yield_requests:
                 load[grant.holder] = load.get(grant.holder, 0) + 1
         return load
 
-    def _to_move(self, now: float, duty: Duty, grant: Grant, load: dict[str, int], most: int) -> str:
-        """Why the holder should give it back; empty: it should not, or was asked already."""
+    # --- grants in force
+
+    def _yield_reason(
+        self, now_s: float, duty: Duty, grant: Grant, load: dict[str, int], limit: int,
+    ) -> str:
+        """Return why the holder should give the duty back; empty: it should not, or was asked already."""
         holder = self.members.get(grant.holder)
-        if holder is None or holder.life != grant.life or holder.gone:
-            return ""                   # it does not hear us; its lease runs out
-        if grant.fence in self.asked:
-            asked_s, _ = self.asked[grant.fence]
-            if now - asked_s > YIELD * duty.lease_s:
+        if holder is None or holder.life != grant.life or holder.silent:
+            return ""       # it does not receive what we send; its lease runs out
+        if grant.fence in self.yield_requests:
+            if now_s - self.yield_requests[grant.fence].asked_s > YIELD * duty.lease_s:
                 self.ending.add(grant.fence)
             return ""
-        if why := barred(duty, holder):
-            return why
-        done_s = self.progress.get(grant.fence, (0, now))[1]
-        stalled = now - done_s > STALL * duty.lease_s and "progress" not in self.without
-        everybody = self.members.values()
-        if stalled and self._others(duty, grant, everybody):
-            self.hold_down.strike(f"{holder.name}/{duty.name}", now)
+        if reason := ineligibility_reason(duty, holder):
+            return reason
+        # Who else may hold it is looked for only where it matters, as it goes through all members.
+        members = self.members.values()
+        if self._is_stalled(now_s, duty, grant) and self._alternatives(duty, grant, members):
+            self.hold_down.record_failure(f"{holder.name}/{duty.name}", now_s)
             return "no progress while work waits"
-        if (load.get(grant.holder, 0) > most
-                and relieved(load, grant.holder, self._others(duty, grant, everybody), most)
-                and self.moves.one(now)):
-            return "too many on one"
-        return ""
-
-    def _out(self, now: float, duty: Duty, grant: Grant) -> bool:
-        """Nobody may act under it any more, or nobody ever did and another would sooner."""
-        silent_s = now - self.renewed_s.setdefault(grant.fence, now)
+        if load.get(grant.holder, 0) <= limit:
+            return ""
+        relievable = can_relieve(load, grant.holder, self._alternatives(duty, grant, members), limit)
+        return TOO_MANY if relievable and self.moves.take(now_s) else ""
+
+    def _is_stalled(self, now_s: float, duty: Duty, grant: Grant) -> bool:
+        progress_s = self.progress[grant.fence].at_s if grant.fence in self.progress else now_s
+        return now_s - progress_s > STALL * duty.lease_s and Guard.PROGRESS not in self.without
+
+    def _may_replace(self, now_s: float, duty: Duty, grant: Grant) -> bool:
+        """Return whether nobody may act under the grant any more, or nobody ever did and another would."""
+        silent_s = now_s - self.renewed_s.setdefault(grant.fence, now_s)
         if silent_s >= grant.lease_s:
             return True
-        late = self.untaken.late(duty.name, grant, silent_s)
-        return late and bool(self._others(duty, grant, self._lately(now)))
+        overdue = self.unclaimed.is_overdue(duty.name, grant, silent_s)
+        return overdue and bool(self._alternatives(duty, grant, self._recent_members(now_s)))
 
-    def _others(self, duty: Duty, grant: Grant, of: Iterable[Member]) -> list[str]:
-        return [m.name for m in of if m.name != grant.holder and not barred(duty, m)]
+    def _alternatives(self, duty: Duty, grant: Grant, members: Iterable[Member]) -> list[str]:
+        return [member.name for member in members
+                if member.name != grant.holder and not ineligibility_reason(duty, member)]
 
-    def _lately(self, now: float) -> list[Member]:
-        """Of those that are lost together, some are not known to be when the first one's lease is out: seen
+    def _recent_members(self, now_s: float) -> list[Member]:
+        """Return the members heard from lately.
+
+        Of members that are lost together, some are not known to be when the first one's lease is out: seen
         with processes and in a lost hall, whose duties went from one dead member to the next.
         """
-        return [m for m in self.members.values() if now - m.heard_s <= HEARD * self.rules.lease_s]
+        return [member for member in self.members.values()
+                if now_s - member.heard_s <= RECENT * self.rules.lease_s]
+
+    def _ask_yield(self, now_s: float, name: str, grant: Grant, reason: str) -> Push:
+        self.yield_requests[grant.fence] = YieldRequest(now_s, reason)
+        reply = RenewalReply(0, grant.life, (), (grant.fence,), False)
+        return Push(grant.holder, reply, name, reason)
 
-    def _ask_yield(self, now: float, name: str, grant: Grant, why: str) -> list[Propose | Push]:
-        self.asked[grant.fence] = (now, why)
-        return [Push(grant.holder, Answer(0, grant.life, (), (grant.fence,), False), name, why)]
+    # --- placement
 
-    def _place(self, now: float, free: list[tuple[Duty, Grant | None]], load: dict[str, int],
-               most: int) -> list[Propose | Push]:
+    def _place(
+        self, now_s: float, vacancies: list[Vacancy], load: dict[str, int], limit: int,
+    ) -> list[Propose | Push]:
+        """Propose a holder for each vacancy; ``load`` is brought up to date."""
         actions: list[Propose | Push] = []
-        able, lately = list(self.members.values()), self._lately(now)
-        calm = [member for member in lately if not self.hold_down.left_s(member.name, now)]
-        for duty, grant in free:
-            passed = self.untaken.passed_with(duty.name, grant)
-            new, fresh = ([m for m in group if m.name not in passed] for group in (lately, calm))
-            apart = [m for m in fresh if not self.hold_down.left_s(f"{m.name}/{duty.name}", now)]
-            again = [[m for m in lately if m.name == name] for name in passed[:-1]]     # the oldest first
-            # Held by one that comes and goes is better than held by none.
-            groups = (apart, fresh, new, *again, able)
-            to = next((m for group in groups if (m := choose(duty, group, load, most))), None)
-            if to is None:
-                self.why[duty.name] = "no member that may: " + (", ".join(
-                    f"{m.name} {barred(duty, m)}" for m in able[:8]) or "none heard")
+        recent = self._recent_members(now_s)
+        candidates = Candidates(
+            list(self.members.values()), recent,
+            [member for member in recent if not self.hold_down.remaining_s(member.name, now_s)])
+        for duty, grant in vacancies:
+            passed_over = self.unclaimed.passed_over_with(duty.name, grant)
+            holder = self._choose(now_s, duty, candidates, passed_over, load, limit)
+            if holder is None:
+                self.unheld_reasons[duty.name] = self._no_holder_reason(duty)
                 continue
-            if not self.moves.one(now):
-                self.why[duty.name] = f"waits: {self.rules.most_moves_per_s:g} moves a second"
+            if not self.moves.take(now_s):
+                self.unheld_reasons[duty.name] = f"waits: {self.rules.max_moves_per_s:g} moves a second"
                 continue
-            self.why.pop(duty.name, None)
-            after, why = 0, "free"
-            if grant is not None:
-                after, why = grant.fence, f"{grant.holder} was not heard"
-                if self.untaken.is_untaken(grant):
-                    why = f"{grant.holder} did not take it"
-                    self.untaken.passed[duty.name] = passed
-                if grant.fence in self.asked:
-                    why = self.asked[grant.fence][1]
-                self.ending.add(grant.fence)
-                load[grant.holder] = load.get(grant.holder, 0) - 1
-            load[to.name] = load.get(to.name, 0) + 1
-            self.proposed_s[duty.name] = now
-            actions.append(Propose(
-                duty.name, log.grant(duty.name, to.name, to.life, after, self.reign), f"to {to.name}: {why}"))
+            self.unheld_reasons.pop(duty.name, None)
+            reason = "free" if grant is None else self._replace(duty, grant, passed_over, load)
+            load[holder.name] = load.get(holder.name, 0) + 1
+            self.proposed_s[duty.name] = now_s
+            replaces = grant.fence if grant is not None else 0
+            command = log.grant(duty.name, holder.name, holder.life, replaces, self.leader_epoch)
+            actions.append(Propose(duty.name, command, f"to {holder.name}: {reason}"))
         return actions
 
-    def settled(self, name: str) -> None:
-        """The proposal was answered, whatever the answer was."""
+    def _choose(
+        self, now_s: float, duty: Duty, candidates: Candidates, passed_over: list[str],
+        load: dict[str, int], limit: int,
+    ) -> Member | None:
+        """Return the holder from the first group that has one."""
+        new, calm = ([member for member in group if member.name not in passed_over]
+                     for group in (candidates.recent, candidates.not_held_down))
+        calm_here = [member for member in calm
+                     if not self.hold_down.remaining_s(f"{member.name}/{duty.name}", now_s)]
+        once_more = [[member for member in candidates.recent if member.name == name]
+                     for name in passed_over[:-1]]      # the oldest first
+        # Held by one that comes and goes is better than held by none.
+        for group in (calm_here, calm, new, *once_more, candidates.all):
+            if (holder := choose(duty, group, load, limit)) is not None:
+                return holder
+        return None
+
+    def _no_holder_reason(self, duty: Duty) -> str:
+        members = list(self.members.values())[:MAX_REASONS]
+        reasons = ", ".join(f"{member.name} {ineligibility_reason(duty, member)}" for member in members)
+        return "no member that may: " + (reasons or "none heard")
+
+    def _replace(
+        self, duty: Duty, grant: Grant, passed_over: list[str], load: dict[str, int],
+    ) -> str:
+        """Renew the grant no more; return why it is replaced."""
+        reason = f"{grant.holder} was not heard"
+        if self.unclaimed.is_unclaimed(grant):
+            reason = f"{grant.holder} did not take it"
+            self.unclaimed.passed_over[duty.name] = passed_over
+        if grant.fence in self.yield_requests:
+            reason = self.yield_requests[grant.fence].reason
+        self.ending.add(grant.fence)
+        load[grant.holder] = load.get(grant.holder, 0) - 1
+        return reason
+
+    def on_proposal_settled(self, name: str) -> None:
+        """Take note that the proposal was answered, whatever the answer was."""
         self.proposed_s.pop(name, None)
 
-    # --- an operator's word
+    # --- requests of an operator
 
-    def move(self, now: float, name: str) -> tuple[str, list[Propose | Push]]:
-        """Ask the holder to yield; why not, if not."""
+    def move(self, now_s: float, name: str) -> tuple[str, list[Propose | Push]]:
+        """Ask the holder to yield; return why not, or empty, and the actions."""
         duty, grant = self.grants.duties.get(name), self.grants.held.get(name)
         if duty is None or grant is None:
-            return self.why.get(name, "nobody holds it"), []
-        others = self._others(duty, grant, self.members.values())
-        if not others:
+            return self.unheld_reasons.get(name, "nobody holds it"), []
+        if not self._alternatives(duty, grant, self.members.values()):
             return "no other member may hold it", []
-        self.hold_down.strike(f"{grant.holder}/{name}", now)
-        return "", self._ask_yield(now, name, grant, "asked by an operator")
+        self.hold_down.record_failure(f"{grant.holder}/{name}", now_s)
+        return "", [self._ask_yield(now_s, name, grant, "asked by an operator")]
--- /dev/null
+++ b/beechrock/duties/member_duties.py
@@ -0,0 +1,168 @@
+"""All duties at one process: one request for renewal covers all that it holds, and shows that it lives.
+
+Invariants: an answer counts only for the request that it names, by this process, sent since the last pause;
+the lease is counted from that request's sending. At most ``MAX_OPEN_REQUESTS`` requests are remembered; the
+oldest is forgotten, and its answer then counts for nothing.
+"""
+
+from collections.abc import Callable
+from hashlib import blake2b
+from typing import NamedTuple
+
+from beechrock.duties.grants import GrantTable
+from beechrock.duties.holder import Command, Holder, HolderAction, HolderState, PauseDetector
+from beechrock.duties.messages import HeldFence, RenewalReply, RenewalRequest
+from beechrock.duties.model import PAUSE, RENEW, Duty, WithoutQuorum
+
+MAX_OPEN_REQUESTS = 64
+
+
+class Progress(NamedTuple):
+    """What a worker did since its start, and how much it could do now and does not."""
+
+    done: int
+    waiting: int
+
+
+NO_PROGRESS = Progress(0, 1)
+
+
+class DutyAction(NamedTuple):
+    """An action of one duty's holder."""
+
+    duty: str
+    action: HolderAction
+
+
+class OpenRequest(NamedTuple):
+    """When a request was sent, and the count of pauses then."""
+
+    sent_s: float
+    pauses: int
+
+
+class MemberDuties:
+    """The duties that this process has workers for. ``lease_s``: the shortest that a duty here has."""
+
+    def __init__(self, member: str, life: int, hall: str, hardware: str, lease_s: float, now_s: float,
+                 without: frozenset[str] = frozenset()) -> None:
+        self.member = member
+        self.life = life
+        self.hall = hall
+        self.hardware = hardware
+        self.without = without
+        self.pause_detector = PauseDetector(PAUSE * lease_s, now_s, without)
+        self.renew_each_s = RENEW * lease_s
+        self.duties: dict[str, Duty] = {}
+        self.holders: dict[str, Holder] = {}
+        self.by_fence: dict[int, str] = {}
+        self.open_requests: dict[int, OpenRequest] = {}
+        self.seq = 0
+        self.next_request_s = now_s
+        self.send_supported = True
+        self.leaving = ""       # why all is given back, if it is
+
+    def declare(self, duty: Duty) -> None:
+        """Add a duty, or change it."""
+        self.duties[duty.name] = duty
+        if duty.name not in self.holders:
+            finish = duty.without_quorum is WithoutQuorum.FINISH
+            self.holders[duty.name] = Holder(finish, self.without)
+        shortest_s = min(duty.lease_s for duty in self.duties.values())
+        self.pause_detector.max_gap_s = PAUSE * shortest_s
+        self.renew_each_s = RENEW * shortest_s
+        self.send_supported = True
+
+    def may(self, name: str, now_s: float) -> int | None:
+        """Return the fence, if this process may act for the duty now."""
+        pauses = self.pause_detector.observe(now_s)
+        holder = self.holders.get(name)
+        return holder.may(now_s, pauses) if holder is not None else None
+
+    def update_grants(self, grants: GrantTable, now_s: float) -> list[DutyAction]:
+        """Take over this member's copy of the log; a renewal of what is new is asked for at once."""
+        self.pause_detector.observe(now_s)
+        actions: list[DutyAction] = []
+        for name, holder in self.holders.items():
+            grant = grants.held.get(name)
+            own = grant is not None and grant.holder == self.member and grant.life == self.life
+            fence = grant.fence if grant is not None and own else 0
+            lease_s = grant.lease_s if grant is not None else 0.0
+            new = holder.on_grant(now_s, fence, lease_s)
+            actions += [DutyAction(name, action) for action in new]
+            if any(action.command is Command.TAKE_OVER for action in new):
+                self.next_request_s = now_s
+        self.by_fence = {holder.fence: name for name, holder in self.holders.items() if holder.fence}
+        return actions
+
+    def next_request(
+        self, now_s: float, serving: bool, progress: Callable[[str], tuple[int, int]],
+    ) -> RenewalRequest:
+        """Return the next request, which the caller sends now or never.
+
+        ``progress`` returns what a duty's worker did, and what waits (``Progress``).
+        """
+        pauses = self.pause_detector.observe(now_s)
+        self.seq += 1
+        self.open_requests[self.seq] = OpenRequest(now_s, pauses)
+        while len(self.open_requests) > MAX_OPEN_REQUESTS:
+            del self.open_requests[next(iter(self.open_requests))]
+        self.next_request_s = now_s + self.renew_each_s
+        supported = tuple(sorted(self.duties))
+        held = [HeldFence(name, fence, *self._progress(name, progress))
+                for fence, name in self.by_fence.items()]
+        sent = supported if self.send_supported else None
+        self.send_supported = False
+        return RenewalRequest(
+            self.seq, self.life, self.hall, self.hardware, serving and not self.leaving, bool(self.leaving),
+            digest(supported), sent, tuple(held))
+
+    def _progress(self, name: str, progress: Callable[[str], tuple[int, int]]) -> tuple[int, int]:
+        # A take-over that hangs is no progress while work waits, whatever the worker says of itself.
+        return NO_PROGRESS if self.holders[name].state is HolderState.TAKING else progress(name)
+
+    def on_reply(self, now_s: float, reply: RenewalReply) -> list[DutyAction]:
+        """Take the leader's answer in."""
+        pauses = self.pause_detector.observe(now_s)
+        if reply.life != self.life:
+            return []
+        self.send_supported = self.send_supported or reply.send_supported
+        actions: list[DutyAction] = []
+        request = self.open_requests.get(reply.seq)
+        if request is not None and request.pauses == pauses:
+            for fence, lease_s in reply.renewed:
+                if (name := self.by_fence.get(fence)) is not None:
+                    new = self.holders[name].on_renewed(now_s, pauses, request.sent_s, fence, lease_s)
+                    actions += [DutyAction(name, action) for action in new]
+        for fence in reply.yield_fences:
+            if (name := self.by_fence.get(fence)) is not None:
+                new = self.holders[name].start_yield(now_s, fence, "asked by the leader")
+                actions += [DutyAction(name, action) for action in new]
+        return actions
+
+    def on_taken_over(self, now_s: float, name: str, fence: int) -> None:
+        """Take note that the worker has the predecessor's state."""
+        self.holders[name].on_taken_over(now_s, self.pause_detector.observe(now_s), fence)
+
+    def on_given_up(self, name: str, fence: int) -> list[DutyAction]:
+        """Take note that the worker has nothing in hand any more."""
+        return [DutyAction(name, action) for action in self.holders[name].on_given_up(fence)]
+
+    def tick(self, now_s: float, yield_reason: str = "") -> list[DutyAction]:
+        """End what is overdue; ``yield_reason``: why all is given back (drained, leaving), if it is."""
+        previous = self.pause_detector.pauses
+        pauses = self.pause_detector.observe(now_s)
+        if pauses != previous:
+            self.next_request_s = now_s     # ask again after every pause
+        actions: list[DutyAction] = []
+        for name, holder in self.holders.items():
+            new = holder.tick(now_s, pauses)
+            if yield_reason and holder.state not in (HolderState.IDLE, HolderState.YIELDING):
+                new += holder.start_yield(now_s, holder.fence, yield_reason)
+            actions += [DutyAction(name, action) for action in new]
+        return actions
+
+
+def digest(names: tuple[str, ...]) -> int:
+    """Return the digest of sorted names; 0 is never one."""
+    return int.from_bytes(blake2b("\0".join(names).encode(), digest_size=6).digest(), "big") or 1
--- a/beechrock/duties/messages.py
+++ b/beechrock/duties/messages.py
@@ -1,21 +1,31 @@
-"""What members and the leader say to each other about duties, and its bytes (msgpack, a version first).
+"""Messages between members and the leader about duties, and their bytes (msgpack, a version first).
 
-``Ask`` goes from a member to the leader some times a lease: it lives, can do this, holds that. ``Answer`` is
-the leader's volatile word. Both may be lost, doubled, late and out of order.
+A ``RenewalRequest`` goes from a member to the leader some times a lease: it lives, supports these duties,
+holds those. A ``RenewalReply`` is the leader's volatile answer. Both may be lost, doubled, late and out of
+order.
 """
 
 from dataclasses import dataclass
-from typing import Any
+from enum import IntEnum
+from typing import Any, NamedTuple
 
 import msgpack
 
 VERSION = 1
-MOST_HELD = 4096        # fences in one message
+MAX_FENCES = 4096       # in one message
+
+
+class MessageKind(IntEnum):
+    """The number of a message's type on the wire."""
+
+    RENEWAL_REQUEST = 0
+    RENEWAL_REPLY = 1
+    MOVE_REQUEST = 2
 
 
 @dataclass(frozen=True, slots=True)
-class Held:
-    """One fence of the asker; ``waiting`` is work that could be done now, ``done`` only grows."""
+class HeldFence:
+    """One fence of the sender; ``waiting`` is work that could be done now, ``done`` only grows."""
 
     name: str
     fence: int
@@ -24,66 +34,94 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
+class RenewalRequest:
+    """From a member to the leader."""
+
     seq: int
     life: int
     hall: str
     hardware: str
     serving: bool
     leaving: bool
-    digest: int                         # of the names it has workers for
-    able: tuple[str, ...] | None        # those names, where the leader asked for them
-    held: tuple[Held, ...]
+    supported_digest: int               # of the duties for which it has workers
+    supported: tuple[str, ...] | None   # those names, where the leader asked for them
+    held: tuple[HeldFence, ...]
+
+
+class RenewedLease(NamedTuple):
+    """A lease that the leader renews, with its length."""
+
+    fence: int
+    lease_s: float
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
-    """``seq`` 0: nobody asked, and so nothing is renewed by it."""
+class RenewalReply:
+    """From the leader to a member. ``seq`` 0: nobody asked, and so nothing is renewed by it."""
 
     seq: int
-    life: int                                   # of the asker: another process of its name is not meant
-    renewed: tuple[tuple[int, float], ...]      # fence, length of the lease in seconds
-    yields: tuple[int, ...]                     # fences to give back
-    unknown: bool                               # tell your names
+    life: int                               # of the member: another process of its name is not meant
+    renewed: tuple[RenewedLease, ...]
+    yield_fences: tuple[int, ...]           # to be given back
+    send_supported: bool                    # the next request is to list the names
 
 
 @dataclass(frozen=True, slots=True)
-class Move:
-    """An operator's word, on its way to the leader: ask the holder to yield."""
+class MoveRequest:
+    """An operator's request, on its way to the leader: ask the holder to yield."""
 
     name: str
 
 
-def encode(message: Ask | Answer | Move) -> bytes:
+Message = RenewalRequest | RenewalReply | MoveRequest
+
+
+def encode(message: Message) -> bytes:
+    """Return the message's bytes."""
     match message:
-        case Move():
-            told: list[Any] = [VERSION, 2, message.name]
-        case Ask():
-            told = [
-                VERSION, 0, message.seq, message.life, message.hall, message.hardware, message.serving,
-                message.leaving, message.digest, message.able,
-                [(h.name, h.fence, h.done, h.waiting) for h in message.held]]
-        case Answer():
-            told = [VERSION, 1, message.seq, message.life, message.renewed, message.yields, message.unknown]
-    packed: bytes = msgpack.packb(told)
+        case MoveRequest():
+            fields: list[Any] = [VERSION, int(MessageKind.MOVE_REQUEST), message.name]
+        case RenewalRequest():
+            held = [(held.name, held.fence, held.done, held.waiting) for held in message.held]
+            fields = [
+                VERSION, int(MessageKind.RENEWAL_REQUEST), message.seq, message.life, message.hall,
+                message.hardware, message.serving, message.leaving, message.supported_digest,
+                message.supported, held]
+        case RenewalReply():
+            fields = [
+                VERSION, int(MessageKind.RENEWAL_REPLY), message.seq, message.life, message.renewed,
+                message.yield_fences, message.send_supported]
+    packed: bytes = msgpack.packb(fields)
     return packed
 
 
-def decode(data: bytes) -> Ask | Answer | Move | None:
-    """None: of another version, or no message; it is dropped and counted."""
+def decode(data: bytes) -> Message | None:
+    """Return the message; None for another version, or what is no message."""
     try:
-        told = msgpack.unpackb(data)
-        if told[0] != VERSION:
+        fields = msgpack.unpackb(data)
+        if fields[0] != VERSION:
             return None
-        if told[1] == 0:
-            _, _, seq, life, hall, hardware, serving, leaving, digest, able, held = told
-            return Ask(int(seq), int(life), str(hall), str(hardware), bool(serving), bool(leaving),
-                       int(digest), None if able is None else tuple(str(name) for name in able),
-                       tuple(Held(str(n), int(f), int(d), int(w)) for n, f, d, w in held[:MOST_HELD]))
-        if told[1] == 2:
-            return Move(str(told[2]))
-        _, _, seq, life, renewed, yields, unknown = told
-        return Answer(int(seq), int(life), tuple((int(f), float(s)) for f, s in renewed[:MOST_HELD]),
-                      tuple(int(f) for f in yields[:MOST_HELD]), bool(unknown))
+        if fields[1] == MessageKind.RENEWAL_REQUEST:
+            return _request(fields)
+        if fields[1] == MessageKind.MOVE_REQUEST:
+            return MoveRequest(str(fields[2]))
+        return _reply(fields)
     except (ValueError, TypeError, LookupError, msgpack.UnpackException):
         return None
+
+
+def _request(fields: list[Any]) -> RenewalRequest:
+    _, _, seq, life, hall, hardware, serving, leaving, digest, supported, held = fields
+    return RenewalRequest(
+        int(seq), int(life), str(hall), str(hardware), bool(serving), bool(leaving), int(digest),
+        None if supported is None else tuple(str(name) for name in supported),
+        tuple(HeldFence(str(name), int(fence), int(done), int(waiting))
+              for name, fence, done, waiting in held[:MAX_FENCES]))
+
+
+def _reply(fields: list[Any]) -> RenewalReply:
+    _, _, seq, life, renewed, yield_fences, send_supported = fields
+    return RenewalReply(
+        int(seq), int(life),
+        tuple(RenewedLease(int(fence), float(lease_s)) for fence, lease_s in renewed[:MAX_FENCES]),
+        tuple(int(fence) for fence in yield_fences[:MAX_FENCES]), bool(send_supported))
--- a/beechrock/duties/model.py
+++ b/beechrock/duties/model.py
@@ -1,8 +1,8 @@
 """What a duty is, and which members may hold it.
 
 A duty is FLEET (one in all), HALL (one in each hall; ``scope`` is the hall) or SHARD (one for each shard;
-``scope`` names it). A member may hold it where its hall and its hardware class are among those told (none
-told: any), where it has a worker for it, and while it is neither drained nor leaving.
+``scope`` names it). A member may hold it where its hall and its hardware class are among those listed (none
+listed: any), where it has a worker for it, and while it is neither drained nor leaving.
 """
 
 from dataclasses import dataclass
@@ -12,24 +12,28 @@
 # by less than this: the holder counts LEASE * (1 - DRIFT) from when it sent its request, the leader LEASE
 # from its answer.
 DRIFT = 0.05
-PAUSE = 0.25            # of the shortest lease: a gap between two looks at the clock that counts as a pause
-ASK = 0.2               # of the shortest lease: between two requests for renewal
-LEAST_LEASE_S, MOST_LEASE_S = 0.2, 60.0
-MOST_DUTIES = 4096      # in the agreed table; a declaration beyond it is refused
-MOST_KEYS = 1024        # held down: members, and members with a duty; beyond it the oldest is forgotten
-MOST_NAME = 128         # bytes of a duty's name and scope
-MOST_LISTED = 64        # halls, or hardware classes, of one duty
+PAUSE = 0.25            # of the shortest lease: a gap between two readings of the clock that is a pause
+RENEW = 0.2             # of the shortest lease: between two requests for renewal
+MIN_LEASE_S, MAX_LEASE_S = 0.2, 60.0
+MAX_DUTIES = 4096       # in the agreed table; a declaration beyond it is refused
+MAX_HOLD_DOWNS = 1024   # of members, and of members with a duty; beyond it the oldest is forgotten
+MAX_NAME_BYTES = 128    # of a duty's name and scope
+MAX_LISTED = 64         # halls, or hardware classes, of one duty
 
 
 class Kind(Enum):
+    """How many holders a duty has; the values are in the agreed log."""
+
     FLEET = "fleet"
     HALL = "hall"
     SHARD = "shard"
 
 
 class WithoutQuorum(Enum):
-    """STOP: go on until the lease ends, then stop. FINISH: at half the lease without an answer take nothing
-    new.
+    """What a holder does without a quorum.
+
+    STOP: it goes on until the lease ends, then stops. FINISH: at half the lease without an answer it takes
+    nothing new.
     """
 
     STOP = "stop"
@@ -38,6 +42,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Duty:
+    """What one member may do at a time."""
+
     name: str
     kind: Kind = Kind.FLEET
     scope: str = ""
@@ -47,11 +53,12 @@
     without_quorum: WithoutQuorum = WithoutQuorum.STOP
 
     @property
-    def sound(self) -> bool:
-        """Within the bounds of this module."""
-        return (0 < len(self.name.encode()) <= MOST_NAME and len(self.scope.encode()) <= MOST_NAME
-                and LEAST_LEASE_S <= self.lease_s <= MOST_LEASE_S
-                and max(len(self.halls), len(self.hardware)) <= MOST_LISTED
+    def is_valid(self) -> bool:
+        """Whether it is within the bounds of this module."""
+        return (0 < len(self.name.encode()) <= MAX_NAME_BYTES
+                and len(self.scope.encode()) <= MAX_NAME_BYTES
+                and MIN_LEASE_S <= self.lease_s <= MAX_LEASE_S
+                and max(len(self.halls), len(self.hardware)) <= MAX_LISTED
                 and (self.kind is not Kind.HALL or bool(self.scope)))
 
 
@@ -67,25 +74,25 @@
 
 @dataclass(slots=True)
 class Member:
-    """What the leader heard from a member itself."""
+    """What the leader received from a member itself."""
 
     name: str
     life: int
     hall: str
     hardware: str
-    serving: bool       # neither drained nor leaving
-    able: frozenset[str]
-    heard_s: float
-    gone: bool = False
+    serving: bool               # neither drained nor leaving
+    supported: frozenset[str]   # duties for which it has a worker
+    heard_s: float              # when its last request came
+    silent: bool = False        # for so long that it gets nothing
 
 
-def barred(duty: Duty, member: Member) -> str:
-    """Why the member may not hold the duty; empty: it may."""
-    if member.gone:
+def ineligibility_reason(duty: Duty, member: Member) -> str:
+    """Return why the member may not hold the duty; empty: it may."""
+    if member.silent:
         return "silent"
     if not member.serving:
         return "drained or leaving"
-    if duty.name not in member.able:
+    if duty.name not in member.supported:
         return "has no worker for it"
     if duty.kind is Kind.HALL and member.hall != duty.scope:
         return "in another hall"
--- a/beechrock/duties/trial.py
+++ b/beechrock/duties/trial.py
@@ -1,13 +1,13 @@
-"""The laboratory's duty: its holder sends an effect to every node each 20 ms; who receives them keeps the
-fence.
+"""The laboratory's duty: its holder sends an effect to every node each 20 ms; receivers keep the fence.
 
 Only with ``trial = true`` in [duties]. Between the check and the act there is a gap of ``GAP_S`` in which the
 process does nothing else, so that a test that stops it hits that place about as often as not.
-``POST /duties/trial?works=no`` at a node: as holder it does nothing there, and tells that work waits.
+``POST /duties/trial?works=no`` at a node: as holder it does nothing there, and reports that work waits.
 """
 
 import asyncio
 import time
+from enum import StrEnum
 from typing import TYPE_CHECKING, Any, ClassVar
 
 import msgpack
@@ -23,82 +23,104 @@
     from beechrock.duties.part import Duties
 
 CHANNEL = "duties.trial"
-EACH_S, GAP_S = 0.02, 0.01
+EFFECT_EACH_S = 0.02
+GAP_S = 0.01            # between the check and the act
+SEAL_EACH_S = 0.1       # from one sending of the fence to the next
 SEAL_S = 0.5            # for receivers to say that they have the fence; one that is down has it from its log
 
 
-class Trial:
+class TrialMessage(StrEnum):
+    """The kinds of messages between holder and receivers."""
+
+    SEAL = "seal"           # keep this fence
+    SEALED = "sealed"       # it is kept
+    EFFECT = "effect"
+
+
+class TrialWorker:
+    """The worker of the duty, and the receiver of its effects."""
+
     DUTY: ClassVar[Duty] = Duty("trial", Kind.FLEET)
 
     def __init__(self, duties: "Duties", context: Context) -> None:
-        self.duties, self.talk, self.counters = duties, context.parts["fleet"], context.counters
-        self.store = Store.open(at(self.talk.settings.state), "trial")
+        self.duties = duties
+        self.transport = context.parts["fleet"]
+        self.counters = context.counters
+        self.store = Store.open(at(self.transport.settings.state), "trial")
         self.fences = Fences(self.store, floor=duties.floor)
         self.task: asyncio.Task[None] | None = None
-        self.sealed: set[str] = set()
-        self.count, self.works = 0, True
-        self.all = asyncio.Event()
-        self.talk.on(CHANNEL, self._take)
-        context.calls["/duties/trial"] = self._told
+        self.sealed: set[str] = set()       # receivers that have the fence
+        self.all_sealed = asyncio.Event()
+        self.effects = 0
+        self.working = True
+        self.transport.on(CHANNEL, self._receive)
+        context.calls["/duties/trial"] = self._set_working
 
-    def _told(self, told: dict[str, str]) -> dict[str, bool]:
-        self.works = told.get("works") != "no"
-        return {"works": self.works}
+    def _set_working(self, query: dict[str, str]) -> dict[str, bool]:
+        self.working = query.get("works") != "no"
+        return {"works": self.working}
 
     async def take_over(self, fence: int) -> None:
+        """Let the receivers keep the fence, then send effects."""
         self.sealed.clear()
-        self.all.clear()
+        self.all_sealed.clear()
         try:
             async with asyncio.timeout(SEAL_S):
-                while not self.all.is_set():
-                    self._send("seal", fence)
-                    try:
-                        async with asyncio.timeout(0.1):
-                            await self.all.wait()
-                    except TimeoutError:
-                        continue
+                await self._seal(fence)
         except TimeoutError:
             logs.event("trial.unsealed", fence=fence, sealed=sorted(self.sealed))
         self.lost()
         self.task = self.counters.spawn(self._run(), "duties.trial.run")
 
+    async def _seal(self, fence: int) -> None:
+        while not self.all_sealed.is_set():
+            self._send(TrialMessage.SEAL, fence)
+            try:
+                async with asyncio.timeout(SEAL_EACH_S):
+                    await self.all_sealed.wait()
+            except TimeoutError:
+                continue
+
     async def give_up(self) -> None:
+        """Stop: nothing is in hand."""
         self.lost()
 
     def lost(self) -> None:
+        """Stop sending effects."""
         if self.task is not None:
             self.task.cancel()
             self.task = None
 
     def progress(self) -> tuple[int, int]:
-        return self.count, 1
+        """Return the effects sent; there is always one more to send."""
+        return self.effects, 1
 
     async def _run(self) -> None:
         while True:
             fence = self.duties.may(self.DUTY.name)
-            if fence is not None and self.works:
+            if fence is not None and self.working:
                 logs.event("trial.act", fence=fence)
                 time.sleep(GAP_S)       # here a test stops the process
-                self.count += 1
-                self._send("effect", fence)
-            await asyncio.sleep(EACH_S - GAP_S)
-
-    def _send(self, kind: str, fence: int) -> None:
-        message: bytes = msgpack.packb((kind, fence))
-        for peer in (*self.talk.peers, self.talk.name):
-            self.talk.send(peer, CHANNEL, message)
-
-    def _take(self, sender: str, life: int, data: bytes) -> None:
-        told: Any = msgpack.unpackb(data)
-        kind, fence = str(told[0]), int(told[1])
-        if kind == "sealed":
+                self.effects += 1
+                self._send(TrialMessage.EFFECT, fence)
+            await asyncio.sleep(EFFECT_EACH_S - GAP_S)
+
+    def _send(self, kind: TrialMessage, fence: int) -> None:
+        message: bytes = msgpack.packb((kind.value, fence))
+        for peer in (*self.transport.peers, self.transport.name):
+            self.transport.send(peer, CHANNEL, message)
+
+    def _receive(self, sender: str, life: int, data: bytes) -> None:
+        fields: Any = msgpack.unpackb(data)
+        kind, fence = str(fields[0]), int(fields[1])
+        if kind == TrialMessage.SEALED:
             self.sealed.add(sender)
-            if len(self.sealed) > len(self.talk.peers):
-                self.all.set()
+            if len(self.sealed) > len(self.transport.peers):
+                self.all_sealed.set()
             return
         accepted = self.fences.accept(self.DUTY.name, fence)
-        if kind == "effect":
+        if kind == TrialMessage.EFFECT:
             logs.event("effect", duty=self.DUTY.name, fence=fence, accepted=accepted, sender=sender,
                        life=life)
         elif accepted:
-            self.talk.send(sender, CHANNEL, msgpack.packb(("sealed", fence)))
+            self.transport.send(sender, CHANNEL, msgpack.packb((TrialMessage.SEALED.value, fence)))
--- a/beechrock/lab/duties_member.py
+++ b/beechrock/lab/duties_member.py
@@ -4,11 +4,12 @@
 from typing import TYPE_CHECKING, Any
 
 from beechrock.duties import grants as log
-from beechrock.duties.asking import Doing, Holdings
-from beechrock.duties.grantor import Grantor, Propose, Push, Rules
-from beechrock.duties.grants import Grants
-from beechrock.duties.holder import Do, State
-from beechrock.duties.messages import Answer, Ask, decode, encode
+from beechrock.duties.grantor import Grantor
+from beechrock.duties.grantor_data import Propose, Push, Rules
+from beechrock.duties.grants import GrantTable
+from beechrock.duties.holder import Command, HolderState
+from beechrock.duties.member_duties import DutyAction, MemberDuties
+from beechrock.duties.messages import RenewalReply, RenewalRequest, decode, encode
 
 if TYPE_CHECKING:
     from beechrock.lab.duties_sim import World
@@ -18,7 +19,7 @@
 TICK_S = 0.06
 RATES = (0.977, 1.023)      # any two differ by less than DRIFT
 HALLS = ("east", "west")
-ACTING = (State.HOLDING, State.YIELDING)    # the second with a guard taken out only
+ACTING = (HolderState.HOLDING, HolderState.YIELDING)    # the second with a guard taken out only
 
 
 class Kept:
@@ -66,12 +67,12 @@
     def start(self) -> None:
         self.life += 1
         self.alive, self.paused, self.drained = True, False, False
-        self.grants, self.known = Grants(self.world.without), 0
-        self.holdings = Holdings(
+        self.grants, self.known = GrantTable(self.world.without), 0
+        self.member_duties = MemberDuties(
             self.name, self.life, self.hall, "big", LEASE_S, self.clock(), self.world.without)
         for duty in self.world.duties:
-            self.holdings.declare(duty)
-        self.rows = list(self.holdings.holders.values())
+            self.member_duties.declare(duty)
+        self.rows = list(self.member_duties.holders.values())
         self.grantor: Grantor | None = None
         self.reign, self.begin_s = 0, float("-inf")
         self.leader, self.lead_until = "", float("-inf")
@@ -97,15 +98,15 @@
         for index in range(self.grants.applied + 1, self.known + 1):
             self.grants.apply(index, world.log[index - 1])
         now = self.clock()
-        if self.grants.reign > self.reign:
-            self.reign, mine = self.grants.reign, (self.grants.leader, self.grants.leader_life)
+        if self.grants.leader_epoch > self.reign:
+            self.reign, mine = self.grants.leader_epoch, (self.grants.leader, self.grants.leader_life)
             self.grantor = Grantor(now, self.grants, Rules(LEASE_S, 1.0, 50.0), world.without) if (
                 self.leading() and mine == (self.name, self.life)) else None
         if self.leading() and self.grantor is None and now >= self.begin_s:
             self.begin_s = now + 0.5
             world.propose(self, log.begin(self.name, self.life, 0), None)
-        self.carry(self.holdings.told(self.grants, now))
-        self.carry(self.holdings.tick(now, "drained" if self.drained else ""))
+        self.carry(self.member_duties.update_grants(self.grants, now))
+        self.carry(self.member_duties.tick(now, "drained" if self.drained else ""))
         for (name, fence), missing in self.seals.items():
             for receiver in missing:
                 world.send(self.name, receiver, ("seal", self.name, name, fence))
@@ -116,8 +117,8 @@
             elif now >= next_s:
                 self.backs[name, fence] = now + 0.4
                 world.propose(self, log.back(name, fence), None)
-        if now >= self.holdings.next_s and self.leader:
-            ask = self.holdings.ask(now, not self.drained, lambda _: (self.done, 1))
+        if now >= self.member_duties.next_request_s and self.leader:
+            ask = self.member_duties.next_request(now, not self.drained, lambda _: (self.done, 1))
             world.send(self.name, self.leader, encode(ask))
         if self.grantor is not None and (self.leading() or "leading" in world.without):
             self.steer(self.grantor)
@@ -127,7 +128,7 @@
         for action in grantor.tick(self.clock()):
             match action:
                 case Propose(name, command):
-                    self.world.propose(self, command, lambda n=name: grantor.settled(n))    # type: ignore[misc]
+                    self.world.propose(self, command, lambda n=name: grantor.on_proposal_settled(n))    # type: ignore[misc]
                 case Push(member, answer, _, _):
                     self.world.send(self.name, member, encode(answer))
 
@@ -135,7 +136,7 @@
         """Check, then the effect; between the two this process may stand still."""
         world = self.world
         for duty in world.duties:
-            fence = self.holdings.may(duty.name, self.clock())
+            fence = self.member_duties.may(duty.name, self.clock())
             if fence is None:
                 continue
             self.done += 1
@@ -150,25 +151,25 @@
             if self.paused:
                 return
 
-    def carry(self, doing: Doing) -> None:
-        for name, action in doing:
-            match action.do:
-                case Do.TAKE_OVER:
+    def carry(self, actions: list[DutyAction]) -> None:
+        for name, action in actions:
+            match action.command:
+                case Command.TAKE_OVER:
                     self.seals[name, action.fence] = list(self.world.receivers)
-                case Do.STOP:
+                case Command.STOP:
                     self.seals.pop((name, action.fence), None)
-                case Do.GIVE_UP:
+                case Command.GIVE_UP:
                     self.seals.pop((name, action.fence), None)
                     self.world.at(
                         self.world.random.uniform(0, 0.3), self.finished(name, action.fence, self.life))
-                case Do.GIVE_BACK:
+                case Command.GIVE_BACK:
                     self.backs[name, action.fence] = 0.0
 
     def finished(self, name: str, fence: int, life: int) -> Callable[[], None]:
         def done() -> None:
             if self.alive and self.life == life:
-                self.world.run_at(self, lambda: self.carry(
-                    [(name, a) for a in self.holdings.holders[name].gave_up(fence)]))
+                self.world.run_at(
+                    self, lambda: self.carry(self.member_duties.on_given_up(name, fence)))
         return done
 
     def take(self, sender: str, data: Any) -> None:
@@ -180,13 +181,13 @@
                 missing.remove(receiver)
                 if not missing:
                     del self.seals[name, fence]
-                    self.holdings.took(now, name, fence)
+                    self.member_duties.on_taken_over(now, name, fence)
             return
         match decode(data):
-            case Ask() as ask:
+            case RenewalRequest() as ask:
                 if self.grantor is not None:
-                    answer = self.grantor.hear(now, sender, ask, self.leading())
+                    answer = self.grantor.on_request(now, sender, ask, self.leading())
                     if answer is not None:
                         self.world.send(self.name, sender, encode(answer))
-            case Answer() as answer:
-                self.carry(self.holdings.answered(now, answer))
+            case RenewalReply() as answer:
+                self.carry(self.member_duties.on_reply(now, answer))
--- a/beechrock/lab/duties_sim.py
+++ b/beechrock/lab/duties_sim.py
@@ -15,7 +15,7 @@
 
 from beechrock.duties import grants as log
 from beechrock.duties.fences import Fences
-from beechrock.duties.holder import Holder, State
+from beechrock.duties.holder import Holder, HolderState
 from beechrock.duties.model import DRIFT, Duty, Kind
 from beechrock.lab.duties_member import (
     ACTING,
@@ -79,7 +79,7 @@
                 row = member.rows[number]
                 if row.state in ACTING:
                     held += 1
-                    if row.fence > self.came.get(duty.name, 0) and row.state is State.HOLDING:
+                    if row.fence > self.came.get(duty.name, 0) and row.state is HolderState.HOLDING:
                         self.came[duty.name] = row.fence
                         self.takes += 1
             if held > 1:
@@ -92,10 +92,10 @@
         """Whether it would be told that it may act, if it asked now; asking leaves no trace."""
         if not member.alive or member.paused:
             return False
-        watch, clock = member.holdings.watch, member.clock()
-        seen_s, turn = watch.seen_s, watch.turn
-        may = holder.may(clock, watch.look(clock))
-        watch.seen_s, watch.turn = seen_s, turn
+        detector, clock = member.member_duties.pause_detector, member.clock()
+        last_s, pauses = detector.last_s, detector.pauses
+        may = holder.may(clock, detector.observe(clock))
+        detector.last_s, detector.pauses = last_s, pauses
         return may is not None
 
     # --- the network
@@ -224,7 +224,7 @@
         draw, names = self.random, sorted(self.members)
         member = self.members[draw.choice(names)]
         holders = [m for m in self.members.values() if any(
-            h.state is not State.IDLE for h in m.holdings.holders.values())]
+            h.state is not HolderState.IDLE for h in m.member_duties.holders.values())]
         if holders and draw.random() < 0.5:
             member = draw.choice(holders)
         match draw.randrange(12):
@@ -273,7 +273,7 @@
     def unheld(self) -> list[str]:
         """Duties for which nobody may act now."""
         return [duty.name for duty in self.duties if not any(
-            m.alive and not m.paused and m.holdings.holders[duty.name].state is State.HOLDING
+            m.alive and not m.paused and m.member_duties.holders[duty.name].state is HolderState.HOLDING
             for m in self.members.values())]
 
 
--- a/beechrock/parts.py
+++ b/beechrock/parts.py
@@ -20,7 +20,7 @@
           "edges": "beechrock.edges", "lowering": "beechrock.lowering", "releases": "beechrock.releases",
           "replica": "beechrock.replica", "limits": "beechrock.limits"}
 # Packages whose settings still stand in ``told.py``; each goes off the list with its conversion.
-OLD_SETTINGS_MODULE = {"duties", "edges", "lowering", "releases", "replica", "limits"}
+OLD_SETTINGS_MODULE = {"edges", "lowering", "releases", "replica", "limits"}
 # Which others a table cannot be without; they begin before it.
 NEEDS = {"agree": ("fleet",), "duties": ("fleet", "agree"), "edges": ("fleet",),
          "lowering": ("fleet", "agree"), "releases": ("fleet", "agree"), "replica": ("fleet",)}
--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -23,9 +23,10 @@
 from typing import Any
 
 from beechrock.duties import grants as log
-from beechrock.duties.grantor import Grantor, Propose, Rules
-from beechrock.duties.grants import Grants
-from beechrock.duties.messages import Ask, Held
+from beechrock.duties.grantor import Grantor
+from beechrock.duties.grantor_data import Propose, Rules
+from beechrock.duties.grants import GrantTable
+from beechrock.duties.messages import HeldFence, RenewalRequest
 from beechrock.duties.model import Duty, Kind
 from beechrock.lab.duties_sim import history
 from beechrock.lab.fleet import Cut, Fleet
@@ -82,13 +83,15 @@
 # --- spread
 
 
-def asks(grants: Grants, grantor: Grantor, members: list[str], names: tuple[str, ...], now: float) -> None:
+def asks(
+    grants: GrantTable, grantor: Grantor, members: list[str], names: tuple[str, ...], now: float,
+) -> None:
     for name in members:
-        held = tuple(Held(d, g.fence, 0, 0) for d, g in grants.held.items() if g.holder == name)
-        grantor.hear(now, name, Ask(1, 1, "east", "big", True, False, 7, names, held), True)
+        held = tuple(HeldFence(d, g.fence, 0, 0) for d, g in grants.held.items() if g.holder == name)
+        grantor.on_request(now, name, RenewalRequest(1, 1, "east", "big", True, False, 7, names, held), True)
 
 
-def settle(grants: Grants, grantor: Grantor, members: list[str], now: float, seconds: float) -> float:
+def settle(grants: GrantTable, grantor: Grantor, members: list[str], now: float, seconds: float) -> float:
     """Until nothing moves; what is asked to yield does so at once."""
     names, index = tuple(grants.duties), grants.applied
     end = now + seconds
@@ -97,7 +100,8 @@
         asks(grants, grantor, members, names, now)
         for action in grantor.tick(now):
             commands = [action.command] if isinstance(action, Propose) else [
-                log.back(d, g.fence) for d, g in list(grants.held.items()) if g.fence in action.answer.yields]
+                log.back(d, g.fence) for d, g in list(grants.held.items())
+                if g.fence in action.reply.yield_fences]
             for command in commands:
                 index += 1
                 grants.apply(index, command)
@@ -105,7 +109,7 @@
 
 
 def spread(duties: int, count: int, losses: int) -> None:
-    grants, members = Grants(), [f"m{n}" for n in range(count)]
+    grants, members = GrantTable(), [f"m{n}" for n in range(count)]
     for n in range(duties):
         grants.apply(n + 1, log.declare(Duty(f"edge-{n}", Kind.SHARD, f"s{n}", lease_s=1.0)))
     grants.apply(duties + 1, log.begin("m0", 1, 1))
--- a/tests/duties/test_histories.py
+++ b/tests/duties/test_histories.py
@@ -8,7 +8,7 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-def test_never_two_hold_and_no_effect_under_an_old_fence(seed: int) -> None:
+def test_random_histories_never_have_two_holders_nor_effects_under_an_old_fence(seed: int) -> None:
     takes = refused = stopped = 0
     for number in range(seed * PLAYS // 4, (seed + 1) * PLAYS // 4):
         world = history(number)
@@ -20,7 +20,7 @@
 
 # Those whose violation a short search finds; the others, and these again, stand in test_guards.
 @pytest.mark.parametrize("guard", ["fence", "stop_first", "durable", "leading"])
-def test_a_history_breaks_without(guard: str) -> None:
+def test_random_history_breaks_without_the_guard(guard: str) -> None:
     for number in range(400):
         world = history(number, without=frozenset({guard}), liveness=False)
         if world.broken:
--- a/tests/duties/test_part.py
+++ b/tests/duties/test_part.py
@@ -1,4 +1,4 @@
-"""The actor: three nodes in one loop, with one log that all of them have at once."""
+"""The actor of the duties: three nodes in one loop, with one log that all of them have at once."""
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
@@ -14,12 +14,12 @@
 from beechrock.config.errors import ConfigError
 from beechrock.core.counters import Counters
 from beechrock.duties.errors import DutyError, NotMovedError, UnknownDutyError
-from beechrock.duties.generations import DIFFERS_S, Agreement, Local, Taken
+from beechrock.duties.generations import DIFFERS_S, AgreedGeneration, FilesComparison, ProposalResult
 from beechrock.duties.grants import Result, begin, declare
 from beechrock.duties.model import Duty, Kind
 from beechrock.duties.operators import move, retire, view
 from beechrock.duties.part import Duties
-from beechrock.duties.told import Told, read
+from beechrock.duties.settings import DutiesSettings, read
 from beechrock.parts import Context
 
 LEASE_S = 0.4
@@ -32,19 +32,19 @@
 
 
 class Node:
-    """What a part has of talk/ and agree/, of one member."""
+    """What the actor uses of talk/ and agree/, and a worker, of one member."""
 
     def __init__(self, log: Log, name: str) -> None:
         self.log, self.name, self.life, self.hall, self.hardware, self.term = log, name, 1, "east", "big", 1
         self.machines: dict[str, Any] = {}
-        self.takes: dict[str, Callable[[str, int, bytes], None]] = {}
+        self.handlers: dict[str, Callable[[str, int, bytes], None]] = {}
         log.nodes[name] = self
         self.serving = Serving(lambda: True)
         self.context = Context(name, 1, Counters(), None, SimpleNamespace(serving=self.serving))  # type: ignore[arg-type]
-        self.duties = Duties(Told(LEASE_S, 0.2), self.context, self, self)
+        self.duties = Duties(DutiesSettings(LEASE_S, 0.2), self.context, self, self)
         self.effects = self.faults = self.unproposed = 0
         self.hangs_s: float | None = None
-        self.given: list[str] = []
+        self.stops: list[str] = []
         self.duties.declare(Duty("d", Kind.FLEET), self)
 
     @property
@@ -72,11 +72,11 @@
     def send(self, to: str, channel: str, message: bytes) -> bool:
         if not {to, self.name} & self.log.cut:
             asyncio.get_running_loop().call_later(
-                0.001, lambda: self.log.nodes[to].takes[channel](self.name, self.life, message))
+                0.001, lambda: self.log.nodes[to].handlers[channel](self.name, self.life, message))
         return True
 
-    def on(self, channel: str, take: Callable[[str, int, bytes], None]) -> None:
-        self.takes[channel] = take
+    def on(self, channel: str, handler: Callable[[str, int, bytes], None]) -> None:
+        self.handlers[channel] = handler
 
     async def take_over(self, fence: int) -> None:
         await asyncio.sleep(0.001)
@@ -87,10 +87,10 @@
     async def give_up(self) -> None:
         assert self.duties.may("d") is None
         await asyncio.sleep(0.01)
-        self.given.append("up")
+        self.stops.append("up")
 
     def lost(self) -> None:
-        self.given.append("lost")
+        self.stops.append("lost")
         if self.faults:
             raise LookupError("a fault of the worker")
 
@@ -123,8 +123,8 @@
             await asyncio.sleep(0.005)
 
 
-def test_one_holds_yields_drains_is_cut_and_leaves() -> None:
-    async def play() -> None:
+def test_holder_changes_at_yield_drain_cut_and_leave() -> None:
+    async def scenario() -> None:
         async with three() as log:
             first = await holder(log)
             with pytest.raises(UnknownDutyError):
@@ -133,28 +133,28 @@
             other = next(node for node in log.nodes.values() if not node.leading())
             assert move(other.duties, {"name": "d"})["holder"] == first.name
             second = await holder(log, first.name)
-            assert first.given[0] == "up"
+            assert first.stops[0] == "up"
             second.serving.fail()
             third = await holder(log, second.name)
-            assert second.given[0] == "up"
+            assert second.stops[0] == "up"
             row = view(log.nodes["a"].duties)["duties"][0]
             assert row["holder"] == third.name and row["fence"] == third.duties.may("d") and row["why"] == ""
             second.serving.ok()
             log.leader = next(name for name in log.nodes if name != third.name)     # another leads
             log.cut.add(third.name)
             fourth = await holder(log, third.name)
-            assert third.given[-1] == "lost" and third.duties.may("d") is None
+            assert third.stops[-1] == "lost" and third.duties.may("d") is None
             log.cut.clear()
             async with asyncio.timeout(10.0):
                 await fourth.duties.leave()
             assert fourth.duties.grants.held.get("d") is None or (
                 fourth.duties.grants.held["d"].holder != fourth.name)
             await holder(log, fourth.name)
-    asyncio.run(play())
+    asyncio.run(scenario())
 
 
-def test_a_worker_that_fails_is_tried_again_and_costs_the_others_nothing() -> None:
-    async def play() -> None:
+def test_failing_worker_is_retried_and_affects_no_other() -> None:
+    async def scenario() -> None:
         async with three() as log:
             first = await holder(log)
             other = next(node for node in log.nodes.values() if node is not first)
@@ -166,54 +166,54 @@
             async with asyncio.timeout(20.0):
                 while all(node.duties.may("e") is None for node in log.nodes.values()):
                     await asyncio.sleep(0.01)
-    asyncio.run(play())
+    asyncio.run(scenario())
 
 
 async def unproposed(log: Log, count: int, hangs_s: float | None) -> Duties:
     """A duty whose lease is long, and the leader's part once the first proposal to grant it is under way."""
-    one = log.nodes["a"].duties
+    duties = log.nodes["a"].duties
     await holder(log)
     log.nodes["a"].unproposed, log.nodes["a"].hangs_s = count, hangs_s
     for node in log.nodes.values():
         node.duties.declare(Duty("long", Kind.FLEET, lease_s=30.0), node)
     async with asyncio.timeout(10.0):
-        while one.grantor is None or "long" not in one.grantor.proposed_s:
+        while duties.grantor is None or "long" not in duties.grantor.proposed_s:
             await asyncio.sleep(0.001)
-    return one
+    return duties
 
 
 @pytest.mark.parametrize("hangs_s", [None, 0.0])
-def test_a_grant_that_was_refused_is_made_again_before_its_lease(hangs_s: float | None) -> None:
-    async def play() -> None:
+def test_refused_grant_is_proposed_again_before_its_lease(hangs_s: float | None) -> None:
+    async def scenario() -> None:
         async with three() as log:
             await unproposed(log, 2, hangs_s)
             await holder(log, "", "long")       # 10 s at most; the leader waits 60 for a lost answer
             assert not log.nodes["a"].unproposed
-    asyncio.run(play())
+    asyncio.run(scenario())
 
 
-def test_a_grant_that_nobody_takes_up_is_not_proposed_each_tick() -> None:
-    async def play() -> None:
+def test_grant_that_is_never_accepted_is_not_proposed_each_tick() -> None:
+    async def scenario() -> None:
         async with three() as log:
             await unproposed(log, 100, 0.0)
             await asyncio.sleep(1.0)            # some 30 ticks
             assert log.nodes["a"].unproposed >= 95
-    asyncio.run(play())
+    asyncio.run(scenario())
 
 
-def test_a_proposal_of_the_same_leaders_reign_before_holds_up_no_grant() -> None:
-    async def play() -> None:
+def test_proposal_of_the_leaders_earlier_leadership_delays_no_grant() -> None:
+    async def scenario() -> None:
         async with three() as log:
             await unproposed(log, 1, 2.0)
             log.index += 1
             for node in log.nodes.values():
                 node.machines["duties"].apply(log.index, begin("a", 1, 2))
             await holder(log, "", "long")
-    asyncio.run(play())
+    asyncio.run(scenario())
 
 
-def test_nobody_may_and_it_is_told_why() -> None:
-    async def play() -> None:
+def test_view_shows_why_nobody_may_hold_a_duty() -> None:
+    async def scenario() -> None:
         async with three() as log:
             await holder(log)
             for node in log.nodes.values():
@@ -233,35 +233,35 @@
                     await asyncio.sleep(0.01)
             with pytest.raises(DutyError, match="bounds"):
                 log.nodes["a"].duties.declare(Duty("", Kind.FLEET), log.nodes["a"])
-    asyncio.run(play())
+    asyncio.run(scenario())
 
 
 @pytest.mark.parametrize("table", [{"lease_s": 0.1}, {"lease_s": 90}, {"hold_down_s": "x"}, {"trial": 1},
                                    {"most_moves_per_s": 0}])
-def test_a_table_that_cannot_be_used_names_the_key(table: dict[str, Any]) -> None:
+def test_invalid_table_names_the_key(table: dict[str, Any]) -> None:
     with pytest.raises(ConfigError, match=f"duties: {next(iter(table))}"):
         read(table, "f: duties", None)      # type: ignore[arg-type]
 
 
-def test_generations_are_agreed_in_order_and_old_files_do_not_come_back() -> None:
-    def told(fence: int, number: int, digest: str) -> bytes:
+def test_generations_are_agreed_in_order_and_earlier_files_are_not_proposed_again() -> None:
+    def command(fence: int, number: int, digest: str) -> bytes:
         packed: bytes = msgpack.packb((fence, number, digest))
         return packed
 
-    agreed, local, behind = Agreement(), Local(), Local()
-    assert local.look(0.0, "one", agreed) == (True, False)
-    assert agreed.apply(9, told(5, 1, "one")) is Taken.DONE
-    assert local.look(1.0, "one", agreed) == behind.look(1.0, "one", agreed) == (False, False)
-    assert local.look(2.0, "two", agreed)[0]
-    assert agreed.apply(10, told(5, 2, "two")) is Taken.DONE
-    assert agreed.apply(11, told(4, 3, "old holder")) is Taken.OLD_FENCE
-    assert agreed.apply(12, told(6, 2, "again")) is Taken.NOT_NEXT
-    assert agreed.apply(13, b"") is Taken.BAD
-    assert behind.look(2.0, "one", agreed) == (False, False)        # its files are behind: no proposal
-    assert behind.look(2.1 + DIFFERS_S, "one", agreed) == (False, True)
-    assert behind.look(2.2 + DIFFERS_S, "one", agreed) == (False, False)
-    local.look(3.0, "two", agreed)
-    assert local.look(4.0, "one", agreed)[0]                        # an operator went back
-    other = Agreement()
+    agreed, local, behind = AgreedGeneration(), FilesComparison(), FilesComparison()
+    assert local.compare(0.0, "one", agreed) == (True, False)
+    assert agreed.apply(9, command(5, 1, "one")) is ProposalResult.DONE
+    assert local.compare(1.0, "one", agreed) == behind.compare(1.0, "one", agreed) == (False, False)
+    assert local.compare(2.0, "two", agreed)[0]
+    assert agreed.apply(10, command(5, 2, "two")) is ProposalResult.DONE
+    assert agreed.apply(11, command(4, 3, "old holder")) is ProposalResult.OLD_FENCE
+    assert agreed.apply(12, command(6, 2, "repeated")) is ProposalResult.NOT_NEXT
+    assert agreed.apply(13, b"") is ProposalResult.BAD
+    assert behind.compare(2.0, "one", agreed) == (False, False)        # its files are behind: no proposal
+    assert behind.compare(2.1 + DIFFERS_S, "one", agreed) == (False, True)
+    assert behind.compare(2.2 + DIFFERS_S, "one", agreed) == (False, False)
+    local.compare(3.0, "two", agreed)
+    assert local.compare(4.0, "one", agreed)[0]                        # an operator went back
+    other = AgreedGeneration()
     other.restore(agreed.snapshot())
     assert other.snapshot() == agreed.snapshot() and other.fence == 6
--- a/tests/duties/test_parts.py
+++ b/tests/duties/test_parts.py
@@ -1,4 +1,4 @@
-"""Spread, pace, the table in the log, messages, fences after a cut: each by its own rules."""
+"""Placement, pace, the table in the log, messages, holders, fences: each by its own rules."""
 
 import random
 from collections import Counter
@@ -9,16 +9,17 @@
 from hypothesis import strategies as st
 
 from beechrock.duties import grants as log
-from beechrock.duties.asking import Holdings
 from beechrock.duties.errors import FenceUnkeptError, GrantsUnreadableError
 from beechrock.duties.fences import Fences
-from beechrock.duties.grantor import Grantor, Propose, Push, Rules
-from beechrock.duties.grants import Grants, Result
-from beechrock.duties.holder import Action, Do, Holder, State
-from beechrock.duties.messages import Answer, Ask, Held, decode, encode
-from beechrock.duties.model import MOST_DUTIES, MOST_KEYS, Duty, Kind, Member, barred
-from beechrock.duties.pace import MOST_TIMES, HoldDown, Moves
-from beechrock.duties.spread import choose, most_each
+from beechrock.duties.grantor import Grantor
+from beechrock.duties.grantor_data import Propose, Push, Rules
+from beechrock.duties.grants import GrantTable, Result
+from beechrock.duties.holder import Command, Holder, HolderAction, HolderState
+from beechrock.duties.member_duties import MemberDuties
+from beechrock.duties.messages import HeldFence, RenewalReply, RenewalRequest, decode, encode
+from beechrock.duties.model import MAX_DUTIES, MAX_HOLD_DOWNS, Duty, Kind, Member, ineligibility_reason
+from beechrock.duties.pace import MAX_WAIT_TIMES, HoldDown, MoveRateLimit
+from beechrock.duties.placement import choose, max_per_member
 from beechrock.lab.duties_member import Kept
 
 
@@ -26,9 +27,14 @@
     return Member(name, 1, hall, "big", serving, able, 0.0)
 
 
+def request(seq: int, life: int, names: tuple[str, ...] | None = ("d",), held: tuple[HeldFence, ...] = (),
+            hall: str = "east", serving: bool = True, leaving: bool = False) -> RenewalRequest:
+    return RenewalRequest(seq, life, hall, "big", serving, leaving, 7, names, held)
+
+
 @settings(max_examples=60, deadline=None)
 @given(count=st.integers(1, 200), size=st.integers(2, 30), lost=st.integers(0, 29), salt=st.integers(0, 99))
-def test_most_on_one_and_moves_on_a_loss(count: int, size: int, lost: int, salt: int) -> None:
+def test_load_is_bounded_and_a_loss_moves_the_minimum(count: int, size: int, lost: int, salt: int) -> None:
     duties = [Duty(f"{salt}.{n}") for n in range(count)]
     able = frozenset(duty.name for duty in duties)
     members = [member(f"m{n}", able=able) for n in range(size)]
@@ -36,7 +42,7 @@
     load: Counter[str] = Counter()
 
     def place(living: list[Member]) -> int:
-        moved, most = 0, most_each(count, len(living))
+        moved, most = 0, max_per_member(count, len(living))
         for duty in duties:
             if placed.get(duty.name) not in {one.name for one in living}:
                 to = choose(duty, living, load, most)
@@ -48,10 +54,10 @@
 
     place(members)
     assert max(load.values()) <= max(1.25 * count / size, -(-count // size))
-    gone = members[lost % size]
-    had = load.pop(gone.name, 0)
-    living = [one for one in members if one is not gone]
-    assert place(living) == had                 # the least possible
+    lost_member = members[lost % size]
+    lost_duties = load.pop(lost_member.name, 0)
+    living = [one for one in members if one is not lost_member]
+    assert place(living) == lost_duties                 # the least possible
     assert max(load.values()) <= max(1.25 * count / len(living), -(-count // len(living)))
 
 
@@ -60,26 +66,27 @@
     (Duty("d", halls=("west",)), "east", "in another hall"), (Duty("d", hardware=("small",)), "east",
                                                               "of another hardware class"),
     (Duty("x"), "east", "has no worker for it")])
-def test_who_may_hold(duty: Duty, hall: str, why: str) -> None:
-    assert barred(duty, member("m", hall, frozenset({"d"}))) == why
-    assert barred(duty, member("m", hall, frozenset({"d"}), serving=False)) == "drained or leaving"
+def test_ineligibility_reasons(duty: Duty, hall: str, why: str) -> None:
+    assert ineligibility_reason(duty, member("m", hall, frozenset({"d"}))) == why
+    drained = member("m", hall, frozenset({"d"}), serving=False)
+    assert ineligibility_reason(duty, drained) == "drained or leaving"
 
 
-def test_hold_down_grows_and_is_forgiven_and_moves_are_paced() -> None:
+def test_hold_down_grows_and_is_forgiven_and_moves_are_rate_limited() -> None:
     held, at, waits = HoldDown(1.0), 0.0, []
     for _ in range(8):
-        held.strike("m", at)
-        waits.append(held.left_s("m", at))
+        held.record_failure("m", at)
+        waits.append(held.remaining_s("m", at))
         at += waits[-1]
-    assert waits == [1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 32.0, 32.0] and MOST_TIMES == 32.0
-    held.strike("m", at + 400.0)
-    assert held.left_s("m", at + 400.0) == 1.0
-    moves = Moves(10.0)
-    assert sum(moves.one(n / 100) for n in range(300)) == 10 + 29       # a second's worth, then ten a second
+    assert waits == [1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 32.0, 32.0] and MAX_WAIT_TIMES == 32.0
+    held.record_failure("m", at + 400.0)
+    assert held.remaining_s("m", at + 400.0) == 1.0
+    moves = MoveRateLimit(10.0)
+    assert sum(moves.take(n / 100) for n in range(300)) == 10 + 29       # a second's worth, then ten a second
 
 
-def test_a_lost_hall_moves_so_many_a_second_and_the_one_that_left_is_not_held_down() -> None:
-    grants, index = Grants(), 0
+def test_lost_hall_moves_at_the_limited_rate_and_a_member_that_left_is_not_held_down() -> None:
+    grants, index = GrantTable(), 0
     names = frozenset(f"d{n:02}" for n in range(40))
     for name in sorted(names):
         index += 1
@@ -88,14 +95,14 @@
     grants.apply(index, log.begin("a", 1, 1))
     for name in sorted(names):
         index += 1
-        grants.apply(index, log.grant(name, "a", 1, 0, grants.reign))
+        grants.apply(index, log.grant(name, "a", 1, 0, grants.leader_epoch))
     grantor, now, made = Grantor(0.0, grants, Rules(1.0, 1.0, 10.0)), 0.0, []
     for name, grant in grants.held.items():
-        grantor.untaken.renewed(name, grant.fence)      # a held them up to now
-    ask = Ask(1, 1, "west", "big", True, False, 7, tuple(names), ())
+        grantor.unclaimed.on_renewed(name, grant.fence)      # a held them up to now
+    ask = request(1, 1, tuple(names), hall="west")
     while now < 3.6:
         now += 0.1
-        grantor.hear(now, "b", ask, True)
+        grantor.on_request(now, "b", ask, True)
         for action in grantor.tick(now):
             assert isinstance(action, Propose)
             index += 1
@@ -104,85 +111,86 @@
     for start in range(30):
         assert sum(start / 10 <= at < start / 10 + 1.0 for at in made) <= 20
     assert 30 <= len(made) <= 40
-    grantor.hear(now, "b", Ask(2, 1, "west", "big", False, True, 7, None, ()), True)
-    grantor.hear(now, "b", Ask(3, 2, "west", "big", True, False, 7, None, ()), True)
-    assert not grantor.hold_down.waits              # it had said goodbye
-    grantor.hear(now, "b", Ask(4, 3, "west", "big", True, False, 7, None, ()), True)
-    assert grantor.hold_down.left_s("b", now) == pytest.approx(1.0)
+    grantor.on_request(now, "b", request(2, 1, None, hall="west", serving=False, leaving=True), True)
+    grantor.on_request(now, "b", request(3, 2, None, hall="west"), True)
+    assert not grantor.hold_down.waits              # it had announced that it leaves
+    grantor.on_request(now, "b", request(4, 3, None, hall="west"), True)
+    assert grantor.hold_down.remaining_s("b", now) == pytest.approx(1.0)
 
 
 def test_hold_downs_outlive_the_leader_and_are_forgiven_in_the_log() -> None:
-    grants = Grants()
+    grants = GrantTable()
 
-    def reign(index: int) -> Grantor:
+    def begin_leadership(index: int) -> Grantor:
         grants.apply(index, log.begin("a", 1, index))
         return Grantor(0.0, grants, Rules(1.0, 1.0, 10.0))
 
-    def told(grantor: Grantor, now: float) -> dict[str, float]:
+    def logged(grantor: Grantor, now: float) -> dict[str, float]:
         commands = [action.command for action in grantor.tick(now) if isinstance(action, Propose)]
         results = [grants.apply(grants.applied + 1, command) for command in commands]
-        grantor.settled("")
+        grantor.on_proposal_settled("")
         assert all(result is Result.DONE for result in results), results
         return grants.waits
 
-    first = reign(1)
-    for life in (1, 2, 3):      # it comes back twice without a goodbye
-        first.hear(0.1, "b", Ask(1, life, "west", "big", True, False, 7, (), ()), True)
+    first = begin_leadership(1)
+    for life in (1, 2, 3):      # it comes back twice without having left
+        first.on_request(0.1, "b", request(1, life, (), hall="west"), True)
     late = next(action.command for action in first.tick(0.1) if isinstance(action, Propose))
-    first.settled("")
-    assert told(first, 0.2) == {"b": 2.0}
-    second = reign(9)
-    assert grants.apply(10, late) is Result.OLD_REIGN
-    second.hear(0.1, "b", Ask(1, 3, "west", "big", True, False, 7, (), ()), True)
-    assert second.hold_down.left_s("b", 0.1) == pytest.approx(1.9)
-    second.hear(2.5, "b", Ask(1, 4, "west", "big", True, False, 7, (), ()), True)
-    assert told(second, 2.5) == {"b": 4.0}              # and it grows on from there
-    assert told(second, 6.4 + 41.0) == {}
-
-
-def test_words_of_a_process_before_and_from_before_a_pause_count_for_nothing() -> None:
-    grants = Grants()
+    first.on_proposal_settled("")
+    assert logged(first, 0.2) == {"b": 2.0}
+    second = begin_leadership(9)
+    assert grants.apply(10, late) is Result.OLD_LEADER
+    second.on_request(0.1, "b", request(1, 3, (), hall="west"), True)
+    assert second.hold_down.remaining_s("b", 0.1) == pytest.approx(1.9)
+    second.on_request(2.5, "b", request(1, 4, (), hall="west"), True)
+    assert logged(second, 2.5) == {"b": 4.0}              # and it grows on from there
+    assert logged(second, 6.4 + 41.0) == {}
+
+
+def test_messages_of_an_earlier_process_or_from_before_a_pause_do_not_count() -> None:
+    grants = GrantTable()
     for index, command in enumerate([log.declare(Duty("d", lease_s=1.0)), log.begin("a", 1, 1)], 1):
         grants.apply(index, command)
     grantor = Grantor(0.0, grants, Rules(1.0, 1.0, 10.0))
-    assert grantor.hear(0.1, "b", Ask(1, 2, "east", "big", True, False, 7, ("d",), ()), True) is not None
-    assert grantor.hear(0.1, "b", Ask(2, 1, "east", "big", True, False, 7, ("d",), ()), True) is None
+    assert grantor.on_request(0.1, "b", request(1, 2), True) is not None
+    assert grantor.on_request(0.1, "b", request(2, 1), True) is None
     (proposed,) = grantor.tick(0.6)
     assert isinstance(proposed, Propose) and grantor.tick(0.7) == []    # one at a time
     assert grants.apply(3, proposed.command) is Result.DONE
 
-    held = Holdings("b", 2, "east", "big", 1.0, 0.6)
+    held = MemberDuties("b", 2, "east", "big", 1.0, 0.6)
     held.declare(Duty("d", lease_s=1.0))
-    held.told(grants, 0.6)
-    held.took(0.6, "d", 3)
-    asked = held.ask(0.6, True, lambda _: (0, 0)).seq
-    held.answered(0.7, Answer(asked, 1, ((3, 1.0),), (), False))        # to another process of its name
+    held.update_grants(grants, 0.6)
+    held.on_taken_over(0.6, "d", 3)
+    asked = held.next_request(0.6, True, lambda _: (0, 0)).seq
+    held.on_reply(0.7, RenewalReply(asked, 1, ((3, 1.0),), (), False))        # to another process of its name
     assert held.may("d", 0.7) is None
-    held.watch.look(1.2)                                                # a pause
-    held.answered(1.2, Answer(asked, 2, ((3, 1.0),), (), False))
+    held.pause_detector.observe(1.2)                                                # a pause
+    held.on_reply(1.2, RenewalReply(asked, 2, ((3, 1.0),), (), False))
     assert held.may("d", 1.2) is None
-    held.answered(1.25, Answer(held.ask(1.2, True, lambda _: (0, 0)).seq, 2, ((3, 1.0),), (), False))
+    asked = held.next_request(1.2, True, lambda _: (0, 0)).seq
+    held.on_reply(1.25, RenewalReply(asked, 2, ((3, 1.0),), (), False))
     assert held.may("d", 1.25) == 3
 
 
-def test_who_does_not_give_back_what_it_was_asked_for_is_renewed_no_more() -> None:
-    grants = Grants()
+def test_holder_that_does_not_yield_is_renewed_no_more() -> None:
+    grants = GrantTable()
     for index, command in enumerate([log.declare(Duty("d", lease_s=1.0)), log.begin("a", 1, 1)], 1):
         grants.apply(index, command)
     grants.apply(3, log.grant("d", "a", 1, 0, 2))
     grantor, now = Grantor(0.0, grants, Rules(1.0, 1.0, 10.0)), 0.0
     while not (found := [a for a in grantor.tick(now) if isinstance(a, Propose)]) and now < 9.0:
         now += 0.1
-        for name, held in (("a", (Held("d", 3, 0, 1),)), ("b", ())):
-            grantor.hear(now, name, Ask(1, 1, "east", "big", name == "b", False, 7, ("d",), held), True)
+        for name, held in (("a", (HeldFence("d", 3, 0, 1),)), ("b", ())):
+            grantor.on_request(now, name, request(1, 1, ("d",), held, serving=name == "b"), True)
     assert 3.0 < now < 3.5      # two leases, and the last one
     assert grants.apply(4, found[0].command) is Result.DONE
     assert grants.held["d"].holder == "b"
 
 
-def test_bounds_of_the_table_and_of_the_fences() -> None:
-    grants, full = Grants(), Fences(Kept())
-    for n in range(MOST_DUTIES):
+def test_bounds_of_the_grant_table_and_of_the_fences() -> None:
+    grants, full = GrantTable(), Fences(Kept())
+    for n in range(MAX_DUTIES):
         assert grants.apply(n + 1, log.declare(Duty(f"d{n}", lease_s=1.0))) is Result.DONE
         full.highest[f"d{n}"] = 1
     assert grants.apply(5000, log.declare(Duty("more", lease_s=1.0))) is Result.FULL
@@ -193,48 +201,49 @@
     assert grants.apply(5003, log.retire("d1")) is Result.CHANGED
     assert grants.apply(5004, log.back("d1", 5002)) is Result.DONE
     assert grants.apply(5005, log.retire("d1")) is Result.DONE and grants.floor["d1"] == 5002
-    grants.apply(5006, log.waits({str(n): 1.0 for n in range(MOST_KEYS + 9)}, 5001))
-    assert len(grants.waits) == MOST_KEYS and "0" not in grants.waits
+    grants.apply(5006, log.waits({str(n): 1.0 for n in range(MAX_HOLD_DOWNS + 9)}, 5001))
+    assert len(grants.waits) == MAX_HOLD_DOWNS and "0" not in grants.waits
     held = HoldDown(1.0)
-    for n in range(MOST_KEYS + 9):
-        held.strike(str(n), 0.0)
-    assert len(held.waits) == MOST_KEYS
+    for n in range(MAX_HOLD_DOWNS + 9):
+        held.record_failure(str(n), 0.0)
+    assert len(held.waits) == MAX_HOLD_DOWNS
 
 
 def test_drained_holder_is_asked_to_yield() -> None:
-    grants = Grants()
+    grants = GrantTable()
     for index, command in enumerate([log.declare(Duty("d", lease_s=1.0)), log.begin("a", 1, 1)], 1):
         grants.apply(index, command)
     grants.apply(3, log.grant("d", "a", 1, 0, 2))
     grantor = Grantor(0.0, grants, Rules(1.0, 1.0, 10.0))
-    held = (Held("d", 3, 0, 0),)
-    grantor.hear(0.1, "a", Ask(1, 1, "east", "big", False, False, 7, ("d",), held), True)
-    assert grantor.tick(0.2) == [Push("a", Answer(0, 1, (), (3,), False), "d", "drained or leaving")]
-    answer = grantor.hear(0.3, "a", Ask(2, 1, "east", "big", False, False, 7, None, held), True)
-    assert answer is not None and answer.yields == (3,) and answer.renewed == ((3, 1.0),)
+    held = (HeldFence("d", 3, 0, 0),)
+    grantor.on_request(0.1, "a", request(1, 1, ("d",), held, serving=False), True)
+    assert grantor.tick(0.2) == [Push("a", RenewalReply(0, 1, (), (3,), False), "d", "drained or leaving")]
+    answer = grantor.on_request(0.3, "a", request(2, 1, None, held, serving=False), True)
+    assert answer is not None and answer.yield_fences == (3,) and answer.renewed == ((3, 1.0),)
 
 
-def test_random_commands_keep_the_table_sound_and_snapshots_equal() -> None:
+def test_random_commands_keep_the_grant_table_valid_and_snapshots_equal() -> None:
     draw = random.Random(4)
-    one, highest = Grants(), dict[str, int]()
+    one, highest = GrantTable(), dict[str, int]()
     for index in range(1, 3000):
         name = f"d{draw.randrange(3)}"
         grant = one.held.get(name)
         fence = grant.fence if grant is not None and draw.random() < 0.7 else draw.randrange(index)
         command = draw.choice([
             log.declare(Duty(name, lease_s=draw.choice((1.0, 2.0, 1e9)))), log.begin("a", 1, index),
-            log.grant(name, draw.choice("ab"), 1, fence, draw.choice((one.reign, 0))), log.back(name, fence),
-            log.revoke(name, fence, draw.choice((one.reign, 3))), log.retire(name), b"\xc1", b"",
-            log.waits({f"{name}/{n}": draw.choice((0.0, 1.0, 2.0)) for n in range(9)}, one.reign),
+            log.grant(name, draw.choice("ab"), 1, fence, draw.choice((one.leader_epoch, 0))),
+            log.back(name, fence),
+            log.revoke(name, fence, draw.choice((one.leader_epoch, 3))), log.retire(name), b"\xc1", b"",
+            log.waits({f"{name}/{n}": draw.choice((0.0, 1.0, 2.0)) for n in range(9)}, one.leader_epoch),
             draw.randbytes(9)])
-        reign, before = one.reign, dict(one.held)
+        leader_epoch, before = one.leader_epoch, dict(one.held)
         one.apply(index, command)
         for key, new in one.held.items():
             if new != before.get(key):
-                assert new.fence == index > highest.get(key, 0) and reign == one.reign
+                assert new.fence == index > highest.get(key, 0) and leader_epoch == one.leader_epoch
                 highest[key] = index
         if index % 500 == 0:
-            other = Grants()
+            other = GrantTable()
             other.restore(one.snapshot())
             assert other.snapshot() == one.snapshot()
             one = other
@@ -246,9 +255,9 @@
 
 
 @given(st.binary(max_size=60))
-def test_messages_come_back_and_rubbish_is_none(data: bytes) -> None:
-    ask = Ask(3, 2, "east", "big", True, False, 9, ("d",), (Held("d", 4, 5, 6),))
-    answer = Answer(3, 2, ((4, 1.5),), (4,), True)
+def test_messages_survive_a_round_trip_and_other_bytes_are_refused(data: bytes) -> None:
+    ask = RenewalRequest(3, 2, "east", "big", True, False, 9, ("d",), (HeldFence("d", 4, 5, 6),))
+    answer = RenewalReply(3, 2, ((4, 1.5),), (4,), True)
     assert decode(encode(ask)) == ask and decode(encode(answer)) == answer
     assert decode(data) is None
     for end in range(len(encode(ask))):
@@ -258,28 +267,29 @@
 def held(finish: bool) -> Holder:
     """Holding under fence 5 from 0.0, asked and answered at once, lease of 1 s."""
     holder = Holder(finish)
-    assert holder.told(0.0, 5, 1.0) == [Action(Do.TAKE_OVER, 5)]
-    assert holder.answered(0.0, 0, 0.0, 5, 1.0) == [] and holder.may(0.0, 0) is None
-    holder.took(0.0, 0, 5)
+    assert holder.on_grant(0.0, 5, 1.0) == [HolderAction(Command.TAKE_OVER, 5)]
+    assert holder.on_renewed(0.0, 0, 0.0, 5, 1.0) == [] and holder.may(0.0, 0) is None
+    holder.on_taken_over(0.0, 0, 5)
     assert holder.may(0.0, 0) == 5
     return holder
 
 
-def test_without_a_quorum_one_finishes_and_one_stops_and_who_hangs_is_stopped() -> None:
+def test_without_a_quorum_holders_finish_or_stop_and_a_hanging_worker_is_stopped() -> None:
     stops, finishes = held(False), held(True)
     assert stops.tick(0.6, 0) == [] and stops.may(0.6, 0) == 5
-    assert stops.tick(0.96, 0) == [Action(Do.STOP, 5)] and stops.state is State.LOST
+    assert stops.tick(0.96, 0) == [HolderAction(Command.STOP, 5)] and stops.state is HolderState.LOST
     # The same fence is renewed later: nobody held it in between, and the worker begins anew.
-    assert stops.answered(2.0, 0, 1.9, 5, 1.0) == [Action(Do.TAKE_OVER, 5)] and stops.may(2.0, 0) is None
-    stops.took(2.1, 0, 5)
+    assert stops.on_renewed(2.0, 0, 1.9, 5, 1.0) == [HolderAction(Command.TAKE_OVER, 5)]
+    assert stops.may(2.0, 0) is None
+    stops.on_taken_over(2.1, 0, 5)
     assert stops.may(2.1, 0) == 5
     assert finishes.tick(0.4, 0) == []
-    assert finishes.tick(0.6, 0) == [Action(Do.GIVE_UP, 5)] and finishes.may(0.6, 0) is None
+    assert finishes.tick(0.6, 0) == [HolderAction(Command.GIVE_UP, 5)] and finishes.may(0.6, 0) is None
     assert finishes.tick(2.0, 0) == []
-    assert finishes.tick(3.7, 0) == [Action(Do.STOP, 5)]                # it hangs
-    assert finishes.give_up(3.8, 5, "leaving") == [Action(Do.GIVE_BACK, 5)]
-    assert finishes.told(4.0, 0) == [] and finishes.state is State.IDLE
-    assert finishes.told(4.1, 5, 1.0) == [] and finishes.state is State.IDLE    # given back: never again
+    assert finishes.tick(3.7, 0) == [HolderAction(Command.STOP, 5)]                # it hangs
+    assert finishes.start_yield(3.8, 5, "leaving") == [HolderAction(Command.GIVE_BACK, 5)]
+    assert finishes.on_grant(4.0, 0) == [] and finishes.state is HolderState.IDLE
+    assert finishes.on_grant(4.1, 5, 1.0) == [] and finishes.state is HolderState.IDLE  # given back for good
 
 
 class Full(Kept):
@@ -287,13 +297,13 @@
         raise OSError(28, "No space left on device")
 
 
-def test_fences_over_restarts_floors_and_full_disks() -> None:
+def test_fences_after_restarts_with_a_floor_and_on_a_full_disk() -> None:
     kept = Kept()
     fences = Fences(kept)
     assert fences.accept("d", 5) and fences.accept("d", 5) and not fences.accept("d", 4)
     assert fences.accept("e", 3)                                    # each duty has its own
-    again = Fences(kept)
-    assert not again.accept("d", 4) and again.accept("d", 5)
+    reopened = Fences(kept)
+    assert not reopened.accept("d", 4) and reopened.accept("d", 5)
     old_copy = Fences(Kept(), floor=lambda duty: 5)                 # the agreed log remembers
     assert not old_copy.accept("d", 4)
     full = Fences(Full())
--- a/tests/duties/test_processes.py
+++ b/tests/duties/test_processes.py
@@ -10,39 +10,40 @@
 from beechrock.lab.fleet import Cut, Fleet
 from beechrock.lab.fleet.checkers import check
 
-Work = Callable[[Fleet], Awaitable[None]]
+Scenario = Callable[[Fleet], Awaitable[None]]
 NAMES = ["a", "b", "c"]
 LEASE_S = 1.0
 DUTIES = {"lease_s": LEASE_S, "hold_down_s": 0.5, "trial": True}
 
 
-def play(tmp_path: Path, work: Work, names: list[str] = NAMES, one: bool = True,
+def run_scenario(tmp_path: Path, scenario: Scenario, names: list[str] = NAMES, one: bool = True,
          duties: dict[str, Any] | None = None, **more: Any) -> None:
-    async def whole() -> None:
+    async def with_fleet() -> None:
         tables = {"agree": {"voters": names}, "duties": {**DUTIES, **(duties or {})}}
         async with Fleet(tmp_path, 7, names, tables=tables, **more) as fleet:
             await fleet.start()
             await fleet.proven()
-            await work(fleet)
-            judge(fleet, one)
+            await scenario(fleet)
+            check_history(fleet, one)
 
-    asyncio.run(whole())
+    asyncio.run(with_fleet())
 
 
-def judge(fleet: Fleet, one: bool) -> None:
-    """Over all that every process told: fences at receivers, and never two that hold by this machine's clock,
-    unless a clock did what no lease bears (``one``).
+def check_history(fleet: Fleet, one: bool) -> None:
+    """Check all events of every process: fences at receivers, and ``one`` holder at a time.
+
+    ``one`` is False where a clock did what no lease bears: then two may hold by this machine's clock.
     """
-    told = fleet.save_history()
+    saved = fleet.save_history()
     history = fleet.history()
-    assert not fleet.troubles(), told
-    assert not (found := check(history, ("agree", "duties", "sound"))), (found, told)
+    assert not fleet.troubles(), saved
+    assert not (found := check(history, ("agree", "duties", "sound"))), (found, saved)
     highest = 0
     acts = [event for event in history if event["event"] == "trial.act"]
-    for event in acts:      # each told right after the check, before the act
-        assert event["fence"] >= highest or not one, (event, highest, told)
+    for event in acts:      # each logged right after the check, before the act
+        assert event["fence"] >= highest or not one, (event, highest, saved)
         highest = event["fence"]
-    assert acts and any(event["accepted"] for event in history if event["event"] == "effect"), told
+    assert acts and any(event["accepted"] for event in history if event["event"] == "effect"), saved
 
 
 def acted(fleet: Fleet, name: str | None = None, above: int = 0, least: int = 3) -> str:
@@ -61,8 +62,8 @@
 
 async def leader(fleet: Fleet) -> str:
     async def found() -> str:
-        told = {name: await fleet.view(name, "/duties") for name in fleet.up}
-        return next((name for name, view in told.items() if "held_down" in view), "")
+        shown = {name: await fleet.view(name, "/duties") for name in fleet.up}
+        return next((name for name, view in shown.items() if "held_down" in view), "")
 
     return str(await fleet.until(found, what="a leader"))
 
@@ -73,8 +74,8 @@
     return not states or states[-1] != "holding"
 
 
-def test_stopped_between_the_check_and_the_act_beyond_the_lease(tmp_path: Path) -> None:
-    async def work(fleet: Fleet) -> None:
+def test_holder_stopped_between_check_and_act_beyond_its_lease(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
         def refused() -> list[dict[str, Any]]:
             return [e for e in fleet.events(None, "effect") if not e["accepted"]]
 
@@ -89,11 +90,11 @@
         # What was checked before the stop and sent after it came late, and was refused; no other effect was.
         assert refused() and all(e["fence"] < fence(fleet) for e in refused())
 
-    play(tmp_path, work)
+    run_scenario(tmp_path, scenario)
 
 
-def test_cut_one_way_and_the_other(tmp_path: Path) -> None:
-    async def work(fleet: Fleet) -> None:
+def test_holder_cut_off_in_each_direction(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
         for outwards in (True, False):
             first, old = await holder(fleet, 0), fence(fleet)
             for other in NAMES:
@@ -104,13 +105,13 @@
             fleet.links.heal()
             await fleet.until(lambda f=first: lost(fleet, f))       # type: ignore[misc]
 
-    play(tmp_path, work)
+    run_scenario(tmp_path, scenario)
 
 
-def test_leader_and_holder_killed_together_and_next_one_soon(tmp_path: Path) -> None:
+def test_leader_and_holder_killed_together_are_soon_replaced(tmp_path: Path) -> None:
     names = [*NAMES, "d", "e"]
 
-    async def work(fleet: Fleet) -> None:
+    async def scenario(fleet: Fleet) -> None:
         first, old = await holder(fleet), fence(fleet)
         at = time.monotonic()
         await fleet.kill(*{first, await leader(fleet)})
@@ -119,11 +120,11 @@
         await fleet.start()
         await holder(fleet)
 
-    play(tmp_path, work, names)
+    run_scenario(tmp_path, scenario, names)
 
 
-def test_replies_slower_than_the_lease_then_quorum_lost_and_back(tmp_path: Path) -> None:
-    async def work(fleet: Fleet) -> None:
+def test_replies_slower_than_the_lease_then_quorum_lost_and_restored(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
         first, old = await holder(fleet), fence(fleet)
         others = [name for name in NAMES if name != first]
         fleet.links.delay(others, first, 4.0)
@@ -137,11 +138,11 @@
         count = len(fleet.events(None, "trial.act"))
         await fleet.until(lambda: len(fleet.events(None, "trial.act")) > count, what="again with a quorum")
 
-    play(tmp_path, work)
+    run_scenario(tmp_path, scenario)
 
 
-def test_all_killed_and_started_and_receivers_remember(tmp_path: Path) -> None:
-    async def work(fleet: Fleet) -> None:
+def test_receivers_remember_fences_after_all_processes_were_killed(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
         await holder(fleet)
         for _ in range(2):
             old = fence(fleet)
@@ -149,11 +150,12 @@
             await fleet.start()
             await holder(fleet, old)
 
-    play(tmp_path, work, lying=True)    # SIGKILL does what a power cut does: what was not synced is gone
+    # SIGKILL does what a power cut does: what was not synced is gone.
+    run_scenario(tmp_path, scenario, lying=True)
 
 
 def test_rolling_restart_yield_and_drain(tmp_path: Path) -> None:
-    async def work(fleet: Fleet) -> None:
+    async def scenario(fleet: Fleet) -> None:
         for name in NAMES:
             await holder(fleet, 0)
             codes = await fleet.term(name)
@@ -171,10 +173,10 @@
         assert await holder(fleet, old) != second
         status, body = await fleet.call(asked, "POST", "/duties/yield?name=nothing")
         assert status == 409 and "no such duty" in body
-        told = await fleet.view(asked, "/inventory/agreed")
-        assert told["same"] and told["number"] == 1
+        shown = await fleet.view(asked, "/inventory/agreed")
+        assert shown["same"] and shown["number"] == 1
 
-    play(tmp_path, work)
+    run_scenario(tmp_path, scenario)
 
 
 def grants(fleet: Fleet) -> list[str]:
@@ -198,7 +200,7 @@
 
 
 def test_clocks_that_leap_and_differ_within_the_drift(tmp_path: Path) -> None:
-    async def work(fleet: Fleet) -> None:
+    async def scenario(fleet: Fleet) -> None:
         for rate, name in zip((0.976, 1.0, 1.024), NAMES, strict=True):
             fleet.clock(name, rate=rate)
         for of_leader in (False, True):
@@ -207,16 +209,16 @@
             await goes_on(fleet)
         await holder(fleet)
 
-    play(tmp_path, work, clocks=True)
+    run_scenario(tmp_path, scenario, clocks=True)
 
 
-def test_a_holder_whose_clock_stands_is_refused_by_its_fence(tmp_path: Path) -> None:
+def test_holder_whose_clock_stands_is_refused_by_its_fence(tmp_path: Path) -> None:
     """No lease bears such a clock: it acts beside the next one. Its receivers know.
 
     It does not hear the others meanwhile: the log would tell it of the next grant, and seen beside full load
     it did so before one effect under the old fence had gone out.
     """
-    async def work(fleet: Fleet) -> None:
+    async def scenario(fleet: Fleet) -> None:
         def refused() -> list[dict[str, Any]]:
             return [e for e in fleet.events(None, "effect") if not e["accepted"] and e["sender"] == first]
 
@@ -231,11 +233,11 @@
         await fleet.until(lambda: lost(fleet, first))
         await goes_on(fleet)
 
-    play(tmp_path, work, one=False, clocks=True)
+    run_scenario(tmp_path, scenario, one=False, clocks=True)
 
 
-def test_two_leaders_with_messages_late_and_doubled_and_connections_cut(tmp_path: Path) -> None:
-    async def work(fleet: Fleet) -> None:
+def test_two_leaders_with_late_and_doubled_messages_and_cut_connections(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
         fleet.links.set(NAMES, NAMES, double=0.5, delay_s=0.1, short=0.01)
         lead, reigns = await leader(fleet), len(fleet.events(None, "agree.lead"))
         fleet.stop(lead)        # what it had sent is still on its way while the next one leads
@@ -245,14 +247,15 @@
         fleet.links.heal()
         await goes_on(fleet)
 
-    play(tmp_path, work)
+    run_scenario(tmp_path, scenario)
 
 
-def test_deposed_for_want_of_progress_and_known_to_the_next_leader(tmp_path: Path) -> None:
+def test_holder_without_progress_is_replaced_and_its_hold_down_known_to_the_next_leader(
+        tmp_path: Path) -> None:
     def deposed(fleet: Fleet) -> list[str]:
         return [e["holder"] for e in fleet.events(None, "duties.ask_back") if "no progress" in e["why"]]
 
-    async def work(fleet: Fleet) -> None:
+    async def scenario(fleet: Fleet) -> None:
         lead = await leader(fleet)
         for works in ("no", "yes"):
             for name in NAMES:
@@ -268,12 +271,12 @@
         assert key in (await fleet.view(await leader(fleet), "/duties"))["held_down"]
         await goes_on(fleet)
 
-    play(tmp_path, work, duties={"hold_down_s": 60.0})
+    run_scenario(tmp_path, scenario, duties={"hold_down_s": 60.0})
 
 
-def test_given_back_at_a_drain_and_at_a_goodbye(tmp_path: Path) -> None:
+def test_duty_is_given_back_at_drain_and_at_leave(tmp_path: Path) -> None:
     """No grant says then that somebody was not heard. It may say so for another cause: tried again then."""
-    async def work(fleet: Fleet) -> None:
+    async def scenario(fleet: Fleet) -> None:
         for drained in (True, False):
             for _ in range(5):
                 old = fence(fleet)
@@ -289,4 +292,4 @@
             else:
                 raise AssertionError(grants(fleet))
 
-    play(tmp_path, work)
+    run_scenario(tmp_path, scenario)
