--- a/beechrock/cli/errors.py
+++ b/beechrock/cli/errors.py
@@ -1,4 +1,4 @@
-"""What an operator hears of a command that can't be carried out."""
+"""Errors of commands that cannot be carried out."""
 
 from typing import ClassVar
 
--- a/beechrock/cli/inventory.py
+++ b/beechrock/cli/inventory.py
@@ -15,7 +15,7 @@
     from beechrock.inventory.plan import Plan
 
 PATH = click.Path(path_type=Path)
-FORM = click.Choice(["text", "json"])
+OUTPUT_FORMAT = click.Choice(["text", "json"])
 
 
 @click.group()
@@ -27,21 +27,22 @@
 
 
 def fail(lines: list[str], code: int) -> NoReturn:
+    """Print the lines on standard error and end the command with this exit code."""
     for line in lines:
         click.echo(line, err=True)
     sys.exit(code)
 
 
 def _read(path: Path) -> "tuple[Checked, Generation]":
-    """The inventory at ``path``; problems end the command with 1, no file with 2."""
+    """Return the inventory at ``path``; problems end the command with 1, no file with 2."""
     from beechrock.inventory import generation, model, snapshot
     from beechrock.inventory.problems import Problems
 
     if not path.exists():
         raise UnreadableError("No such file or directory", where=str(path))
     if path.name == snapshot.NAME:
-        found = snapshot.load(path.parent)
-        return found.entries(), found
+        kept = snapshot.load(path.parent)
+        return kept.entries(), kept
     problems = Problems()
     read = model.read(path, problems)
     if read is None:
@@ -51,8 +52,8 @@
 
 @inventory.command()
 @click.argument("path", type=PATH)
-@click.option("--format", "form", type=FORM, default="text")
-def check(path: Path, form: str) -> None:
+@click.option("--format", "output_format", type=OUTPUT_FORMAT, default="text")
+def check(path: Path, output_format: str) -> None:
     """Name every problem with file, line and key. Exit 1 if there is an error."""
     from beechrock.inventory import model
     from beechrock.inventory.problems import Problems
@@ -60,27 +61,30 @@
     if not path.exists():
         raise UnreadableError("No such file or directory", where=str(path))
     problems = Problems()
-    found = model.read(path, problems)
-    counts = found[1].counts if found is not None else {}
-    if form == "json":
-        listed = [p.as_json() for p in sorted(problems.listed, key=lambda p: p.place)]
-        click.echo(ujson.dumps({"good": found is not None, "errors": problems.errors, "entries": counts,
+    checked = model.read(path, problems)
+    counts = checked[1].counts if checked is not None else {}
+    if output_format == "json":
+        listed = [problem.as_json() for problem in sorted(problems.listed, key=lambda problem: problem.place)]
+        click.echo(ujson.dumps({"good": checked is not None, "errors": problems.errors, "entries": counts,
                                 "warnings": problems.warnings, "problems": listed},
                                indent=2, escape_forward_slashes=False))
     else:
         for line in problems.lines():
             click.echo(line)
-        told = ", ".join(f"{count} {kind}" for kind, count in counts.items() if count)
-        click.echo(f"good: {told}" if found is not None else f"{problems.errors} errors", err=found is None)
-    sys.exit(0 if found is not None else 1)
+        summary = ", ".join(f"{count} {kind}" for kind, count in counts.items() if count)
+        if checked is not None:
+            click.echo(f"good: {summary}")
+        else:
+            click.echo(f"{problems.errors} errors", err=True)
+    sys.exit(0 if checked is not None else 1)
 
 
 @inventory.command()
 @click.argument("path", type=PATH)
 @click.option("--host", help="Only the entries of this name.")
-@click.option("--format", "form", type=click.Choice(["yaml", "csv", "json"]), default="yaml",
+@click.option("--format", "output_format", type=click.Choice(["yaml", "csv", "json"]), default="yaml",
               help="json tells where each value comes from.")
-def show(path: Path, host: str | None, form: str) -> None:
+def show(path: Path, host: str | None, output_format: str) -> None:
     """Print entries as they count, with all that they inherit."""
     from beechrock.inventory import export
 
@@ -89,62 +93,63 @@
         checked = export.only(checked, host)
         if not any(checked.kinds.values()):
             fail([f"{path}: {host}: no entry of this name"], 1)
-    click.echo(export.WRITERS[form](checked), nl=False)
+    click.echo(export.WRITERS[output_format](checked), nl=False)
 
 
 @inventory.command()
 @click.argument("path", type=PATH)
-@click.option("--to", "form", type=click.Choice(["yaml", "csv"]), required=True)
-def convert(path: Path, form: str) -> None:
+@click.option("--to", "output_format", type=click.Choice(["yaml", "csv"]), required=True)
+def convert(path: Path, output_format: str) -> None:
     """Write the inventory in another form on standard output, with the same meaning."""
     from beechrock.inventory import export
 
-    click.echo(export.WRITERS[form](_read(path)[0]), nl=False)
+    click.echo(export.WRITERS[output_format](_read(path)[0]), nl=False)
 
 
-def _plan(old: Path, new: Path, most_removed: float, form: str) -> "tuple[Plan, bool]":
-    """The plan, printed, and whether the two differ."""
-    from beechrock.inventory.plan import plan as planned
+def _plan(old: Path, new: Path, most_removed: float, output_format: str) -> "tuple[Plan, bool]":
+    """Print the plan; return it, and whether the two inventories differ."""
+    from beechrock.inventory.plan import plan as make_plan
 
     running, wanted = _read(old)[1], _read(new)[1]
-    change = planned(running, wanted, most_removed)
-    _print(change, running.digest, wanted.digest, form)
+    change = make_plan(running, wanted, most_removed)
+    _print_plan(change, running.digest, wanted.digest, output_format)
     return change, running.digest != wanted.digest
 
 
-def _print(change: "Plan", old: str, new: str, form: str) -> None:
+def _print_plan(change: "Plan", old: str, new: str, output_format: str) -> None:
     from beechrock.inventory.plan import shown
 
-    if form == "json":
-        steps = [{"verb": s.verb.value, "kind": s.kind, "name": s.name,
-                  "keys": {key: [shown(a), shown(b)] for key, a, b in s.keys}} for s in change.steps]
+    if output_format == "json":
+        steps = [{"verb": step.verb.value, "kind": step.kind, "name": step.name,
+                  "keys": {key: [shown(before), shown(after)] for key, before, after in step.keys}}
+                 for step in change.steps]
         click.echo(ujson.dumps({"from": old, "to": new, "steps": steps,
                                 "refused": list(change.refused), "held": list(change.held)},
                                indent=2, escape_forward_slashes=False))
         return
     for step in change.steps:
         click.echo(str(step))
-    for why in change.refused:
-        click.echo(f"refused  {why}")
-    for why in change.held:
-        click.echo(f"held     {why}: waits for a second reading, or for SIGHUP")
+    for reason in change.refused:
+        click.echo(f"refused  {reason}")
+    for reason in change.held:
+        click.echo(f"held     {reason}: waits for a second reading, or for SIGHUP")
 
 
 @inventory.command()
 @click.argument("old", type=PATH)
 @click.argument("new", type=PATH)
-@click.option("--format", "form", type=FORM, default="text")
-def diff(old: Path, new: Path, form: str) -> None:
+@click.option("--format", "output_format", type=OUTPUT_FORMAT, default="text")
+def diff(old: Path, new: Path, output_format: str) -> None:
     """Compare two inventories by what they mean. Exit 1 if they differ."""
-    sys.exit(1 if _plan(old, new, 1.0, form)[1] else 0)
+    sys.exit(1 if _plan(old, new, 1.0, output_format)[1] else 0)
 
 
 @inventory.command()
 @click.argument("running", type=PATH)
 @click.argument("new", type=PATH)
 @click.option("--most-removed", type=click.FloatRange(0, 1), default=0.25, show_default=True)
-@click.option("--format", "form", type=FORM, default="text")
-def plan(running: Path, new: Path, most_removed: float, form: str) -> None:
+@click.option("--format", "output_format", type=OUTPUT_FORMAT, default="text")
+def plan(running: Path, new: Path, most_removed: float, output_format: str) -> None:
     """Say what a node that runs RUNNING would do about NEW. Exit 1 if it would refuse or hold it."""
-    change, _ = _plan(running, new, most_removed, form)
+    change, _ = _plan(running, new, most_removed, output_format)
     sys.exit(1 if change.refused or change.held else 0)
--- a/beechrock/cli/lab.py
+++ b/beechrock/cli/lab.py
@@ -7,7 +7,7 @@
 import click
 import ujson
 
-from beechrock.cli.inventory import FORM, fail
+from beechrock.cli.inventory import OUTPUT_FORMAT, fail
 
 
 @click.group()
@@ -20,8 +20,8 @@
 @click.option("--seed", type=int, required=True, help="Draws every fault.")
 @click.option("--folder", type=click.Path(file_okay=False, path_type=Path),
               help="For the processes' folders and the history; a new temporary one if not told.")
-@click.option("--format", "form", type=FORM, default="text")
-def run(file: Path, seed: int, folder: Path | None, form: str) -> None:
+@click.option("--format", "output_format", type=OUTPUT_FORMAT, default="text")
+def run(file: Path, seed: int, folder: Path | None, output_format: str) -> None:
     """Play the run FILE: start its nodes, draw its faults, and judge the whole history.
 
     Exit 1 if something broke, 2 if it could not be played.
@@ -32,12 +32,12 @@
     from beechrock.lab.fleet import runfile
 
     try:
-        told = runfile.read(file)
-        place = folder or Path(tempfile.mkdtemp(prefix="beechrock-lab-"))
-        outcome = asyncio.run(runfile.play(told, place, seed))
+        description = runfile.read(file)
+        run_folder = folder or Path(tempfile.mkdtemp(prefix="beechrock-lab-"))
+        outcome = asyncio.run(runfile.play(description, run_folder, seed))
     except (OperatorError, OSError) as error:
         fail([f"{error}; seed {seed}"], 2)
-    if form == "json":
+    if output_format == "json":
         click.echo(ujson.dumps({"seed": seed, "faults": len(outcome.faults), "events": outcome.events,
                                 "read": outcome.read, "answers": outcome.answers, "broken": outcome.broken,
                                 "history": str(outcome.history)}))
--- a/beechrock/cli/main.py
+++ b/beechrock/cli/main.py
@@ -20,22 +20,25 @@
 from beechrock.errors import OperatorError
 
 
-class Commands(click.Group):
-    """What ends a command is told here, and nowhere else: by the error's type."""
+class CommandGroup(click.Group):
+    """Turns the errors that end a command into a message and an exit code, by the error's type."""
 
     def invoke(self, context: click.Context) -> Any:
+        """Run the command."""
         try:
             return super().invoke(context)
         except OperatorError as error:
-            found = error
+            reported = error
         except OSError as error:
-            if error.errno == errno.EPIPE:      # whoever reads us has read enough: click ends quietly
+            if error.errno == errno.EPIPE:      # the reader has read enough: click ends quietly
                 raise
-            found = UnreadableError(error.strerror or str(error), where=str(error.filename or ""))
-        context.exit(logs.stopped_by(found, f"beechrock {context.invoked_subcommand or ''}".rstrip()))
+            reported = UnreadableError(error.strerror or str(error), where=str(error.filename or ""))
+        context.exit(logs.stopped_by(reported, f"beechrock {context.invoked_subcommand or ''}".rstrip()))
 
 
-@click.group(cls=Commands, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+@click.group(
+    cls=CommandGroup,
+    context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
 @click.version_option(__version__, prog_name="beechrock")
 def main() -> None:
     """A broker between services that keeps its promises under overload."""
@@ -50,14 +53,5 @@
     context.exit(serve_from_environment())
 
 
-main.add_command(drain)
-main.add_command(edges)
-main.add_command(inventory)
-main.add_command(ask)
-main.add_command(lab)
-main.add_command(members)
-main.add_command(policy)
-main.add_command(release)
-main.add_command(replica)
-main.add_command(settings)
-main.add_command(trace)
+for command in (drain, edges, inventory, ask, lab, members, policy, release, replica, settings, trace):
+    main.add_command(command)
--- a/beechrock/cli/requests.py
+++ b/beechrock/cli/requests.py
@@ -7,6 +7,8 @@
 
 from beechrock.cli.errors import NoAnswerError
 
+RECEIVE_BYTES = 65_536      # in one call
+
 
 @click.command()
 @click.argument("service")
@@ -31,11 +33,11 @@
     if retry:
         headers["HTTP_X_RETRY"] = "1"
     try:
-        with socket.create_connection((host.strip("[]"), int(port)), timeout) as link:
-            link.sendall(request_bytes(headers, body.encode()))
+        with socket.create_connection((host.strip("[]"), int(port)), timeout) as connection:
+            connection.sendall(request_bytes(headers, body.encode()))
             answer = b""
-            while more := link.recv(65_536):
-                answer += more
+            while chunk := connection.recv(RECEIVE_BYTES):
+                answer += chunk
     except OSError as error:
         raise NoAnswerError(str(error), where=address, do="is it the node's SCGI address?") from None
     click.echo(answer.decode("utf-8", "replace"))
--- a/beechrock/cli/settings.py
+++ b/beechrock/cli/settings.py
@@ -6,7 +6,7 @@
 import ujson
 
 from beechrock.cli.errors import UnreadableError
-from beechrock.cli.inventory import FORM, PATH
+from beechrock.cli.inventory import OUTPUT_FORMAT, PATH
 
 
 @click.group()
@@ -16,8 +16,8 @@
 
 @settings.command()
 @click.argument("path", type=PATH)
-@click.option("--format", "form", type=FORM, default="text")
-def explain(path: Path, form: str) -> None:
+@click.option("--format", "output_format", type=OUTPUT_FORMAT, default="text")
+def explain(path: Path, output_format: str) -> None:
     """Say what each setting in PATH means to the program: its value, told or not, and what goes by it.
 
     PATH is a node's configuration (JSON, with "settings" in it) or the settings alone.
@@ -28,31 +28,32 @@
     from beechrock.settings import settings_from
 
     try:
-        told = ujson.loads(path.read_bytes())
+        document = ujson.loads(path.read_bytes())
     except OSError as error:
         raise UnreadableError(str(error.strerror), where=str(path)) from None
     except ValueError as error:
         raise UnreadableError(f"not JSON ({error})", where=str(path)) from None
-    if isinstance(told, dict) and isinstance(told.get("settings"), dict):
-        told = told["settings"]
+    if isinstance(document, dict) and isinstance(document.get("settings"), dict):
+        document = document["settings"]
     try:
-        found, _ = settings_from(told)
+        parsed, _ = settings_from(document)
     except SettingsError as error:
         error.where = f"{path}: {error.where}"
         raise
-    rows, unknown = understood(told, found), passed_over(told)
-    if form == "json":
+    rows, unknown = understood(document, parsed), passed_over(document)
+    if output_format == "json":
         click.echo(ujson.dumps({
-            "settings": [{"name": r.name, "value": r.value, "told": r.was_told, "unit": r.meaning.unit,
-                          "decides": r.meaning.part, "absent": r.meaning.absent, "zero": r.meaning.zero}
-                         for r in rows],
+            "settings": [{"name": row.name, "value": row.value, "told": row.was_told,
+                          "unit": row.meaning.unit, "decides": row.meaning.part,
+                          "absent": row.meaning.absent, "zero": row.meaning.zero}
+                         for row in rows],
             "passed_over": unknown}, indent=1))
         return
-    wide = max(len(r.name) for r in rows)
-    for r in rows:
-        value = "-" if r.value is None else str(r.value)
-        how = "told" if r.was_told else f"not told: {r.meaning.absent}"
-        unit = f" {r.meaning.unit}" if r.meaning.unit and r.value is not None else ""
-        click.echo(f"{r.name:{wide}}  {value + unit:28}  {how:36}  {r.meaning.part}")
+    width = max(len(row.name) for row in rows)
+    for row in rows:
+        value = "-" if row.value is None else str(row.value)
+        origin = "told" if row.was_told else f"not told: {row.meaning.absent}"
+        unit = f" {row.meaning.unit}" if row.meaning.unit and row.value is not None else ""
+        click.echo(f"{row.name:{width}}  {value + unit:28}  {origin:36}  {row.meaning.part}")
     if unknown:
         click.echo("passed over, as nothing goes by them: " + ", ".join(unknown))
--- a/beechrock/cli/trace/common.py
+++ b/beechrock/cli/trace/common.py
@@ -1,4 +1,4 @@
-"""What the commands on records share: times, files by node, a bar for long work."""
+"""What the commands on records share: times, files by node, a progress bar."""
 
 import re
 import sys
@@ -14,51 +14,55 @@
 
 PATH = click.Path(path_type=Path, exists=True)
 OUT = click.Path(path_type=Path)
-FORM = click.Choice(["text", "json"])
-F = TypeVar("F", bound=Callable[..., Any])
+PROGRESS_BYTES = 8 << 20        # smaller files are read before a bar would be seen
+AnyCommand = TypeVar("AnyCommand", bound=Callable[..., Any])
 
 
-class Moment(click.ParamType[Any]):
-    """Unix seconds, 2026-12-01T14:05, or 14:05 (of the day on which the record begins); UTC."""
+class TimeParam(click.ParamType[Any]):
+    """A time: Unix seconds, 2026-12-01T14:05, or 14:05 (of the day on which the record begins); UTC."""
 
     name = "time"
 
-    def convert(self, told: Any, param: click.Parameter | None, context: click.Context | None) -> Any:
-        if not isinstance(told, str) or re.fullmatch(r"\d{1,2}:\d\d(:\d\d)?", told):
-            return told
+    def convert(self, value: Any, param: click.Parameter | None, context: click.Context | None) -> Any:
+        """Return Unix seconds; HH:MM stays text until the record's day is known (``resolve_time``)."""
+        if not isinstance(value, str) or re.fullmatch(r"\d{1,2}:\d\d(:\d\d)?", value):
+            return value
         try:
-            return float(told) if re.fullmatch(r"\d+(\.\d+)?", told) else (
-                datetime.fromisoformat(told).replace(tzinfo=UTC).timestamp())
+            if re.fullmatch(r"\d+(\.\d+)?", value):
+                return float(value)
+            return datetime.fromisoformat(value).replace(tzinfo=UTC).timestamp()
         except ValueError:
-            self.fail(f"{told!r} is neither Unix seconds, nor YYYY-MM-DDTHH:MM, nor HH:MM", param, context)
+            self.fail(f"{value!r} is neither Unix seconds, nor YYYY-MM-DDTHH:MM, nor HH:MM", param, context)
 
 
-def at(told: Any, begins: float, otherwise: float) -> float:
-    """A moment; HH:MM is of the first day of the record on which it lies in or after its begin."""
-    if told is None:
-        return otherwise
-    if not isinstance(told, str):
-        return float(told)
-    hour, minute, *second = map(int, told.split(":"))
-    start = datetime.fromtimestamp(begins, UTC)
+def resolve_time(value: Any, begin_s: float, default_s: float) -> float:
+    """Return Unix seconds; HH:MM is of the first day on which it lies in or after the record's begin."""
+    if value is None:
+        return default_s
+    if not isinstance(value, str):
+        return float(value)
+    hour, minute, *second = map(int, value.split(":"))
+    start = datetime.fromtimestamp(begin_s, UTC)
     try:
-        found = start.replace(hour=hour % 24, minute=minute, second=second[0] if second else 0, microsecond=0)
+        resolved = start.replace(
+            hour=hour % 24, minute=minute, second=second[0] if second else 0, microsecond=0)
     except ValueError as error:
-        raise OptionError(f"{told}: {error}", wanted="HH:MM") from None
-    if found < start.replace(second=0, microsecond=0):
-        found += timedelta(days=1)
-    return found.timestamp()
+        raise OptionError(f"{value}: {error}", wanted="HH:MM") from None
+    if resolved < start.replace(second=0, microsecond=0):
+        resolved += timedelta(days=1)
+    return resolved.timestamp()
 
 
-def clock(seconds: float) -> str:
+def format_time(seconds: float) -> str:
+    """Return Unix seconds as date and time, UTC."""
     return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%d %H:%M:%S.%f")[:-3]
 
 
 @contextmanager
 def progress(files: list[Path]) -> Iterator[Callable[[int], None]]:
-    """A bar for long work at a terminal; nothing elsewhere."""
+    """Show a bar for long work at a terminal; gives a function to call with the bytes read."""
     total = sum(path.stat().st_size for path in files)
-    if not sys.stderr.isatty() or total < 8 << 20:
+    if not sys.stderr.isatty() or total < PROGRESS_BYTES:
         yield lambda _: None
         return
     from rich.console import Console
@@ -69,19 +73,21 @@
         yield lambda size: bar.advance(task, size)
 
 
-def window(command: F) -> F:
-    for option in (click.option("--until", type=Moment(), help="Up to, but not at, this time."),
-                   click.option("--since", type=Moment(), help="Unix seconds, a date and time, or HH:MM.")):
-        command = option(command)
-    return command
+def window_options(command: AnyCommand) -> AnyCommand:
+    """Add ``--since`` and ``--until``."""
+    until = click.option("--until", type=TimeParam(), help="Up to, but not at, this time.")
+    since = click.option("--since", type=TimeParam(), help="Unix seconds, a date and time, or HH:MM.")
+    return since(until(command))
 
 
-def steadily(command: F) -> F:
-    told = "Take jumps of the clock out: go by the one that the record begins with."
-    return click.option("--steady", is_flag=True, help=told)(command)
+def steady_option(command: AnyCommand) -> AnyCommand:
+    """Add ``--steady``."""
+    help_text = "Take jumps of the clock out: go by the one that the record begins with."
+    return click.option("--steady", is_flag=True, help=help_text)(command)
 
 
 def begin_of(files: list[Path]) -> float:
+    """Return when the first file that holds rows begins, in Unix seconds; 0 where none does."""
     from beechrock.trace.format import Reader
 
     for path in files:
@@ -92,11 +98,11 @@
 
 
 def by_node(files: list[Path]) -> dict[str, list[Path]]:
-    """The files of each node, as their headers name it."""
+    """Return the files of each node, as their headers name it."""
     from beechrock.trace.format import Reader
 
-    found: dict[str, list[Path]] = {}
+    nodes: dict[str, list[Path]] = {}
     for path in files:
         with Reader(path) as reader:
-            found.setdefault(str(reader.meta.get("node", "")), []).append(path)
-    return found
+            nodes.setdefault(str(reader.meta.get("node", "")), []).append(path)
+    return nodes
--- a/beechrock/cli/trace/files.py
+++ b/beechrock/cli/trace/files.py
@@ -9,44 +9,45 @@
 import ujson
 
 from beechrock.cli.errors import OptionError
+from beechrock.cli.inventory import OUTPUT_FORMAT
 from beechrock.cli.trace.common import (
-    FORM,
     OUT,
     PATH,
-    at,
     begin_of,
     by_node,
-    clock,
+    format_time,
     progress,
-    steadily,
-    window,
+    resolve_time,
+    steady_option,
+    window_options,
 )
 from beechrock.cli.trace.group import trace
 
 
 @trace.command()
 @click.argument("paths", type=PATH, nargs=-1, required=True)
-@click.option("--format", "form", type=FORM, default="text")
-def info(paths: tuple[Path, ...], form: str) -> None:
+@click.option("--format", "output_format", type=OUTPUT_FORMAT, default="text")
+def info(paths: tuple[Path, ...], output_format: str) -> None:
     """What files hold: node, time, rows, blocks, and whether they have their index."""
     from beechrock.trace.format import Reader
     from beechrock.trace.tools import paths_of
 
-    found = []
+    rows = []
     for path in paths_of(paths):
         with Reader(path) as reader:
-            found.append({
+            rows.append({
                 "file": str(path), "version": reader.version, **reader.meta, "bytes": reader.size,
                 "blocks": len(reader.blocks), "rows": reader.rows_told, "index": reader.whole,
-                "from": min((b.first for b in reader.blocks), default=None),
-                "until": max((b.last for b in reader.blocks), default=None)})
-    if form == "json":
-        click.echo(ujson.dumps(found, indent=2, escape_forward_slashes=False))
+                "from": min((block.first for block in reader.blocks), default=None),
+                "until": max((block.last for block in reader.blocks), default=None)})
+    if output_format == "json":
+        click.echo(ujson.dumps(rows, indent=2, escape_forward_slashes=False))
         return
-    for told in found:
-        span = f"{clock(told['from'])} to {clock(told['until'])}" if told["from"] is not None else "empty"
-        click.echo(f"{told['file']}: {told.get('node', '')}, {span}, {told['rows']} rows in {told['blocks']} "
-                   f"blocks, {told['bytes']} bytes{'' if told['index'] else ', no index'}")
+    for row in rows:
+        empty = row["from"] is None
+        span = "empty" if empty else f"{format_time(row['from'])} to {format_time(row['until'])}"
+        click.echo(f"{row['file']}: {row.get('node', '')}, {span}, {row['rows']} rows in {row['blocks']} "
+                   f"blocks, {row['bytes']} bytes{'' if row['index'] else ', no index'}")
 
 
 @trace.command()
@@ -86,12 +87,12 @@
 @trace.command()
 @click.argument("paths", type=PATH, nargs=-1, required=True)
 @click.option("--out", type=OUT, required=True)
-@window
+@window_options
 @click.option("--class", "route", help="Only requests of this class.")
 @click.option("--team")
 @click.option("--subject")
 @click.option("--outcome", type=click.Choice(["served", "refused", "failed"]))
-@steadily
+@steady_option
 def cut(paths: tuple[Path, ...], out: Path, since: Any, until: Any, route: str | None, team: str | None,
         subject: str | None, outcome: str | None, steady: bool) -> None:
     """Keep a window of one node's record, or what is about some requests."""
@@ -101,9 +102,10 @@
     nodes = by_node(files)
     if len(nodes) > 1:
         raise OptionError(f"records of {len(nodes)} nodes", where="PATHS", do="cut each node's, then merge")
-    begins = begin_of(files)
-    wanted = tools.Wanted(at(since, begins, float("-inf")), at(until, begins, float("inf")), route, team,
-                          subject, outcome)
+    begin_s = begin_of(files)
+    first_s = resolve_time(since, begin_s, float("-inf"))
+    end_s = resolve_time(until, begin_s, float("inf"))
+    wanted = tools.Wanted(first_s, end_s, route, team, subject, outcome)
     if wanted.by_request:
         tools.of_one_node(files)
     with progress(files * (2 if wanted.by_request else 1)) as done:
@@ -118,10 +120,10 @@
 @click.option("--out", type=OUT, required=True)
 @click.option("--clocks", type=click.Choice(["estimate", "trust"]), default="trust", show_default=True,
               help="estimate: bring all to the first node's clock, by requests seen in both.")
-@steadily
+@steady_option
 def merge(paths: tuple[Path, ...], out: Path, clocks: str, steady: bool) -> None:
     """Bring the records of several nodes into one, by time."""
-    from beechrock.trace import clocks as apart
+    from beechrock.trace import clocks as clock_offsets
     from beechrock.trace import tools
 
     files = tools.paths_of(paths)
@@ -129,10 +131,10 @@
     shifts: list[Callable[[float], float]] | None = None
     with progress(files * (2 if clocks == "estimate" else 1)) as done:
         if clocks == "estimate":
-            sights = [apart.Sights(tools.rows_of(held, done, steady)) for held in nodes.values()]
-            shifts = [lambda told: told]
-            for name, other in list(zip(nodes, sights, strict=True))[1:]:
-                estimate = apart.estimate(sights[0], other)
+            sightings = [clock_offsets.Sights(tools.rows_of(held, done, steady)) for held in nodes.values()]
+            shifts = [lambda at_s: at_s]
+            for name, other in list(zip(nodes, sightings, strict=True))[1:]:
+                estimate = clock_offsets.estimate(sightings[0], other)
                 click.echo(f"{name}: {estimate}", err=True)
                 shifts.append(estimate.to_first)
         streams = [tools.rows_of(held, done, steady) for held in nodes.values()]
--- a/beechrock/cli/trace/replay.py
+++ b/beechrock/cli/trace/replay.py
@@ -9,7 +9,8 @@
 import ujson
 
 from beechrock.cli.errors import OptionError
-from beechrock.cli.trace.common import FORM, PATH, by_node, clock, progress
+from beechrock.cli.inventory import OUTPUT_FORMAT
+from beechrock.cli.trace.common import PATH, by_node, format_time, progress
 from beechrock.cli.trace.group import trace
 from beechrock.errors import OperatorError
 
@@ -20,15 +21,15 @@
 @click.option("--settings", "settings_file", type=PATH, help="Other settings: the platform's JSON.")
 @click.option("--inventory", "inventory_path", type=PATH, help="Other contracts and teams.")
 @click.option("--policy", help="Another decision module, as package.module with a class Node.")
-@click.option("--format", "form", type=FORM, default="text")
+@click.option("--format", "output_format", type=OUTPUT_FORMAT, default="text")
 def replay(paths: tuple[Path, ...], exact: bool, settings_file: Path | None, inventory_path: Path | None,
-           policy: str | None, form: str) -> None:
+           policy: str | None, output_format: str) -> None:
     """Play one node's record again. With --exact exit 1 at any difference; else what if.
 
     Without --exact the recorded arrivals meet a model of the servers that is fitted to the recorded runs.
     Callers come as recorded: they do not heed other refusals than those they got.
     """
-    from beechrock.trace import replay as again
+    from beechrock.trace import replay as exact_replay
     from beechrock.trace import tools, whatif
 
     files = tools.paths_of(paths)
@@ -39,20 +40,20 @@
     if exact:
         tools.as_recorded(files)
         with progress(files) as done:
-            found = again.exactly(tools.rows_of(files, done), make)
+            found = exact_replay.exactly(tools.rows_of(files, done), make)
         click.echo(f"{found.batches} batches, {found.events} events, {found.actions} actions, "
                    f"{found.gaps} gaps; {found.differing} batches differ")
         if found.first is not None:
-            click.echo(f"first at batch {found.first.batch}, {clock(found.first.now)}:")
+            click.echo(f"first at batch {found.first.batch}, {format_time(found.first.now)}:")
             click.echo(f"  recorded {[row[0::2] for row in found.first.recorded]}")
             click.echo(f"  replayed {[row[0::2] for row in found.first.replayed]}")
         sys.exit(1 if found.differing else 0)
     with progress(files) as done:
-        told = whatif.recorded(tools.rows_of(files, done, even=True))
-    model = whatif.fit(told)
-    settings = _other_settings(told.settings, settings_file, inventory_path)
-    answers = whatif.play(told, model, settings, make)
-    _compare(told, model, answers, form)
+        recorded = whatif.recorded(tools.rows_of(files, done, even=True))
+    model = whatif.fit(recorded)
+    settings = _other_settings(recorded.settings, settings_file, inventory_path)
+    answers = whatif.play(recorded, model, settings, make)
+    _compare(recorded, model, answers, output_format)
 
 
 def _node_of(policy: str | None) -> Any:
@@ -70,8 +71,7 @@
 
 
 def _other_settings(recorded: Any, settings_file: Path | None, inventory_path: Path | None) -> Any:
-    """The recorded settings, with what is told in their place; classes keep their places by name."""
-
+    """Return the recorded settings, or others in their place; classes keep their places by name."""
     from beechrock.settings import settings_from
 
     if settings_file is not None:
@@ -85,27 +85,27 @@
         return recorded
     from beechrock.inventory import model
 
-    told = settings_from(model.load(inventory_path).settings)[0]
-    classes = {c.name: c for c in told.classes}
-    tenants = {t.name: t for t in told.tenants}
-    return replace(told, tick_s=recorded.tick_s,
+    other = settings_from(model.load(inventory_path).settings)[0]
+    classes = {one.name: one for one in other.classes}
+    tenants = {t.name: t for t in other.tenants}
+    return replace(other, tick_s=recorded.tick_s,
                    classes=tuple(classes.get(c.name, c) for c in recorded.classes),
                    tenants=tuple(tenants.get(t.name, t) for t in recorded.tenants))
 
 
-def _compare(told: Any, model: Any, answers: dict[int, tuple[str, float]], form: str) -> None:
+def _compare(recorded: Any, model: Any, answers: dict[int, tuple[str, float]], output_format: str) -> None:
     from beechrock.trace import whatif
 
-    before, after = whatif.service(told, told.answers), whatif.service(told, answers)
+    before, after = whatif.service(recorded, recorded.answers), whatif.service(recorded, answers)
     lines: list[dict[str, Any]] = []
     for name in sorted(before):
         for of, service in (("record", before[name]), ("replay", after.get(name, whatif.Service()))):
             counts = {verdict: service.answers[verdict] for verdict in ("served", "refused", "failed")}
             lines.append({"class": name, "of": of, **counts, "in_aim": round(service.part(), 4),
                           "p50_s": service.percentile(50), "p95_s": service.percentile(95)})
-    if form == "json":
-        found = {"capacity": model.capacity, "spread": model.spread, "classes": lines}
-        click.echo(ujson.dumps(found, indent=2))
+    if output_format == "json":
+        comparison = {"capacity": model.capacity, "spread": model.spread, "classes": lines}
+        click.echo(ujson.dumps(comparison, indent=2))
         return
     click.echo(f"servers: {model.capacity:g} runs at full speed; works of a class vary by {model.spread:.0%}")
     click.echo(f"{'class':16} {'':8} {'served':>8} {'refused':>8} {'failed':>8} {'in aim':>7} {'p50 ms':>8} "
@@ -115,19 +115,19 @@
         click.echo(f"{line['class'][:16]:16} {line['of']:8} {line['served']:8} {line['refused']:8} "
                    f"{line['failed']:8} {line['in_aim']:7.3f} {times}")
     if sys.stdout.isatty():
-        _plot(told, answers)
+        _plot(recorded, answers)
 
 
-def _plot(told: Any, answers: dict[int, tuple[str, float]]) -> None:
-    """Served a second, recorded and replayed, in the terminal."""
+def _plot(recorded: Any, answers: dict[int, tuple[str, float]]) -> None:
+    """Plot the served a second, recorded and replayed, in the terminal."""
     import plotext
 
-    start = told.arrivals[0][0]
-    span = max(1, int(told.arrivals[-1][0] - start) + 1)
+    start = recorded.arrivals[0][0]
+    span = max(1, int(recorded.arrivals[-1][0] - start) + 1)
     step = max(1, span // 100)
-    for name, found in (("record", told.answers), ("replay", answers)):
+    for name, found in (("record", recorded.answers), ("replay", answers)):
         counts = [0] * (span // step + 1)
-        for at, request in told.arrivals:
+        for at, request in recorded.arrivals:
             counts[int(at - start) // step] += found.get(request.id, ("", 0))[0] == "served"
         plotext.plot([n * step for n in range(len(counts))], [c / step for c in counts], label=name)
     plotext.title("served a second, by time of arrival")
