--- a/beechrock/agree/disk.py
+++ b/beechrock/agree/disk.py
@@ -101,7 +101,7 @@
             try:
                 await asyncio.to_thread(self._write, writes[stored:])
             except (StoreFullError, StoreFailedError) as error:
-                if len(writes) > MAX_QUEUED or self.store.stopped:
+                if len(writes) > MAX_QUEUED:
                     raise
                 self.failed_tries += 1
                 if retry_s == FIRST_RETRY_S:
--- a/beechrock/interface.py
+++ b/beechrock/interface.py
@@ -135,6 +135,7 @@
     calls_share: float | None = None    # in hand, in the mean; of what all nodes share below
     calls_over_s: float | None = None
     linger_s: float | None = None
+    tier: int | None = None             # its place among the tiers, 0 for those that clients ask
     fresh_s: float | None = None
     deep_checks: bool = False
     idle_s: float | None = None
@@ -228,11 +229,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Elsewhere:
-    """What another process of this node, beside this one, has on the same cores, holds, and has in calls."""
+    """What another process of this node, beside this one, has on the same cores, holds, and has in calls.
+
+    ``runs``: of a cold node its launches of the last window, if these are more. ``there``: False once it
+    has gone.
+    """
 
     runs: int = 0
     kb: float = 0.0
     calls: int = 0
+    there: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/beechrock/parts.py
+++ b/beechrock/parts.py
@@ -8,10 +8,11 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from importlib import import_module
-from pathlib import Path
 from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from beechrock.core.counters import Counters
     from beechrock.core.module import ModuleActor
 
@@ -63,7 +64,7 @@
     return set(_settings_module(table).KEYS)
 
 
-def read(table: str, values: Mapping[str, Any], where: str, root: Path) -> object:
+def read(table: str, values: Mapping[str, Any], where: str, root: "Path") -> object:
     """Return the part's checked settings. ConfigError names file, table and key."""
     return _settings_module(table).read(values, where, root)
 
--- a/beechrock/replica/part.py
+++ b/beechrock/replica/part.py
@@ -192,6 +192,10 @@
             self._carry(self.core.take(self.clock(), sender, message, held))
             if isinstance(message, Hello):
                 self._show()        # not at the next look: the verdict may be another one by then
+                # Seen where nothing was written meanwhile: a peer that began anew had forgotten whom it had
+                # believed, and took its good memory for another's.
+                if self.disk.heard:
+                    self.more.set()
         except ReplicaError as error:
             if error.event == "replica.broken":
                 return self._break(error)
@@ -250,9 +254,7 @@
 
     async def _refused(self, error: StoreFullError | StoreFailedError) -> None:
         """The disk did not take what was noted: a snapshot makes room in a full store, else it is tried
-        again. StoreFailedError: only a start can tell what stands."""
-        if self.disk.store.stopped:
-            raise error
+        again."""
         self.refused = True
         self.counters.add("replica.disk_full")
         logs.event("replica.disk_full", "warning", **error.fields())
@@ -272,8 +274,6 @@
         try:
             await asyncio.to_thread(self.disk.save, index, parts)
         except (StoreFullError, StoreFailedError) as error:
-            if self.disk.store.stopped:
-                raise
             logs.event(error.event, "warning", **error.fields())
             return False
         del self.disk.pending[:noted]
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -29,6 +29,12 @@
     assert History(seed, *drawn, arrivals=80).play().told_again()
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_no_rule_breaks_where_runs_hang_cores_slow_down_and_the_process_stalls(seed: int) -> None:
+    """Runs that never end, cores a tenth as fast, stalls of 0.1 to 30 s again and again, hours of quiet."""
+    assert drawn_history(seed, 60, hard=True).play().told_again()
+
+
 @options(max_examples=15, **PLAYED)
 @given(deployments, st.integers(0, 2**32))
 def test_no_rule_breaks_at_fronts_and_agent_under_any_settings(
@@ -42,10 +48,11 @@
     drawn_actor_history(seed).play()
 
 
-@pytest.mark.parametrize("seed", [2, 13, 18, 28, 29, 69, 72, 10941])
+@pytest.mark.parametrize("seed", [2, 13, 18, 28, 29, 69, 72, 2172, 10941])
 def test_histories_that_once_broke_a_rule_keep_it(seed: int) -> None:
     """Seen: a call left out where none may be, repeats that filled the memory, runs that came back from calls
-    together, calls under a share of 0, one skip told twice, a notice of 0.4 s, too early a close."""
+    together, calls under a share of 0, one skip told twice, a notice of 0.4 s, too early a close,
+    a try read late after one of the next window (2172; the table's own part is in tests/test_repeats.py)."""
     drawn_history(seed).play()
 
 
