Frames: the tenant and the hint of the work reach the decision module

The front read past both, so the module knew neither whose a request is nor its work, and no share was ever counted on sockets.

Change: mapped once in net/frames.py. A hint that is no number is answered once, as failed, like other malformed fields; one over the give-up time counts as that time. Absent or empty, and with tenants absent, 0 or empty: as before. With an inventory in force customers are passed over: its teams have contracts, which a frame has not.

--- a/beechrock/core/book.py
+++ b/beechrock/core/book.py
@@ -196,7 +196,7 @@
             repeats=first.id if first is not None else None,
             key=_number(request.entity), tenant=self._tenant(request), caller=request.caller,
             rank=request.rank, retry=request.retry, write=settings.effect is not api.Effect.SAFE,
-            remaining_s=self._remaining_s(request, now),
+            remaining_s=self._remaining_s(request, now), work_s=request.work_s,
         )))
         overdue_at = max(now, request.born + self.due_after_s(request) + OVERDUE_S)
         request.overdue = self.wheel.at(overdue_at, lambda: self.overdue.append(request))
--- a/beechrock/core/requests.py
+++ b/beechrock/core/requests.py
@@ -53,6 +53,7 @@
     earlier_s: float = 0.0
     later_s: float = 0.0
     patience_s: float | None = None     # how long its caller waits, from its birth; None: not said
+    work_s: float | None = None         # what it is expected to take of a standard core; None: not said
     cost_s: float | None = None
     generation: int = 0         # of routing policy, where another node began it; 0: it begins here
     overdue: Timer | None = None
--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -215,12 +215,15 @@
         size = _number(told, "size", 0, 2000)
         if not size:
             raise BadRequestError("size: not above 0")
-        patience_s = _patience_s(told)
+        patience_s, work_s = _seconds(told, "patience"), _seconds(told, "weight")
         birth = self.module.birth(klass, _number(told, "born", 0, 2**53) / 1000.0, patience_s)
         return Request(
             trace=trace, klass=klass, route=told["route"], born=birth.born, body=body,
             answer=functools.partial(self._answer, stream), kb=size,
             rank=_number(told, "order", 0, 1), caller=int(caller), retry=told.get("redo") == "1",
+            tenant=self.front.tenant(told.get("customer")),
+            # One absurd hint would move the mean that all works are weighed by.
+            work_s=None if work_s is None else min(work_s, settings.give_up_s),
             nonce=nonce, entity=told.get("entity") or None,
             earlier_s=birth.earlier_s, later_s=birth.later_s, patience_s=patience_s,
         )
@@ -295,9 +298,12 @@
 
     where = "frames"
 
-    def __init__(self, module: ModuleActor, most: int) -> None:
+    def __init__(self, module: ModuleActor, most: int, customers: bool = True) -> None:
+        """``customers``: the settings' tenants are those that frames name; an inventory's teams are not."""
         super().__init__(module, most)
+        self.customers = customers
         self.routes: dict[str, int] = {}
+        self.tenants: dict[str, int] = {}
         self.leaving = False
         self.renew()
 
@@ -307,6 +313,21 @@
         for place, c in enumerate(self.module.settings.classes):
             if not c.gone:
                 self.routes.setdefault(c.name, place)
+        tenants = self.module.settings.tenants if self.customers else ()
+        self.tenants = {t.name: place for place, t in enumerate(tenants) if not t.gone}
+
+    def tenant(self, name: str | None) -> int | None:
+        """Return the place of the tenant that a frame names.
+
+        One that the settings do not list is served as a request of nobody, which has no share to be beyond:
+        so the module treats a place that is not in its list.
+        """
+        if not name or not self.tenants:
+            return None
+        place = self.tenants.get(name)
+        if place is None:
+            self.module.counters.add("intake.tenants_unknown")
+        return place
 
     def peer(self) -> FramesPeer:
         peer = FramesPeer(self)
@@ -349,9 +370,9 @@
                 peer.post(Reply(NO_MORE))
 
 
-def _patience_s(told: dict[str, str]) -> float | None:
-    """Return how long the caller waits, in seconds from the birth, where its deployment passes that on."""
-    return _number(told, "patience", 0, 2**53) / 1000.0 if told.get("patience") else None
+def _seconds(told: dict[str, str], name: str) -> float | None:
+    """Return a field of milliseconds as seconds; None where its deployment does not tell it."""
+    return _number(told, name, 0, 2**53) / 1000.0 if told.get(name) else None
 
 
 def _number(told: dict[str, str], name: str, least: float, below: float) -> float:
--- a/beechrock/program.py
+++ b/beechrock/program.py
@@ -72,7 +72,8 @@
         self.leaving, self.left_at = asyncio.Event(), 0.0   # the notice, and when it came, of the loop's time
         self.way_out: Schedule = schedule(told.stop_s)
         # Front ends use up to half of the descriptors; the agent, the ledger and SCGI share the rest.
-        self.frames = FramesFront(self.module, told.sockets * 5 // 8) if told.listen else None
+        self.frames = (FramesFront(self.module, told.sockets * 5 // 8, customers=told.scgi is None)
+                       if told.listen else None)
         self.agent = Agent(self.module, told.gauges, told.agent) if told.agent else None
         if self.agent is not None:
             self.module.able, self.agent.lost = self.agent.able, self.look_again
--- a/tests/actor_histories.py
+++ b/tests/actor_histories.py
@@ -39,8 +39,12 @@
 class ActorHistory:
     """One actor from its start to its kill, or until all is over; it is its own ``Work`` and ``Calls``."""
 
-    def __init__(self, seed: int, told: dict[str, Any], model: Model, arrivals: int = 100) -> None:
+    def __init__(
+        self, seed: int, told: dict[str, Any], model: Model, arrivals: int = 100, hinted: bool = False,
+    ) -> None:
+        """``hinted``: requests carry hints of their work, and some of them no tenant."""
         self.random, self.model, self.left = random.Random(seed), model, arrivals
+        self.hints = random.Random(f"hints {seed}") if hinted else None
         self.json, (self.told, _) = told, settings_from(told)
         self.now = self.start = 1000.0
         self.counters = Counters()
@@ -145,6 +149,9 @@
             tenant=draw.randrange(len(self.told.tenants)) if self.told.tenants else None,
             nonce=str(key) if keyed else None,
             entity=f"{key:x}" if c.effect is api.Effect.SAFE and self.told.fresh_s else None)
+        if self.hints is not None:
+            request.work_s = self.hints.choice([None, works, works, 0.0, c.give_up_s])
+            request.tenant = self.hints.choice([request.tenant, request.tenant, None])
         self.tries[trace], self.requests[trace] = one, request
         self.check.read(one)
         if not self.actor.post(Taken(request)):     # the front refuses it
@@ -271,6 +278,6 @@
         return self
 
 
-def drawn_actor_history(seed: int, arrivals: int = 100) -> ActorHistory:
+def drawn_actor_history(seed: int, arrivals: int = 100, hinted: bool = False) -> ActorHistory:
     told, model = deployment(random.Random(seed))
-    return ActorHistory(seed, told, model, arrivals)
+    return ActorHistory(seed, told, model, arrivals, hinted)
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -30,10 +30,10 @@
 
 
 @options(max_examples=15, **PLAYED)
-@given(deployments, st.integers(0, 2**32))
+@given(deployments, st.integers(0, 2**32), st.booleans())
 def test_no_rule_breaks_at_fronts_and_agent_under_any_settings(
-        drawn: tuple[dict[str, Any], Model], seed: int) -> None:
-    ActorHistory(seed, *drawn, arrivals=60).play()
+        drawn: tuple[dict[str, Any], Model], seed: int, hinted: bool) -> None:
+    ActorHistory(seed, *drawn, arrivals=60, hinted=hinted).play()
 
 
 @pytest.mark.parametrize("seed", [1, 2, 6, 10, 25, 112, 586, 730])
--- /dev/null
+++ b/tests/test_tenants.py
@@ -0,0 +1,104 @@
+"""Whose a request is and what work it is expected to take, as frames carry both."""
+
+from typing import Any
+
+import pytest
+from play import SETTINGS, Stand, inventory_of, run
+from test_core import Desk
+
+from beechrock.net.frames import FramesFront
+
+TENANTS = [{"name": "walkers", "portion": 0.6, "quotaPerS": 60.0},
+           {"name": "couriers", "portion": 0.4, "quotaPerS": 40.0}]
+UP = ('g = accept agent\ng < "subscribe 0\\r\\n"\ng > "greeting LOADED 60000\\r\\n"\nup agent\n'
+      'a = connect frames\n')
+FIELDS = {"route": "resolve", "born": "1700000000000", "client": "4", "size": "24.5", "order": "0.6250"}
+SERVER = {"service": "resolve", "team": "couriers", "share": 1.0, "rate": 50.0,
+          "aim_ms": 1800, "due_ms": 7000, "effect": "safe"}
+
+
+def ask(number: int, **more: str) -> str:
+    """A request whose frame has these fields beside those that all have."""
+    told = {"trace": f"{number:016x}", **FIELDS, **more}
+    fields = " ".join(f'{len(name):02x}"{name}" {len(value):04x}"{value}"' for name, value in told.items())
+    return f'a > {{01 {number:08x} {len(told):02x} {fields} "one"}}\n'
+
+
+def launch(number: int) -> str:
+    return f'g < "launch {number:016x} resolve 3\\r\\none\\r\\n"\n'
+
+
+@pytest.mark.parametrize(("tenants", "more", "tenant", "work_s"), [
+    (TENANTS, {"customer": "couriers", "weight": "437.13"}, 1, 0.43713),
+    (TENANTS, {"customer": "walkers"}, 0, None),
+    (TENANTS, {"weight": "250"}, None, 0.25),
+    (TENANTS, {"weight": "0"}, None, 0.0),
+    (TENANTS, {"customer": "", "weight": ""}, None, None),
+    (TENANTS, {}, None, None),
+    ([], {"customer": "couriers"}, None, None),
+    (0, {"customer": "couriers"}, None, None),
+    (None, {"customer": "couriers", "weight": "1e9"}, None, 7.0),
+])
+def test_the_module_is_told_whose_a_request_is_and_what_it_may_take(
+    tenants: Any, more: dict[str, str], tenant: int | None, work_s: float | None,
+) -> None:
+    async def work(stand: Stand) -> None:
+        await stand.open(settings={**SETTINGS, "tenants": tenants, "overShareWorth": 0.1})
+        await stand.play(UP + ask(1, **more) + launch(1))
+        (job,) = stand.program.module.node.jobs.values()
+        assert (job.req.tenant, job.req.work_s) == (tenant, pytest.approx(work_s))
+        assert not stand.program.counters["intake.tenants_unknown"]
+
+    run(work)
+
+
+def test_the_share_of_a_tenant_is_counted_by_what_its_frames_say() -> None:
+    async def work(stand: Stand) -> None:
+        await stand.open(settings={**SETTINGS, "tenants": TENANTS, "overShareWorth": 0.1})
+        before = list(stand.program.module.node.tenants)
+        await stand.play(UP + "".join(ask(n, customer="couriers") + launch(n) for n in (1, 2)))
+        walkers, couriers = stand.program.module.node.tenants
+        assert walkers < before[0] and couriers > before[1]
+
+    run(work)
+
+
+def test_a_tenant_that_the_settings_do_not_list_is_served_as_nobodys_and_answered_once() -> None:
+    async def work(stand: Stand) -> None:
+        await stand.open(settings={**SETTINGS, "tenants": TENANTS, "overShareWorth": 0.1})
+        await stand.play(UP + ask(1, customer="strangers") + launch(1)
+                         + 'g > "outcome 1 0000000000000001 PASS 5 3\\r\\ntwo\\r\\n"\n'
+                         + 'a < {02 00000001 00 01 06"advice" 0006"0.0000" "two"}\n')
+        assert stand.program.counters["intake.tenants_unknown"] == 1
+        assert stand.program.counters["answered.served"] == 1
+
+    run(work)
+
+
+@pytest.mark.parametrize(("weight", "problem"), [
+    ("heavy", "weight: not a number"), ("-1", "weight: not from 0 to under 9007199254740992"),
+    ("nan", "weight: not from 0 to under 9007199254740992"),
+    ("inf", "weight: not from 0 to under 9007199254740992"),
+])
+def test_a_hint_that_is_no_amount_of_work_has_one_clear_answer(weight: str, problem: str) -> None:
+    async def work(stand: Stand) -> None:
+        await stand.open()
+        await stand.play(UP + ask(1, weight=weight) + f'a < {{02 00000001 0d 00 "{problem}"}}\n'
+                         + ask(2) + launch(2))
+        assert stand.program.counters["intake.frames_bad"] == 1
+
+    run(work)
+
+
+def test_customers_of_the_platform_are_not_the_teams_of_an_inventory() -> None:
+    generation = inventory_of(
+        {"cores": 3, "memory_mb": 64.0}, {"teams": {"couriers": {}}, "services": {"resolve": {
+            "upstreams": ["127.0.0.1:9"]}}, "contracts": {"c": SERVER}})
+
+    async def work(stand: Stand) -> None:
+        await stand.open(generation, settings={**SETTINGS, "tenants": TENANTS})
+        frames = stand.program.frames
+        assert frames is not None and frames.routes == {"resolve": 0} and frames.tenant("couriers") is None
+
+    run(work)
+    assert FramesFront(Desk().actor, 8, customers=False).tenant("couriers") is None
