A tenant beyond its share waits for less, and its own work is no wait

Its part shortened the room for the run itself as well.

Change: the part counts by its root, as worth for work does, and is one of the wait alone (admission.py).

One guard proved.

--- a/beechrock/policy/admission.py
+++ b/beechrock/policy/admission.py
@@ -97,7 +97,8 @@
         """The first stage: cores are free, or the predicted wait fits the time to the aim; so for calls."""
         work = 1.0 if self.s.worth_by_work else job.work / (self.mean_work or 1.0)
         value: float = min(1.0, job.c.worth / (work * self.worth or 1.0)) ** VALUE
-        share = GATE * self._in_share(job.req.tenant) * value
+        part: float = self._in_share(job.req.tenant) ** VALUE
+        share = GATE * part * value
         if job.must_call and self.calls.wait(self.calls_ahead) > share * (job.aim_at - self.now):
             return False
         launch_wait_s = self._launch_wait_s(self.count[HELD] - 1)
@@ -105,7 +106,9 @@
             return False
         if not launch_wait_s and self.count[HELD] <= 1 and self.count[RUNNING] < self._run_limit():
             return True
-        extra = self.cores.wait(max(0.0, job.work - self.mean_work) * self.s.cores)
+        # A tenant's part is one of the wait. Seen on a calm day: it shortened the room for the run itself,
+        # and a long one was refused by a node with hardly a line.
+        extra = part * self.cores.wait(max(0.0, job.work - self.mean_work) * self.s.cores)
         # Held work starts by its aims: who has a short one overtakes. So the whole line is held to the mean
         # aim, and each request to its own by what starts before it; else all refusals hit the shorter aims.
         wait, room = self.cores.wait(self.work_ahead) + extra, share * (job.aim_at - self.now)
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -6,6 +6,8 @@
 from play import SETTINGS, Stand, inventory_of, run
 from test_core import Desk
 
+from beechrock import Node
+from beechrock import interface as api
 from beechrock.net.frames import FramesFront
 
 TENANTS = [{"name": "walkers", "portion": 0.6, "quotaPerS": 60.0},
@@ -102,3 +104,21 @@
 
     run(work)
     assert FramesFront(Desk().actor, 8, customers=False).tenant("couriers") is None
+
+
+def test_a_long_run_of_a_tenant_beyond_its_share_is_taken_where_nobody_waits() -> None:
+    """Seen on a calm day: one long run, half the worth of 5 s, was refused beside hardly a line."""
+    told = api.Settings(
+        cores=1, memory_kb=1e6, classes=(api.ClassSettings(aim_s=2.0, give_up_s=6.0),),
+        over_share_worth=0.1, worth_by_work=True,
+        tenants=(api.TenantSettings(0.5, 100.0), api.TenantSettings(0.5, 2.0)))
+    node, now = Node(told, 1, 100.0), 100.0
+    for ident in range(1, 61):      # 10 a second of the second tenant, which is five times its share
+        now += 0.05
+        node.decide(now, [api.Arrived(api.Request(ident, 0, 5.0, work_s=0.05, tenant=1))])
+        now += 0.05
+        node.decide(now, [api.Finished(ident, api.Outcome.OK, 0.05)])
+    said = node.decide(now, [api.Arrived(api.Request(61, 0, 5.0, work_s=0.05, tenant=1)),
+                             api.Arrived(api.Request(62, 0, 5.0, work_s=0.05, tenant=0)),
+                             api.Arrived(api.Request(63, 0, 5.0, work_s=0.8, tenant=1))])
+    assert api.Run(61) in said and not [a for a in said if isinstance(a, (api.Refuse, api.Fail))]
