--- a/beechrock/net/frames.py
+++ b/beechrock/net/frames.py
@@ -228,6 +228,7 @@
             trace=trace, klass=klass, route=told["route"], born=birth.born, body=body,
             answer=functools.partial(self._answer, stream), kb=size,
             rank=_number(told, "order", 0, 1), caller=int(caller), retry=told.get("redo") == "1",
+            tenant=self.front.tenant(told.get("customer")),
             nonce=nonce, entity=told.get("entity") or None,
             earlier_s=birth.earlier_s, later_s=birth.later_s, patience_s=patience_s,
         )
@@ -305,9 +306,12 @@
 
     where = "frames"
 
-    def __init__(self, module: ModuleActor, most: int) -> None:
+    def __init__(self, module: ModuleActor, most: int, customers: bool = True) -> None:
+        """``customers``: the settings' tenants are those that frames name; an inventory's teams are not."""
         super().__init__(module, most)
+        self.customers = customers
         self.routes: dict[str, int] = {}
+        self.tenants: dict[str, int] = {}
         self.leaving = False
         self.renew()
 
@@ -317,6 +321,21 @@
         for place, c in enumerate(self.module.settings.classes):
             if not c.gone:
                 self.routes.setdefault(c.name, place)
+        tenants = self.module.settings.tenants if self.customers else ()
+        self.tenants = {t.name: place for place, t in enumerate(tenants) if not t.gone}
+
+    def tenant(self, name: str | None) -> int | None:
+        """Return the place of the tenant that a frame names.
+
+        One that the settings do not list is served as a request of nobody, which has no share to be beyond:
+        so the module treats a place that is not in its list.
+        """
+        if not name or not self.tenants:
+            return None
+        place = self.tenants.get(name)
+        if place is None:
+            self.module.counters.add("intake.tenants_unknown")
+        return place
 
     def peer(self) -> FramesPeer:
         peer = FramesPeer(self)
