Agreed log: a leader that removed itself and was cut off no longer leaves it without a leader

What callers saw: with two voters, the leader removes itself and is cut off before the other one has the entry. After the cut is healed nobody leads again: every write, duty and permit fails until an operator acts.

Change: a member may be a candidate as long as its removal is not known to be committed (Raft's rule for a server outside its own newest set). It counts no vote of its own, commits the removal with the voter that is left, and steps down as before.

--- a/beechrock/agree/elections.py
+++ b/beechrock/agree/elections.py
@@ -87,7 +87,7 @@
             return
         self.reset_timeout()
         self._terms.forget_leader()
-        if self._proof.may_vote and self._log.end() >= self._proof.min_log_end():
+        if self._proof.may_be_candidate and self._log.end() >= self._proof.min_log_end():
             self._terms.withdraw()
             if self._rules.on(Guard.PRE_VOTE):
                 self._request_pre_votes()
@@ -205,7 +205,7 @@
         granted = sum(
             name in self._votes and self._epochs.is_current(name, self._votes[name]) for name in voters.names
         )
-        if granted >= voters.quorum and self._proof.may_vote:
+        if granted >= voters.quorum and self._proof.may_be_candidate:
             self._terms.become_leader()
             for listener in self._elected_listeners:
                 listener()
--- a/beechrock/agree/memory_proof.py
+++ b/beechrock/agree/memory_proof.py
@@ -104,6 +104,14 @@
         """Whether it is a voter whose memory is proved."""
         return self._context.name in self._replicated.voters and self.may_grant
 
+    @property
+    def may_be_candidate(self) -> bool:
+        """Whether it may ask for votes: also as a voter whose removal is not known to be committed.
+
+        The others may need its log, which alone holds the removal, and it then leads without a vote.
+        """
+        return self._replicated.may_still_vote(self._context.name) and self.may_grant
+
     def min_log_end(self) -> LogEnd:
         """Return the end that a candidate's log must reach to get this member's vote."""
         own = self._log.end()
--- a/beechrock/agree/replicated_log.py
+++ b/beechrock/agree/replicated_log.py
@@ -71,6 +71,10 @@
         """Register a listener that is called when an entry that readmits a member is applied."""
         self._readmission_listeners.append(listener)
 
+    def may_still_vote(self, name: str) -> bool:
+        """Return whether the member is a voter, or was one before a change that may not be committed."""
+        return any(name in voters.names for voters in self.voters.sets)
+
     # --- appending -------------------------------------------------------------------------------------
 
     def _on_appended(self, entry: Entry) -> None:
--- a/tests/agree/test_lone_voter.py
+++ b/tests/agree/test_lone_voter.py
@@ -71,6 +71,20 @@
     assert sim.within(LEADER_WITHIN_S, lambda: sim.leader() is voter)
 
 
+def test_a_longer_log_shows_a_loss_that_no_mark_shows() -> None:
+    """A learner that started anew knows the voter's journal as it last wrote it down, and that is older."""
+    sim, voter = lone_voter()
+    tail = voter.disk.tail
+    for name in sim.names:
+        sim.crash(name)
+    sim.disks["n0"] = Disk(tail=tail[:6], synced=6)
+    for name in sim.names:
+        sim.start(name)
+    sim.run(10.0)
+    voter = sim.processes["n0"]
+    assert voter.core.memory is MemoryStatus.UNPROVEN and voter.core.proof.lacks_entries
+
+
 def test_a_lone_voter_waits_for_all_other_nodes_or_without_strict_for_a_majority() -> None:
     for strict, up, leads in ((True, 2, False), (True, 3, True), (False, 1, False), (False, 2, True)):
         sim = Sim(7, 1, 3, Rules(tick_s=0.1, strict=strict), drop=0.0, double=0.0)
@@ -118,3 +132,20 @@
 def test_a_lone_voter_without_other_nodes_leads() -> None:
     sim = Sim(7, 1, 0, STRICT)
     assert sim.within(LEADER_WITHIN_S, lambda: sim.leader() is not None)
+
+
+def test_a_leader_that_removed_itself_and_was_cut_off_hands_its_log_to_the_voter_that_is_left() -> None:
+    """It alone holds its removal: the other one needs its vote, and has the shorter log."""
+    sim = Sim(7, 2, 1, Rules(tick_s=0.1), drop=0.0, double=0.0)
+    assert sim.within(LEADER_WITHIN_S, lambda: sim.leader() is not None)
+    leader = sim.leader()
+    assert leader is not None
+    sim.run(2.0)
+    other = next(name for name in sim.names[:2] if name != leader.name)
+    sim.cuts = {(leader.name, other), (other, leader.name)}
+    leader.guarded(lambda: leader.core.change_voters(leader.clock(), remove=leader.name))
+    sim.run(10.0)
+    assert leader.core.voters.names == (other,) and leader.core.voters.index > leader.core.commit
+    sim.cuts.clear()
+    assert sim.within(LEADER_WITHIN_S, lambda: sim.leader() is sim.processes[other])
+    assert sim.leader().core.voters.names == (other,)  # type: ignore[union-attr]
