Agreed log: a barred member's longer log no longer keeps the others from an election

What callers saw: three voters, one barred, one restarted; all up, and no leader ever again.

Change: the end rests on voters that are not barred. Under the claim (one voter forgets at a time) the barred one is who forgot, so the own log lacks nothing that was promised.

--- a/beechrock/agree/memory_proof.py
+++ b/beechrock/agree/memory_proof.py
@@ -244,10 +244,11 @@
         self._recovered_barred = False
         self._proved_s = self._context.now_s
         # Of voters alone: what only a learner holds may stand nowhere else, and then nobody could be elected.
+        # Nor of a barred one: it is the one that forgot, so the own log lacks nothing that was promised.
         ends = [
             LogEnd(report.last_term, report.last_index)
             for name, report in self.reports.items()
-            if name in self._newest_voters.names
+            if name in self._newest_voters.names and report.memory is not MemoryStatus.BARRED
         ]
         self._required_end = max(ends, default=LogEnd(0, 0))
         term = max([report.term for report in self.reports.values()], default=0)
--- a/tests/agree/test_histories.py
+++ b/tests/agree/test_histories.py
@@ -2,9 +2,11 @@
 
 import pytest
 
+from beechrock.agree.messages import MemoryStatus
 from beechrock.agree.rules import Rules
 from beechrock.lab.agree_checks import Operation, linearizable
 from beechrock.lab.agree_faults import History
+from beechrock.lab.agree_sim import Sim
 
 
 @pytest.mark.parametrize("first", range(0, 120, 10))
@@ -44,3 +46,32 @@
     assert "read" in linearizable([write, read])
     assert not linearizable([write, Operation(False, 0.5, 3.0, 0)])
     assert "one number" in linearizable([write, Operation(True, 0.0, 1.0, 1)])
+
+
+def test_a_barred_members_longer_log_does_not_keep_the_others_from_an_election() -> None:
+    """A voter that started anew waited for entries that a barred one alone held: nobody led any more."""
+    sim = Sim(7, 3, 0, Rules(tick_s=0.1, strict=True), drop=0.0, double=0.0)
+    assert sim.within(15.0, lambda: sim.leader() is not None)
+    leader = sim.leader()
+    assert leader is not None
+    sim.run(2.0)
+    first, second = (name for name in sim.names if name != leader.name)
+    copy = sim.disks[first].copy()
+    leader.write(b"held by all")
+    sim.run(1.0)
+    sim.crash(first)
+    sim.disks[first] = copy  # older than what the others know of it: barred
+    sim.cuts = {(leader.name, second), (second, leader.name), (first, second), (second, first)}
+    sim.start(first)
+    sim.run(1.0)
+    barred = sim.processes[first]
+    assert barred.core.memory is MemoryStatus.BARRED
+    synced, commit = leader.disk.copy(), leader.core.commit
+    leader.write(b"sent, and not synced by the leader itself")
+    assert sim.within(1.0, lambda: barred.core.log.last == leader.core.log.last)
+    assert leader.core.commit == commit
+    sim.crash(leader.name)
+    sim.disks[leader.name] = synced
+    sim.start(leader.name)
+    sim.cuts.clear()
+    assert sim.within(30.0, lambda: sim.leader() is not None)
