Traces: that another process has gone is read back as it was written

What callers saw: a replayed record of a replacement decided otherwise than the node had, as the replay went on sharing the cores with a process that was gone.

Cause: rows "elsewhere" got a fourth value, whether the process is there; the table of fields kept three names. The writer writes every value of a row, the reader takes as many columns as the table names.

Change: the table names the field, "present". Files of before that hold three columns are read as of a process that is there, as that is all they say; files that hold four are now read whole. A test compares the rows of each kind with their named fields: no other kind differs.

--- a/beechrock/trace/codec.py
+++ b/beechrock/trace/codec.py
@@ -13,7 +13,7 @@
 import zstandard
 
 from beechrock.trace.errors import FormatError
-from beechrock.trace.records import FIELDS, KINDS, Row
+from beechrock.trace.records import FIELDS, KINDS, VALUES_BEFORE, Row
 
 MOST_RAW = 16 << 20  # bytes of a block before compression
 MOST_PACKED = 4 << 20  # and after it
@@ -80,6 +80,7 @@
             if kind is None:
                 continue  # of a later version, which may have more kinds
             steps, gaps, *fields = columns
+            fields += _columns_before(kind, len(fields), len(steps))
             if len(fields) < len(FIELDS[kind]) or any(len(c) != len(steps) for c in (gaps, *fields)):
                 raise FormatError(f"columns of {kind} that differ in length")
             if only is not None and kind not in only:
@@ -107,5 +108,13 @@
         raise FormatError(f"no block: {type(error).__name__}: {str(error)[:120]}") from None
 
 
+def _columns_before(kind: str, found: int, rows: int) -> list[list[Any]]:
+    """Return the columns that a file of before lacks, of which ``found`` are there."""
+    before = VALUES_BEFORE.get(kind, ())
+    if found != len(FIELDS[kind]) - len(before):
+        return []
+    return [[value] * rows for value in before]
+
+
 def _longs(bits: list[int]) -> bytes:
     return array("q", bits).tobytes()
--- a/beechrock/trace/records.py
+++ b/beechrock/trace/records.py
@@ -64,8 +64,10 @@
     "node": ("name",),
     # Of the module again; kinds keep their numbers, so what is new stands at the end.
     "replaced": ("left_s",),
-    "elsewhere": ("runs", "kb", "calls"),
+    "elsewhere": ("runs", "kb", "calls", "present"),
 }
+# Of fields that were added to a kind: what a file holds that was written before.
+VALUES_BEFORE: dict[str, tuple[Any, ...]] = {"elsewhere": (True,)}
 KINDS = tuple(FIELDS)
 EVENTS = (*KINDS[2:10], "replaced", "elsewhere")
 ACTIONS = KINDS[10:24]
--- a/tests/samples/test_trace_samples.py
+++ b/tests/samples/test_trace_samples.py
@@ -10,7 +10,7 @@
 from sample_files import DATA
 
 from beechrock import interface as api
-from beechrock.trace import records
+from beechrock.trace import codec, records
 from beechrock.trace.format import VERSION, Reader, Writer
 from beechrock.trace.records import ACTIONS, EVENTS, FIELDS, Row
 from beechrock.trace.stored_settings import settings_of, settings_text
@@ -195,3 +195,15 @@
 
 def test_that_another_process_has_gone_is_read() -> None:
     assert records.event_of(read_rows()[-1]) == GONE_PROCESS
+
+
+def test_every_row_that_is_written_has_a_value_for_each_field_that_is_read() -> None:
+    """A value beyond the named fields was written and never read."""
+    for row in (row for block in blocks() for row in block):
+        assert len(row) == 2 + len(FIELDS[row[0]]), row
+
+
+def test_a_file_that_does_not_say_whether_a_process_is_there_is_read_as_that_it_is() -> None:
+    assert codec.unpack(codec.pack([("elsewhere", NOW_S, 1, 20.0, 0)])) == [
+        ("elsewhere", NOW_S, 1, 20.0, 0, True)
+    ]
