Keys: a repeat that waited for a request which never ran is refused, no longer failed

What callers saw: a further try of a key waits for the first one, which is held; the first is then refused, given up or left by its caller. The waiting try was answered 'failed', so that its caller may not go elsewhere while the key's window is open, though nothing had run.

Cause: RequestTable.share_with took the absence of a result for a run that failed.

Change: a request that is over and was never launched here says so, and its repeats get 'refused'; the module hears MOOT, the outcome that proves no effect. Requests of the other process of a node keep 'failed', as their launch is not seen here.

--- a/beechrock/core/request_table.py
+++ b/beechrock/core/request_table.py
@@ -91,7 +91,8 @@
         request.over = True
         request.ended_at = now
         # What never ran has no result for its repeats: its key is free at once, not when the module says so.
-        if not request.launched_at and self._idempotency.holds(request):
+        request.never_ran = not request.launched_at
+        if request.never_ran and self._idempotency.holds(request):
             self.forget(request)
         remembered = self._ports.partner is not None and self._idempotency.holds(request)
         self.finish(request, remembered)
@@ -110,17 +111,22 @@
             self.share_with(waiter, request, events, now)
 
     def share_with(self, waiter: Request, first: Request, events: list[api.Event], now: float) -> None:
-        """Give a repeat what its first request came to."""
+        """Give a repeat what its first request came to: its result, or whether it may have had an effect."""
         if waiter.answered or waiter.cancelled:
             return  # a wait for a share that has been ended gets no further answer
-        outcome = api.Outcome.ERROR if first.result is None else api.Outcome.OK
-        self._counters.add("shares." + outcome.value)
-        if first.result is None:
-            self.send(waiter, Answer(Verdict.FAILED))
-        else:
+        if first.result is not None:
+            outcome = api.Outcome.OK
             waiter.result = first.result
             waiter.media = first.media
-            self.send(waiter, Answer(Verdict.SERVED, first.result, media=first.media))
+            answer = Answer(Verdict.SERVED, first.result, media=first.media)
+        elif first.never_ran:
+            outcome = api.Outcome.MOOT
+            answer = Answer(Verdict.REFUSED)
+        else:
+            outcome = api.Outcome.ERROR
+            answer = Answer(Verdict.FAILED)
+        self._counters.add("shares." + outcome.value)
+        self.send(waiter, answer)
         events.append(api.RunFinished(waiter.id, outcome, now - (waiter.shared_at or now)))
         self.release(waiter, events, now)
 
--- a/beechrock/core/requests.py
+++ b/beechrock/core/requests.py
@@ -69,6 +69,7 @@
     running: bool = False
     paused: bool = False
     over: bool = False
+    never_ran: bool = False  # over, and never launched: its repeats had no effect through it
     shared_at: float | None = None
     result: bytes | None = None  # of a run that went well
     media: str = ""
--- a/beechrock/lab/agree_faults.py
+++ b/beechrock/lab/agree_faults.py
@@ -162,15 +162,21 @@
         return all(log_end(other) <= log_end(left) for other in others)
 
     def may_have_leader(self) -> bool:
-        """Return whether a majority of the voters neither is barred nor lacks what another node holds."""
+        """Return whether a voter may be elected under its own log's set, with all others there.
+
+        A member that is barred, or lacks what another node holds, takes no part.
+        """
         cores = {name: process.core for name, process in self.sim.processes.items()}
-        voters = max((core.voters for core in cores.values()), key=lambda voters: voters.index)
-        able = [
+        able = {
             name
-            for name in voters.names
-            if cores[name].memory is not MemoryStatus.BARRED and not cores[name].proof.lacks_entries
-        ]
-        return len(able) >= voters.quorum
+            for name, core in cores.items()
+            if core.memory is not MemoryStatus.BARRED and not core.proof.lacks_entries
+        }
+        return any(
+            cores[name].replicated.may_still_vote(name)
+            and sum(voter in able for voter in cores[name].voters.names) >= cores[name].voters.quorum
+            for name in able
+        )
 
     def change_voters(self, process: Process) -> None:
         names = process.core.voters.names
--- a/beechrock/lab/releases_kills.py
+++ b/beechrock/lab/releases_kills.py
@@ -105,11 +105,7 @@
         with suppress(LabError):  # it may end before it listens
             await fleet.start(name)
     elif when is When.VOTE:
-        first = await _leader(told)
-        if first == name:  # another is to lead, so that this one stands or votes
-            await fleet.restart(name)
-            await fleet.proven(name)
-            first = await _leader(told)
+        first = await _leader_besides(told, name)  # so that this one stands or votes
         fleet.stop(first)
         fleet.disk(name, **faults)
         await fleet.until(lambda: not fleet.nodes[name].up, what=f"{name} killed, {when} {step}")
@@ -126,14 +122,27 @@
     await fleet.proven(name)
 
 
-async def _leader(told: Play) -> str:
+async def _leader(told: Play, stopped: str = "") -> str:
     async def found() -> str:
-        views = {name: await told.fleet.view(name, "/agree") for name in told.fleet.up}
+        up = [name for name in told.fleet.up if name != stopped]
+        views = {name: await told.fleet.view(name, "/agree") for name in up}
         return next((name for name, view in views.items() if view.get("leading")), "")
 
     return str(await told.fleet.until(found, what="a leader"))
 
 
+async def _leader_besides(told: Play, name: str) -> str:
+    """Return a leader other than ``name``, which is stopped over an election where it leads itself.
+
+    Started anew instead, it may be elected once more.
+    """
+    while (leader := await _leader(told)) == name:
+        told.fleet.stop(name)
+        await _leader(told, stopped=name)
+        told.fleet.go_on(name)
+    return leader
+
+
 async def _level(told: Play) -> bool:
     views = [await told.fleet.view(name, "/agree") for name in NAMES]
     return len({(view["applied"], view["digest"]) for view in views}) == 1 and all(
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -176,6 +176,37 @@
     assert desk.actor.table.open == 0
 
 
+def due(desk: Desk) -> None:
+    desk.tell(after=8.99)
+
+
+def gone(desk: Desk) -> None:
+    desk.tell(RequestCancelled(desk.actor.table.by_trace["first"]))
+
+
+def leaving(desk: Desk) -> None:
+    desk.tell(ShutdownRequested(1.0))
+    desk.tell(after=0.9)
+
+
+@pytest.mark.parametrize("end", [due, gone, leaving])
+def test_a_repeat_that_waited_for_a_held_request_which_never_ran_is_refused(
+    end: Callable[[Desk], None],
+) -> None:
+    """It was failed, which keeps a caller from going elsewhere as long as the key's window is open."""
+    desk = Desk(**BELOW)
+    fill(desk)
+    first(desk)
+    repeat(desk, after=0.001)
+    assert not verdicts("first") and not verdicts("repeat")
+    end(desk)
+    assert "first" not in desk.launched() and verdicts("repeat") == [REFUSED]
+    empty(desk)
+    again = request("again", "n", born=desk.now)
+    desk.tell(RequestReceived(again))
+    assert desk.launched()[-1] == "again" or verdicts("again") == [REFUSED]
+
+
 @pytest.mark.parametrize("outcome", [api.Outcome.MOOT, api.Outcome.REJECTED])
 def test_a_try_born_in_the_window_of_a_run_is_known_though_a_later_try_of_its_key_never_ran(
     outcome: api.Outcome,
@@ -318,6 +349,5 @@
     assert verdicts("after") == [REFUSED] and "after" not in desk.launched()
     desk.tell(after=3.9)
     assert "first" not in desk.launched() and verdicts("first") == [REFUSED]
-    # A repeat that waits for a run which never begins is told so in the safer word.
-    assert verdicts("repeat") == [FAILED]
+    assert verdicts("repeat") == [REFUSED]  # nothing ran, so its caller may go elsewhere
     assert all(len(verdicts(trace)) == 1 for trace in desk.launched()) and desk.actor.table.open == 0
