--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -230,6 +230,22 @@
     assert desk.launched() == ["first", "repeat"]
 
 
+@pytest.mark.parametrize("every_s", [0.2, 1.0, 29.0])
+def test_repeats_of_a_failed_key_do_not_keep_it_alive(every_s: float) -> None:
+    """Upstream tries an edge's held write again and again: the key has to be free once its window is over."""
+    desk = Desk(**BELOW)
+    first(desk)
+    launched = desk.now
+    desk.tell(RunEnded("first", api.Outcome.ERROR, 0.1))
+    number = 0
+    while len(desk.launched()) == 1 and desk.now < launched + 120.0:
+        number += 1
+        desk.tell(RequestReceived(request(f"again{number}", "n", born=desk.now + every_s)), after=every_s)
+    assert desk.launched() == ["first", f"again{number}"]
+    assert 30.0 < desk.now - launched <= 30.2 + every_s
+    assert all(verdicts(f"again{one}") == [FAILED] for one in range(1, number))
+
+
 def test_a_try_read_late_is_a_repeat_though_a_later_one_took_the_place_of_the_first_and_was_refused() -> None:
     """Seen in a drawn history: refused and forgotten, the later try took the first one's entry with it."""
     desk = Desk(**BELOW)
