Way out: nothing is loaded between the look for unread bytes and a connection's end

What callers saw: beside a load, a request written 50 ms and more before the end of its connection had no answer.

Cause: the look loads fcntl and termios where it is used, so the first one reads files.

Change: a departing server loads them before it ends its first connection; a started node still does not hold them.

--- a/beechrock/net/connection.py
+++ b/beechrock/net/connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from types import ModuleType
 from typing import Generic, TypeVar
 
 from beechrock.core.counters import Counters
@@ -98,9 +99,7 @@
             return False
         if getattr(self._reader, "_buffer", b""):  # asyncio has no public word for it
             return True
-        import fcntl  # only a full table asks: the two take 0.1 MB of a started node
-        import termios
-
+        fcntl, termios = load_input_check()
         sock = self._writer.get_extra_info("socket")
         try:
             return int.from_bytes(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)), sys.byteorder) > 0
@@ -288,6 +287,18 @@
             self.written += len(data)
 
 
+def load_input_check() -> tuple[ModuleType, ModuleType]:
+    """Return the modules ``fcntl`` and ``termios``, which take 0.1 MB of a started node if loaded earlier.
+
+    To be called before connections are ended one by one: while modules load, a request may come between the
+    look for unread bytes and the end of the stream.
+    """
+    import fcntl
+    import termios
+
+    return fcntl, termios
+
+
 def _unsent(writer: asyncio.StreamWriter) -> bool:
     """Return whether the kernel still holds bytes that the other side's kernel has not taken."""
     if writer.transport.is_closing():
--- a/beechrock/net/connection_server.py
+++ b/beechrock/net/connection_server.py
@@ -5,7 +5,7 @@
 
 from beechrock.connections.table import UNREAD_SWEEPS, Placement, accept_budget, place_connection, victim
 from beechrock.core.actor import ModuleActor
-from beechrock.net.connection import ConnectionActor
+from beechrock.net.connection import ConnectionActor, load_input_check
 from beechrock.net.listener import MAX_ACCEPTED_AT_ONCE, Listener, listen
 
 P = TypeVar("P", bound=ConnectionActor[Any])
@@ -88,6 +88,7 @@
 
         ``cut_at``, ``exit_at``: of the loop's time; from the first on connections are ended whatever is open.
         """
+        load_input_check()
         loop = asyncio.get_running_loop()
         turns = 0  # since the last connection was accepted
         while loop.time() < exit_at and (self.server is not None or self.peers or turns < SET_UP_TURNS):
