--- a/beechrock/lab/edges_play.py
+++ b/beechrock/lab/edges_play.py
@@ -237,12 +237,16 @@
         if session is not None and session.seen:
             told["HTTP_X_SEEN"] = session.seen
         try:
-            status, headers, _ = await self.fleet.scgi(
+            status, headers, text = await self.fleet.scgi(
                 name, "s", session.team if session else "a", b"body", within_s=10.0, key=nonce, **told
             )
         except (OSError, TimeoutError):
-            status, headers = 0, {}
+            status, headers, text = 0, {}, b""
         self.answers[nonce] = status
+        if status not in (200, 202):  # why shows nowhere else
+            self.fleet.note(
+                "not accepted", name, nonce=nonce, status=status, text=text.decode(errors="replace")
+            )
         if status == 202:
             self.accepted.append(nonce)
             self.receipts[nonce] = headers["x-receipt"]
