--- a/beechrock/lab/pair.py
+++ b/beechrock/lab/pair.py
@@ -54,8 +54,10 @@
 class Farm:
     """Stands in for the farm agent: one set of cores, an address and a numbering for each process."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, work_s: float = WORK_S) -> None:
+        """``work_s``: the mean time of a run."""
         self.draw = random.Random(seed)
+        self.work_s = work_s
         self.launched: Counter[bytes] = Counter()
         self.tries: dict[bytes, set[str]] = {}  # of each body: the traces of the tries that were launched
         self.free = [0.0] * CORES
@@ -94,7 +96,7 @@
             return
         self.launched[body] += 1
         self.tries.setdefault(body, set()).add(ident.decode())
-        work, now = self.draw.expovariate(1 / WORK_S), time.monotonic()
+        work, now = self.draw.expovariate(1 / self.work_s), time.monotonic()
         end = max(now, heapq.heappop(self.free)) + work
         heapq.heappush(self.free, end)
 
@@ -238,16 +240,18 @@
 
 
 class Process:
-    """One process of the node, started as the platform does."""
+    """One process of the node, started as the platform does; without ``shared`` by a socket of its own."""
 
-    def __init__(self, folder: Path, shared: socket.socket, agent: str, root: Path, **more: Any) -> None:
+    def __init__(
+        self, folder: Path, shared: socket.socket | None, agent: str, root: Path, **more: Any
+    ) -> None:
         self.log = folder / f"log-{time.time_ns()}"
         config = folder / f"config-{time.time_ns()}.json"
         config.write_text(
             ujson.dumps(
                 {
                     "name": "n1",
-                    "listen": "{}:{}".format(*shared.getsockname()),
+                    "listen": "{}:{}".format(*shared.getsockname()) if shared else "127.0.0.1:0",
                     "agent": agent,
                     "stop_ms": 3700,
                     "admin_addr": "127.0.0.1:0",
@@ -256,17 +260,17 @@
                 }
             )
         )
-        fd = shared.fileno()
+        inherited = {"LB_LISTEN_FD": str(shared.fileno())} if shared else {}
         with self.log.open("wb") as out:
             self.popen = subprocess.Popen(
                 [sys.executable, "-m", "beechrock"],
                 stderr=out,
                 cwd=root,
-                pass_fds=(fd,),
+                pass_fds=[int(fd) for fd in inherited.values()],
                 env={
                     **os.environ,
                     "LB_CONFIG": str(config),
-                    "LB_LISTEN_FD": str(fd),
+                    **inherited,
                     "TMPDIR": str(folder),
                     "LB_SCGI": str(folder / "none"),
                 },
