Agent: a greeting that nobody asked for cuts the link, in place of giving up all runs

What callers saw: a second greeting of small age on a link that is up, from the agent or from noise, was taken for a start anew: every request that ran was answered 'failed', and its run went on.

Cause: the age of a greeting is compared with the agent's last message, whether or not the link waits for one. The protocol has a greeting as the answer to subscribe alone.

Change: a greeting out of turn is bad input, as other noise: the link is cut and logged, the next one subscribes and is greeted.

--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -263,8 +263,11 @@
 
         Its last message may have been read after that start, and the new one's notices would be taken for old
         ones. So it is anew as well if it started, at the earliest that its age allows, after an earlier one
-        had greeted us.
+        had greeted us. Raises BadInputError for a greeting that answers no subscription of this link: it
+        would be taken for a start anew, and the next link is greeted for certain.
         """
+        if self.link_actor.life.state is not life.LinkState.GREETING:
+            raise BadInputError("a greeting that was not asked for")
         now, greeted_at = self.module.clock(), self.greeted_at
         self.greeted_at = now
         if (
--- a/tests/net/test_agent.py
+++ b/tests/net/test_agent.py
@@ -181,6 +181,25 @@
     run(work)
 
 
+@pytest.mark.parametrize("age_ms", [0, 5100])
+def test_a_greeting_that_nobody_asked_for_cuts_the_link_and_loses_no_run(age_ms: int) -> None:
+    """One of age 0 was taken for a start anew: what ran was given up, though it ran on."""
+
+    async def work(stand: Stand) -> None:
+        agent, made = await agent_of(stand), request()
+        agent.launch(made)
+        await stand.play(
+            f'g < "launch {TRACE} resolve 1\\r\\nx\\r\\n"\nclock 0.1\n'
+            f'g > "greeting LOADED {age_ms}\\r\\n"\ng closed\ncounter agent.ended_links 1\n'
+            "clock 0.05\ncounter agent.restarts 0\nh = accept agent\n"
+            'h < "subscribe 0\\r\\n"\nh > "greeting LOADED 5200\\r\\n"\nup agent\n'
+            f'h < "launch {TRACE} resolve 1\\r\\nx\\r\\n"\n'
+        )
+        assert agent.runs.open == {TRACE: made}
+
+    run(work)
+
+
 def test_a_configuration_that_cannot_be_read_at_all_ends_no_search_for_the_agent() -> None:
     """Looked for anew in the midst of a link's life, where an exception left the link without its alarm."""
 
