Pages of crossings name what is there: a test holds them and docs/oncall.md to the tree

docs/crossings/ named files, classes and functions that went with the renaming (connections/leaving.py, book.py, module.py, wheel.py, tests/test_ledger.py, Front.depart, ScgiPeer, some 40 names), so a reader on call looked for what is not there.

The test that holds docs/architecture.md to the tree takes in these pages: paths, names of classes with their members, tests also by a part of their name.

--- a/tests/test_architecture_page.py
+++ b/tests/test_architecture_page.py
@@ -1,4 +1,4 @@
-"""The architecture page names only what exists: every path and every name in backticks."""
+"""The pages on architecture, crossings and on call name what exists: each path and name in backticks."""
 
 import re
 import subprocess
@@ -13,24 +13,32 @@
 BASES = (ROOT, ROOT / "beechrock", ROOT / "docs")
 
 
-def terms() -> list[str]:
+CROSSINGS = sorted((ROOT / "docs" / "crossings").glob("*.md"))
+OTHER_PAGES = (*CROSSINGS, ROOT / "docs" / "oncall.md")
+# What stands in backticks there and is no name of this tree: the operators' words, counters, examples.
+NOT_OURS = re.compile(r"svc_.*|failback|beechrock-ADDRESS-.*|\.inventory\.snapshot\.PID|~\d+|[A-Z]:?")
+
+
+def terms(page: Path = PAGE) -> list[str]:
     """Return what stands in backticks, each once."""
-    return sorted(set(re.findall(r"`([^`\n]+)`", PAGE.read_text())))
+    return sorted(set(re.findall(r"`([^`\n]+)`", page.read_text())))
 
 
-def sources() -> str:
-    """Return the text of all product modules, in which a name has to stand."""
+def tracked(*patterns: str) -> list[str]:
+    """Return the paths of the tree's files, new ones included."""
     found = subprocess.run(
-        ["git", "ls-files", "-co", "--exclude-standard", "beechrock/*.py"],
+        ["git", "ls-files", "-co", "--exclude-standard", *patterns],
         cwd=ROOT,
         text=True,
         capture_output=True,
         check=True,
     ).stdout.split()
-    return "\n".join((ROOT / path).read_text() for path in found if (ROOT / path).exists())
+    return [path for path in found if (ROOT / path).exists()]
 
 
-SOURCES = sources()
+SOURCES = "\n".join((ROOT / path).read_text() for path in tracked("beechrock/*.py"))
+TESTS = "\n".join((ROOT / path).read_text() for path in tracked("tests/*.py"))
+FILES = tracked("beechrock", "tests", "docs", "deploy", "benchmarks")
 
 
 def exists(term: str) -> bool:
@@ -40,6 +48,47 @@
     return bool(parts) and all(re.search(rf"\b{re.escape(part)}\b", SOURCES) for part in parts)
 
 
+def exists_in_tree(term: str) -> bool:
+    """Return whether a term of these pages exists; a test may be named by a part of its name."""
+    owner = re.match(r"([A-Z]\w+)\.\w+$", term)
+    if owner is not None and not re.search(rf"class {owner[1]}\b", SOURCES + TESTS):
+        return False
+    if NOT_OURS.fullmatch(term) or exists(term):
+        return True
+    path, _, name = term.rpartition("::")
+    wanted = re.split(r"\[", name)[0].strip(".…_")
+    if wanted.endswith((*FILE_SUFFIXES, ".txt")):
+        path, wanted = wanted, ""
+    if path.endswith((*FILE_SUFFIXES, ".txt")) and not any(f"/{file}".endswith(f"/{path}") for file in FILES):
+        return False
+    if not wanted:
+        return True
+    if name.startswith(("test_", "...")) or path or name.count("_") > 1:
+        return re.search(rf"def test_\w*{re.escape(wanted.removeprefix('test_'))}", TESTS) is not None
+    file, _, inside = term.partition(": ")
+    return bool(inside) and any(f"/{one}".endswith(f"/{file}") for one in FILES) and exists(inside)
+
+
+@pytest.mark.parametrize("page", OTHER_PAGES, ids=lambda page: page.stem)
+def test_what_the_pages_of_crossings_and_on_call_name_exists(page: Path) -> None:
+    missing = [term for term in terms(page) if not exists_in_tree(term)]
+    assert not missing, f"{page.relative_to(ROOT)} names {missing}"
+
+
+@pytest.mark.parametrize(
+    "term",
+    [
+        "connections/leaving.py",
+        "Front.depart",
+        "ScgiPeer",
+        "test_gone.py::test_x",
+        "test_nothing_of_the_kind",
+    ],
+)
+def test_what_went_from_the_tree_is_noticed_on_pages_of_crossings(term: str) -> None:
+    assert not exists_in_tree(term)
+
+
 def test_the_page_names_modules_and_functions() -> None:
     assert len(terms()) > 100
 
