--- a/beechrock/lab/edges_play.py
+++ b/beechrock/lab/edges_play.py
@@ -94,6 +94,7 @@
     answers: dict[str, int] = field(default_factory=dict)
     pairs: list[tuple[str, str]] = field(default_factory=list)
     receipts: dict[str, str] = field(default_factory=dict)
+    discarded: set[str] = field(default_factory=set)  # receipts that ``settle`` had discarded
 
     async def __aenter__(self) -> "Play":
         self.service = Service(self.time_s)
@@ -219,6 +220,8 @@
                         path = f"/edges/{said}?receipt={row['receipt']}"
                         status, _ = await self.fleet.call(name, "POST", path)
                         acted += status == 200
+                        if status == 200 and said == "discard":
+                            self.discarded.add(row["receipt"])
         return acted
 
     async def contract(self, name: str, old: str, new: str) -> None:
@@ -256,8 +259,22 @@
             session.seen = headers.get("x-receipt", session.seen)
         return status
 
+    def discarded_nonces(self) -> set[str]:
+        """Return the accepted writes that an operator here discarded, and that upstream ended so."""
+        accepted = {event["receipt"]: event["nonce"] for event in self.fleet.events(event="edge.accepted")}
+        ended = {
+            event["receipt"]
+            for event in self.fleet.events(event="edge.ended")
+            if event["state"] == "discarded"
+        }
+        return {accepted[receipt] for receipt in self.discarded & ended & accepted.keys()}
+
     def check(self, ended: tuple[str, ...] = ()) -> list[str]:
-        """Violations, from what callers and the service saw; ``ended``: those told as not applied."""
+        """Violations, from what callers and the service saw; ``ended``: those told as not applied.
+
+        What was in doubt and an operator discarded counts as ended, too: it may never have run.
+        """
+        ended = (*ended, *self.discarded_nonces())
         runs, order = Counter(self.service.order), {key: n for n, key in enumerate(self.service.order)}
         bad = [f"twice: {key} ran {n} times" for key, n in runs.items() if n > 1]
         bad += [f"lost: {key}" for key in self.accepted if key not in runs and key not in ended]
