--- a/beechrock/agree/part.py
+++ b/beechrock/agree/part.py
@@ -160,6 +160,10 @@
             position=recovered.position,
             standing=core.memory.name.lower(),
         )
+        self._warn_of_unchecked_memory(core)
+
+    def _warn_of_unchecked_memory(self, core: ConsensusCore) -> None:
+        """Log where the memory counts as proved at the start, as there is no other node to ask."""
         if core.memory is MemoryStatus.PROVEN:
             logs.event(
                 "agree.memory_unchecked",
