Way out: what waits as the last moment comes is read and answered without a turn of the loop

Cause: from exit_s on the node read nothing, 0.17 s before its kill; until then all reads, accepts and closes needed turns of the loop, of which a loaded machine gave 2 to 4 in 64 ms. Traced further on the mended tree (times of each read, send and end in the node): connections that were accepted and still in their set-up were in no table (5 of 48); loading fcntl and termios at the closes took 50 ms; and one of 64 fell between the look for unread bytes and the end of the stream.

--- a/beechrock/__main__.py
+++ b/beechrock/__main__.py
@@ -10,13 +10,13 @@
 
 from beechrock import logs
 from beechrock.errors import MissingLibraryError
-from beechrock.start import serve_from_environment
+from beechrock.start import end_process, serve_from_environment
 
 
 def main() -> int:
     """Without arguments a node is run; with some, the command line for operators."""
     if len(sys.argv) < 2:
-        return serve_from_environment()
+        end_process(serve_from_environment())
     try:
         from beechrock.cli.main import main as commands
     except ImportError as error:
--- a/beechrock/cli/main.py
+++ b/beechrock/cli/main.py
@@ -45,12 +45,11 @@
 
 
 @main.command()
-@click.pass_context
-def serve(context: click.Context) -> None:
+def serve() -> None:
     """Run a node, as LB_CONFIG or LB_SCGI tell it; the same as no command at all."""
-    from beechrock.start import serve_from_environment
+    from beechrock.start import end_process, serve_from_environment
 
-    context.exit(serve_from_environment())
+    end_process(serve_from_environment())
 
 
 for command in (drain, edges, inventory, ask, lab, members, policy, release, replica, settings, trace):
--- a/beechrock/core/actor.py
+++ b/beechrock/core/actor.py
@@ -286,8 +286,9 @@
         return settings if parts is None else parts.settings(now, settings)
 
     def _on_shutdown(self, message: ShutdownRequested, events: list[api.Event], now: float) -> None:
-        if self.leaving_until is None:
-            self.leaving_until = now + message.remaining_s
+        end = now + message.remaining_s
+        if self.leaving_until is None or end < self.leaving_until:  # a loop that runs late ends earlier
+            self.leaving_until = end
             self.replaced = message.replaced
             events.append(api.ShutdownNotice(message.remaining_s, message.replaced))
         elif self.replaced is not message.replaced:  # a successor came after the notice, or has ended
--- a/beechrock/net/connection.py
+++ b/beechrock/net/connection.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import sys
-from types import ModuleType
 from typing import Generic, TypeVar
 
 from beechrock.core.counters import Counters
 from beechrock.core.mailbox import Mailbox
+from beechrock.net.direct_endpoint import DirectEndpoint, StreamEndpoint, input_waits
 from beechrock.net.ring_buffer import BufferFullError, RingBuffer
 
 T = TypeVar("T")
@@ -52,6 +52,7 @@
         self.back_at = 0.0  # that time
         self.rejected = False
         self._shut = False  # our end of the stream is closed, nothing may follow
+        self._sending = False  # messages have been taken from the mailbox, and are not all written
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
@@ -97,12 +98,10 @@
             return False
         if self._shut:  # what comes after our end is not ours, and must not keep a place in a full table
             return False
-        if getattr(self._reader, "_buffer", b""):  # asyncio has no public word for it
+        if StreamEndpoint(self._reader, self._writer).holds_input():
             return True
-        fcntl, termios = load_input_check()
-        sock = self._writer.get_extra_info("socket")
         try:
-            return int.from_bytes(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)), sys.byteorder) > 0
+            return input_waits(self._writer.get_extra_info("socket"))
         except OSError:
             return False
 
@@ -136,16 +135,76 @@
 
         The check and the close are one step: a request that is read in between would be thrown away.
         """
-        if self._writer is None or self.closing or self.owes() or len(self.outbox) or self.input_waits():
+        if self._reader is None or self._writer is None or self.closing or self.owes() or len(self.outbox):
             return False
         try:
-            self._write_end(self._writer)
+            if self._writer.transport.is_closing():
+                self._write_end(self._writer)
+            elif not StreamEndpoint(self._reader, self._writer).end_if_empty():
+                return False
+            self._shut = True
         except OSError:  # the other side has reset it; nobody waits for anything here
             self.drop()
             return True
         self.finish()
         return True
 
+    def conclude(self, max_bytes: int, force: bool) -> bool:
+        """Read what has come, answer it, and end the connection, all without a turn of the loop.
+
+        Reads up to ``max_bytes``; with ``force`` the connection is ended though more has come. Return whether
+        nothing is left to do. What the other side takes no more of is left to the loop.
+        """
+        if self._reader is None or self._writer is None or self._shut or self._writer.transport.is_closing():
+            return True
+        if self._sending:  # an answer is written in part: the loop ends it once its reader has taken the rest
+            if force:
+                self.rejected = True
+                self.answer_all()
+                self.end()
+            return False
+        return self.conclude_on(StreamEndpoint(self._reader, self._writer), max_bytes, force)
+
+    def conclude_on(self, endpoint: DirectEndpoint, max_bytes: int, force: bool) -> bool:
+        """Conclude a connection that is read and written by ``endpoint``, as ``conclude`` says.
+
+        The end is sent in the same step as a read that finds nothing: what comes between them is lost.
+        """
+        self.rejected = True
+        try:
+            if not self._answer_and_end(endpoint, max_bytes, force):
+                return False
+        except OSError:  # reset by the other side, where nobody waits for an answer any more
+            self.broken = True
+            self.counters.add(f"intake.{self.where}_resets")
+        self._shut = True
+        self.finish()
+        return True
+
+    def _answer_and_end(self, endpoint: DirectEndpoint, max_bytes: int, force: bool) -> bool:
+        """Answer until nothing waits, and send our end; return whether it was sent. Raises OSError."""
+        taken = 0
+        while True:
+            data = None if self.closing else endpoint.receive()
+            if data:
+                self._parse_all(memoryview(data))
+                taken += len(data)
+            elif data is not None:
+                self.input_ended()
+            self.answer_all()
+            answers = b"".join(self._encoded(message) for message in self.mailbox.drain())
+            self.flushed = True
+            readable = not answers or endpoint.send(
+                answers
+            )  # else the other side does not read: no more waits
+            if self.closing or data == b"" or not readable or (force and taken >= max_bytes):
+                endpoint.end()
+                return True
+            if data is None and endpoint.end_if_empty():
+                return True
+            if taken >= max_bytes:
+                return False
+
     def drop(self) -> None:
         """End the connection at once, whatever is open on it."""
         self.closing = self.broken = True
@@ -244,9 +303,11 @@
         try:
             while True:
                 await self.mailbox.wait()
+                self._sending = True
                 for message in self.mailbox.drain():
                     await self._put(writer, message)
                 await self._flush(writer)
+                self._sending = False
                 self.flushed = not len(self.mailbox)
                 if self.ending:
                     self.shut()
@@ -257,14 +318,18 @@
             error.__traceback__ = None
             self.counters.add(f"sent.{self.where}_resets")
 
-    async def _put(self, writer: asyncio.StreamWriter, message: T) -> None:
-        """Encode into ``outbox``; what does not fit there goes in parts."""
+    def _encoded(self, message: T) -> bytes:
+        """Return the bytes of a message; one that has none costs itself and the connection, no other."""
         try:
-            data = memoryview(self.encode(message))
-        except Exception as error:  # costs this message and the connection, not the other answers
+            return self.encode(message)
+        except Exception as error:
             self.counters.record_error(f"{self.where}.send", error)
             self.finish()
-            return
+            return b""
+
+    async def _put(self, writer: asyncio.StreamWriter, message: T) -> None:
+        """Encode into ``outbox``; what does not fit there goes in parts."""
+        data = memoryview(self._encoded(message))
         if len(data) > self.outbox.free_bytes:
             await self._flush(writer)
         while data:
@@ -287,18 +352,6 @@
             self.written += len(data)
 
 
-def load_input_check() -> tuple[ModuleType, ModuleType]:
-    """Return the modules ``fcntl`` and ``termios``, which take 0.1 MB of a started node if loaded earlier.
-
-    To be called before connections are ended one by one: while modules load, a request may come between the
-    look for unread bytes and the end of the stream.
-    """
-    import fcntl
-    import termios
-
-    return fcntl, termios
-
-
 def _unsent(writer: asyncio.StreamWriter) -> bool:
     """Return whether the kernel still holds bytes that the other side's kernel has not taken."""
     if writer.transport.is_closing():
--- a/beechrock/net/connection_server.py
+++ b/beechrock/net/connection_server.py
@@ -1,17 +1,29 @@
 """What all servers share: listening, and a bounded table of connections that bad ones cannot fill."""
 
 import asyncio
+import socket
 from typing import Any, Generic, TypeVar
 
 from beechrock.connections.table import UNREAD_SWEEPS, Placement, accept_budget, place_connection, victim
 from beechrock.core.actor import ModuleActor
-from beechrock.net.connection import ConnectionActor, load_input_check
-from beechrock.net.listener import MAX_ACCEPTED_AT_ONCE, Listener, listen
+from beechrock.net.connection import ConnectionActor
+from beechrock.net.direct_endpoint import DirectEndpoint, SocketEndpoint, StreamEndpoint, load_input_check
+from beechrock.net.listener import (
+    MAX_ACCEPTED_AT_ONCE,
+    READ_CHUNK,
+    RECEIVE_BUFFER,
+    Arrivals,
+    Listener,
+    listen,
+)
 
 P = TypeVar("P", bound=ConnectionActor[Any])
 SWEEP_S = 0.5
 DEPART_STEP_S = 0.004  # a tick of the module, whose answers are waited for
-SET_UP_TURNS = 8  # of the loop, in which an accepted connection comes into ``peers`` (it takes 4)
+FAIR_BYTES = READ_CHUNK  # read of each connection in the last pass before any has more
+MAX_LAST_BYTES = 2 * (
+    RECEIVE_BUFFER + READ_CHUNK
+)  # what may wait as the last pass begins: the kernel doubles
 LINGERING_PART = 16  # 1 / this of the table: connections ended for others that still hold a descriptor
 
 
@@ -26,7 +38,12 @@
         self.peers: set[P] = set()
         self.server: Listener | None = None
         self._sweeping = False
+        self._arrivals: Arrivals = {}  # accepted, and not yet handed on
+        self._unserved: dict[
+            asyncio.StreamReader, asyncio.StreamWriter
+        ] = {}  # handed on, and not in ``peers``
         self._lingering: dict[P, None] = {}  # ended for others, oldest first; read until the other end
+        self._concluded: list[socket.socket] = []  # open until the process ends: a close could reset answers
 
     # What a kind of front adds.
 
@@ -63,6 +80,7 @@
             at_once=self.at_once,
             relieve=self._relieve,
             budget=self._accept_budget,
+            arrivals=self._arrivals,
         )
         self.close()  # of a start in the same shortage, before a pause: it would outlive the next one
         self.server = server
@@ -83,22 +101,82 @@
             self.server.close()
             self.server = None
 
-    async def depart(self, cut_at: float, exit_at: float) -> None:
+    async def depart(self, cut_at: float, exit_at: float, end_at: float) -> None:
         """Take no more connections and end all, so that each complete request read before has its answer.
 
-        ``cut_at``, ``exit_at``: of the loop's time; from the first on connections are ended whatever is open.
+        Up to ``exit_at`` connections are ended as turns of the loop find them, from ``cut_at`` on whatever is
+        open. What is left then is concluded directly; turns are waited for up to ``end_at``, and only where
+        nothing goes without. All are of the loop's time.
         """
         load_input_check()
+        await self._end_by_turns(cut_at, exit_at)
+        await self._conclude(end_at)
+        self.close()
+
+    async def _end_by_turns(self, cut_at: float, exit_at: float) -> None:
+        """End connections as turns of the loop find them, until none is left or ``exit_at`` has come."""
         loop = asyncio.get_running_loop()
-        turns = 0  # since the last connection was accepted
-        while loop.time() < exit_at and (self.server is not None or self.peers or turns < SET_UP_TURNS):
+        while loop.time() < exit_at and (self.server is not None or self.peers or self._coming()):
             if self.server is not None and self.server.close_empty():
                 self.server = None
             self._dismiss_all(loop.time() >= cut_at)
             # Few turns without a wait: a shortage may keep the backlog from being emptied.
-            await asyncio.sleep(0 if self.server is None and turns < SET_UP_TURNS else DEPART_STEP_S)
-            turns += self.server is None
-        self.close()
+            await asyncio.sleep(0 if self.server is None and self._coming() else DEPART_STEP_S)
+
+    def _coming(self) -> bool:
+        """Return whether a connection has been accepted that is not in ``peers`` yet."""
+        return bool(self._arrivals or self._unserved)
+
+    async def _conclude(self, end_at: float) -> None:
+        """End all connections directly; turns of the loop serve answers that are written in part alone."""
+        loop = asyncio.get_running_loop()
+        while True:
+            self._conclude_backlog(end_at)
+            self._conclude_coming()
+            if self._conclude_peers(end_at) or loop.time() >= end_at:
+                return
+            await asyncio.sleep(DEPART_STEP_S)
+
+    def _conclude_backlog(self, end_at: float) -> None:
+        """Answer and end each connection that waits to be accepted; at most until ``end_at``."""
+        if self.server is None:
+            return
+        loop = asyncio.get_running_loop()
+        for connection in self.server.take_backlog():
+            self._concluded.append(connection)
+            self._conclude_new(SocketEndpoint(connection))
+            if loop.time() >= end_at:
+                return
+        if not self.server.sockets:
+            self.server = None
+
+    def _conclude_coming(self) -> None:
+        """Answer and end each connection that has been accepted and is not in ``peers`` yet."""
+        while self._arrivals:
+            _, connection = self._arrivals.popitem()
+            self._concluded.append(connection)
+            self._conclude_new(SocketEndpoint(connection))
+        while self._unserved:
+            self._conclude_new(StreamEndpoint(*self._unserved.popitem()))
+
+    def _conclude_new(self, endpoint: DirectEndpoint) -> None:
+        peer = self.peer()
+        self.module.counters.add(f"intake.{self.where}_connections")
+        peer.conclude_on(endpoint, MAX_LAST_BYTES, force=True)
+        self.ended(peer)
+
+    def _conclude_peers(self, end_at: float) -> bool:
+        """End all connections; return whether nothing is left to do on any.
+
+        Those that a few bytes empty come first, so that a caller that sends without end keeps nobody waiting.
+        """
+        loop = asyncio.get_running_loop()
+        left = [peer for peer in list(self.peers) if not peer.conclude(FAIR_BYTES, force=False)]
+        unfinished = 0
+        for peer in left:
+            max_bytes = MAX_LAST_BYTES if loop.time() < end_at else 0
+            unfinished += not peer.conclude(max_bytes, force=True)
+        return not unfinished
 
     def _dismiss_all(self, cut: bool) -> None:
         """End all connections that owe nothing; with ``cut`` what is open, and what comes, is answered."""
@@ -120,9 +198,12 @@
             evicted.drop()
 
     def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._unserved[reader] = writer
         self.module.counters.spawn(self._serve(reader, writer), self.where)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._unserved.pop(reader, None) is None:  # concluded meanwhile
+            return
         peer, counters = self.peer(), self.module.counters
         counters.add(f"intake.{self.where}_connections")
         peer.opened_at = self.module.clock()
--- a/beechrock/net/listener.py
+++ b/beechrock/net/listener.py
@@ -20,7 +20,7 @@
 import logging
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from beechrock.core.counters import Counters
@@ -58,13 +58,16 @@
 )
 
 Accepted = Callable[[asyncio.StreamReader, asyncio.StreamWriter], None]
+Arrivals = dict[asyncio.StreamReader, socket.socket]  # accepted, and not yet handed on as streams
 
 
 class Listener:
     """Accepts from ``sock``, which it owns, and hands the streams of each connection to ``accepted``.
 
-    ``relieve`` is called at each try of a shortage that lasts, to free a descriptor and memory. ``budget``
-    says how many more may be accepted while so many arrive; what finds none waits in the backlog.
+    ``arrivals`` holds accepted connections until they are handed on; one that is taken out of it meanwhile
+    belongs to who took it. ``relieve`` is called at each try of a shortage that lasts, to free a descriptor
+    and memory. ``budget`` says how many more may be accepted while so many arrive; what finds none waits in
+    the backlog.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         at_once: int = MAX_ACCEPTED_AT_ONCE,
         relieve: Callable[[], None] = lambda: None,
         budget: Callable[[int], int] = lambda arriving: MAX_ACCEPTED_AT_ONCE,
+        arrivals: Arrivals | None = None,
     ) -> None:
         self.accepted = accepted
         self.counters = counters
@@ -83,7 +87,8 @@
         self.at_once = at_once
         self.relieve = relieve
         self.budget = budget
-        self.arriving = 0  # accepted, and not yet handed on
+        self.arriving = 0  # accepted, and their set-up is under way
+        self.arrivals: Arrivals = {} if arrivals is None else arrivals
         self._sock = sock
         self._loop = asyncio.get_running_loop()
         self._retry: asyncio.TimerHandle | None = None
@@ -105,6 +110,14 @@
             self._loop.remove_reader(self._sock.fileno())
             self._sock.close()
 
+    def _close_unwatched(self) -> None:
+        """Close a socket that the loop does not watch any more, with nothing before the system call.
+
+        A connection that comes between the last accept and the close is reset, with its request.
+        """
+        self._sock.close()
+        self.close()
+
     def _watch(self) -> None:
         self._retry = None
         try:
@@ -118,11 +131,33 @@
 
         A listening socket that is closed resets the connections in its backlog, with their requests.
         """
+        self._loop.remove_reader(self._sock.fileno())
         if not self._accept_ready():
             return False
-        self.close()
+        self._close_unwatched()
         return True
 
+    def take_backlog(self) -> Iterator[socket.socket]:
+        """Yield each connection that waits, without a transport; close the socket once none is left.
+
+        For a process that ends, whatever the budget says. It stays open after an error of the process.
+        """
+        if self.sockets:
+            self._loop.remove_reader(self._sock.fileno())
+        for _ in range(BACKLOG):
+            try:
+                connection, _ = self._sock.accept()
+            except BlockingIOError:
+                self._close_unwatched()
+                return
+            except OSError as error:
+                if error.errno in CONNECTION_ERRORS:
+                    self.counters.add(f"intake.{self.where}_accept_errors")
+                    continue
+                self.counters.add(f"intake.{self.where}_accept_shortages")
+                return
+            yield connection
+
     def _accept_ready(self) -> bool:
         """Accept up to ``at_once`` connections in this turn of the loop. Return whether none is left."""
         taken = errors = 0
@@ -145,7 +180,9 @@
             taken += 1
             self.arriving += 1
             self._failures = 0
-            self.counters.spawn(self._set_up(connection), f"{self.where}.accept")
+            reader = asyncio.StreamReader(limit=READ_CHUNK, loop=self._loop)
+            self.arrivals[reader] = connection
+            self.counters.spawn(self._set_up(reader), f"{self.where}.accept")
         if errors and not taken:  # the error stays, whatever it says: without a rest it would take a core
             self._pause()
         return False
@@ -169,22 +206,30 @@
             self._retry.cancel()
         self._retry = self._loop.call_later(RETRY_S, self._watch)
 
-    async def _set_up(self, connection: socket.socket) -> None:
+    async def _set_up(self, reader: asyncio.StreamReader) -> None:
         """Give an accepted connection its streams; ``accepted`` is called as soon as they stand."""
+        connection = self.arrivals.get(reader)
         try:
-            connection = tolerant(connection)
+            if connection is None:
+                return
+            connection = self.arrivals[reader] = tolerant(connection)
             send_at_once(connection)
-            reader = asyncio.StreamReader(limit=READ_CHUNK, loop=self._loop)
-            protocol = asyncio.StreamReaderProtocol(reader, self.accepted, loop=self._loop)
+            protocol = asyncio.StreamReaderProtocol(reader, self._hand_on, loop=self._loop)
             await self._loop.connect_accepted_socket(lambda: protocol, connection)
         except Exception as error:  # its descriptor would stay open for as long as anything refers to it
-            connection.close()
+            self.arrivals.pop(reader, None)
+            if connection is not None:
+                connection.close()
             if not isinstance(error, OSError):
                 raise
             self.counters.add(f"intake.{self.where}_set_up_errors")
         finally:
             self.arriving -= 1
 
+    def _hand_on(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.arrivals.pop(reader, None) is not None:
+            self.accepted(reader, writer)
+
 
 def send_at_once(connection: socket.socket) -> None:
     """Let the kernel hold back no small writes (TCP_NODELAY).
--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -37,6 +37,7 @@
 # A request that is not complete after this part of the shortest deadline, or after this long, is rejected.
 STALL_PART, STALL_S = 0.5, 2.5
 HELD_KB = 4.0  # memory of a request beside its body
+ENDING = "this connection ends; nothing ran"
 
 
 ReplyHeaders = tuple[tuple[str, str], ...]
@@ -224,6 +225,9 @@
             return
         request = self._request(self.headers, self.inbox.read(size))
         self.stall.cancel()
+        if self.rejected:
+            self.module.table.counts.on_front_answer(request.route, Verdict.REFUSED)
+            raise ScgiError(503, ENDING)
         if self.allowed is not None:
             request.limits_tenant, request.ended = self.allowed.share, self._ended
         edges = self.front.edges
@@ -340,10 +344,14 @@
         """Its one answer ends it, and without one it must not end: there is nothing to do."""
 
     def answer_all(self) -> None:
-        """Fail what is open, as it may have run."""
-        if self.request is not None and not self.answered:
-            self.counters.add("answered.at_exit")
-            self._send_reply(Reply(500, b"the node ends\n"))
+        """Fail what is open, as it may have run; refuse what has not come whole."""
+        if self.answered:
+            return
+        if self.request is None:
+            self.reject(ScgiError(503, ENDING))
+            return
+        self.counters.add("answered.at_exit")
+        self._send_reply(Reply(500, b"the node ends\n"))
 
 
 class ScgiServer(ConnectionServer[ScgiConnection]):
@@ -371,7 +379,7 @@
     def dismiss(self, peer: ScgiConnection) -> bool:
         """End one; without a request it gets an answer first, as its request may be on the way."""
         if peer.request is None and not peer.answered and not peer.input_waits():
-            peer.reject(ScgiError(503, "this connection ends; nothing ran"))
+            peer.answer_all()
             return True
         return peer.shut()
 
--- a/beechrock/program.py
+++ b/beechrock/program.py
@@ -9,10 +9,10 @@
 
 from beechrock import clocks, config
 from beechrock.configuration_file import ConfigurationFile, warn_of_fixed
-from beechrock.connections.shutdown import Schedule, schedule
 from beechrock.core.actor import ModuleActor
 from beechrock.core.counters import Counters
 from beechrock.core.requests import ShutdownRequested, Work
+from beechrock.departure import Departure
 from beechrock.net.agent import Agent
 from beechrock.net.frame_server import FrameServer
 from beechrock.net.ledger import Ledger
@@ -37,10 +37,6 @@
     from beechrock.trace.recorder import Recorder
 
 log = logging.getLogger("beechrock")
-# How often a process that has a successor looks whether anything is left to do, and how many looks in a row
-# must find nothing: a connection that has just been accepted shows up some turns of the loop later.
-LOOK_S = 0.05
-IDLE_LOOKS = 3
 
 
 def _address_of(server: Listener | None) -> str:
@@ -77,8 +73,7 @@
         self.module = _module(configuration, clock, self.counters, unix_clock)
         self.tasks: list[asyncio.Task[None]] = []
         self.leaving = asyncio.Event()  # the notice to leave
-        self.left_at = 0.0  # when it came, of the loop's time
-        self.way_out: Schedule = schedule(configuration.stop_s)
+        self.departure = Departure(configuration.stop_s)
         self.replaced = False  # another process goes on as this node
         self.recorder: Recorder | None = None
         self.scgi: ScgiServer | None = None
@@ -249,7 +244,7 @@
         if self.leaving.is_set():
             return
         self.leaving.set()
-        self.left_at = asyncio.get_running_loop().time()
+        self.departure.begin()
         if self.serving is not None:
             self.serving.leave()
         self.replaced = self.handover is not None and self.handover.leave()
@@ -265,7 +260,7 @@
 
     def _announce_leave(self) -> None:
         """Tell the module and, unless another process goes on as this node, the registry."""
-        self.module.post(ShutdownRequested(self.way_out.module_s, self.replaced))
+        self._module_ends_in(self.departure.steps.module_s())
         if self.registry is not None:
             self.registry.mailbox.put("ready" if self.replaced else "draining")
 
@@ -359,7 +354,7 @@
         await self.start()
         gc.freeze()  # what is here now stays; full collections look at the rest only, and so come in time
         await self.leaving.wait()
-        await self._worked_off()
+        await self.departure.wait(self._may_go, self._module_ends_in)
         await self._end_connections()
         self.close()
         for task in self.tasks:
@@ -373,13 +368,11 @@
             self.handover.close()
         self.module.report()
 
-    async def _worked_off(self) -> None:
-        """Wait until the process has to end or, with a successor, until nothing is left to do."""
-        loop = asyncio.get_running_loop()
-        end, idle = self.left_at + self.way_out.close_s, 0
-        while (left := end - loop.time()) > 0 and idle < IDLE_LOOKS:
-            await asyncio.sleep(left if self.handover is None else min(left, LOOK_S))
-            idle = idle + 1 if self.handover is not None and self.handover.may_go() else 0
+    def _may_go(self) -> bool:
+        return self.handover is not None and self.handover.may_go()
+
+    def _module_ends_in(self, remaining_s: float) -> None:
+        self.module.post(ShutdownRequested(remaining_s, self.replaced))
 
     async def _end_connections(self) -> None:
         """Answer what was read, and end each connection in order; in time for the process to end by itself.
@@ -389,5 +382,4 @@
         # Only where another process accepts: alone on the socket, the backlog is answered here.
         if self.handover is not None and not self.handover.lifecycle.accepting:
             self.handover.end()  # what comes now is the other's
-        cut_at, exit_at = (self.left_at + at for at in (self.way_out.cut_s, self.way_out.exit_s))
-        await asyncio.gather(*(front.depart(cut_at, exit_at) for front in (self.frames, self.scgi) if front))
+        await self.departure.end_connections(front for front in (self.frames, self.scgi) if front is not None)
--- a/beechrock/start.py
+++ b/beechrock/start.py
@@ -1,10 +1,12 @@
 """From the environment to a node that runs: what can't be used ends here, with its exit code."""
 
 import asyncio
+import contextlib
 import logging
 import os
 import signal
 import sys
+from typing import NoReturn
 
 from beechrock import config, logs
 from beechrock.configuration_file import ConfigurationFile
@@ -41,3 +43,16 @@
         print(f"beechrock: {error}", file=sys.stderr)
         return 1
     return 0
+
+
+def end_process(code: int) -> NoReturn:
+    """End the process with ``code``, and without the interpreter's teardown.
+
+    All that has to outlive the process is written by then. The teardown frees objects one by one, which the
+    kernel does at once; on a busy machine it takes longer than is left before the process is killed.
+    """
+    logging.shutdown()
+    for stream in (sys.stdout, sys.stderr):
+        with contextlib.suppress(OSError, ValueError):  # nobody reads it any more
+            stream.flush()
+    os._exit(code)
--- a/tests/net/test_connection_server.py
+++ b/tests/net/test_connection_server.py
@@ -15,6 +15,7 @@
 
     def __init__(self) -> None:
         self.closing = False
+        self._reader = None  # nothing is left to conclude
 
     def begun(self) -> bool:
         return False
@@ -39,7 +40,7 @@
 
     async def depart() -> None:
         now = asyncio.get_running_loop().time()
-        await server.depart(now + 0.02, now + 0.03)
+        await server.depart(now + 0.02, now + 0.03, now + 0.04)
 
     asyncio.run(depart())
     assert loaded == [True]
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -246,10 +246,13 @@
     The bounds are those of no machine, so that a slow one proves the same.
     """
     program = stand.program
-    close_s = program.way_out.close_s
-    program.way_out = replace(program.way_out, cut_s=close_s + cut_s, exit_s=close_s + 20.0)
+    departure = program.departure
+    close_s = departure.steps.close_s
+    departure.steps = replace(
+        departure.steps, cut_s=close_s + cut_s, exit_s=close_s + 20.0, end_s=close_s + 20.0
+    )
     program.leave()
-    program.left_at -= close_s
+    departure.began_at -= close_s
     stand.now += close_s * answered
 
 
@@ -310,8 +313,9 @@
 def test_the_module_answers_before_the_closes_and_the_process_ends_before_it_is_killed() -> None:
     for stop_s in (0.05, 0.3, 0.5, 1.0, 2.0, 3.0, 3.2, 3.7, 4.0, 30.0):
         found = schedule(stop_s)
-        assert 0 < (1 - MODULE_MARGIN) * found.module_s < found.close_s < found.cut_s < found.exit_s < stop_s
-        assert found.module_s <= stop_s and (found.module_s == stop_s or stop_s < 3.2)
+        answered_s = (1 - MODULE_MARGIN) * found.module_s()
+        assert 0 < answered_s < found.close_s < found.cut_s < found.exit_s < found.end_s < stop_s
+        assert found.module_s() <= stop_s and (found.module_s() == stop_s or stop_s < 3.2)
     assert MODULE_MARGIN == SPARE_SHARE
 
 
--- /dev/null
+++ b/tests/test_closing_late.py
@@ -0,0 +1,283 @@
+"""The end of a process whose loop has no turn left: what waits is answered all the same."""
+
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+import ujson
+from callers import Caller, request, turns
+from pair import Pair
+from pair import run as run_pair
+from play import SETTINGS, Stand, run, until
+from test_closing import CHECK_1, CHECK_2, connect, node
+from test_exchanges import open_both
+from test_program import line_with
+
+from beechrock.connections.shutdown import EXIT_S, MAX_EARLIER_S, LoopLag, hastened, schedule
+from beechrock.net.frame_codec import ANSWER, FAILED, REFUSED
+from beechrock.net.scgi_codec import request_bytes
+from beechrock.program import Program
+
+ROOT = Path(__file__).parent.parent
+STOPPED_S = 0.1
+
+
+def overdue(program: Program, left_s: float = 20.0) -> None:
+    """The notice, and a loop that comes back only after the time of the last connections' end.
+
+    ``left_s``: until nothing is read any more.
+    """
+    departure = program.departure
+    close_s = departure.steps.close_s
+    departure.steps = replace(departure.steps, cut_s=close_s, exit_s=close_s, end_s=close_s + left_s)
+    program.leave()
+    departure.began_at -= close_s + 0.001
+
+
+def verdicts(caller: Caller) -> list[int]:
+    return [payload[0] for kind, _, payload in caller.frames() if kind == ANSWER]
+
+
+def test_what_waits_as_the_time_is_over_is_answered_without_a_turn_of_the_loop() -> None:
+    """At a load of 60 on 6 cores whole requests lay in the kernel as the process ended, and had no answer."""
+
+    async def work(stand: Stand) -> None:
+        _, [runs, unread, silent] = await node(stand, 3)
+        runs.send(request(2, trace=1))
+        await until(lambda: stand.program.module.table.last_id == 1, lambda: "unread")
+        overdue(stand.program)
+        unread.send(request(2, trace=2) + CHECK_2.replace(b"\0\0\0\2", b"\0\0\0\3"))
+        await stand.program._end_connections()
+        for caller in (runs, unread, silent):
+            await caller.closed()
+        assert verdicts(runs) == [FAILED]  # it may have run
+        assert verdicts(unread) == [REFUSED]
+        assert stand.program.module.table.last_id == 1, "what was read last was forwarded"
+
+    run(work)
+
+
+@pytest.mark.parametrize("turns_before", range(8))  # accepted, being set up, handed on, in the table
+def test_a_connection_that_is_being_accepted_as_the_time_is_over_is_answered(turns_before: int) -> None:
+    async def work(stand: Stand) -> None:
+        front, _ = await node(stand, 0)
+        callers = [connect(front) for _ in range(40)]
+        for caller in callers:
+            caller.send(CHECK_1 + request(2))
+        await turns(turns_before)
+        overdue(stand.program)
+        await stand.program._end_connections()
+        assert front.server is None
+        with pytest.raises(ConnectionRefusedError):
+            Caller(callers[0].socket.getpeername())
+        for caller in callers:
+            await caller.closed()
+            assert len(caller.answers()) == 2
+
+    run(work)
+
+
+def test_scgi_callers_have_their_response_though_no_turn_is_left() -> None:
+    async def work(stand: Stand) -> None:
+        await open_both(stand)
+        front = stand.program.scgi
+        assert front is not None and front.server is not None
+        address = front.server.sockets[0].getsockname()[:2]
+        whole, half, silent = (Caller(address) for _ in range(3))
+        await until(lambda: len(front.peers) == 3, lambda: "no connections")
+        backlog = Caller(address)
+        overdue(stand.program)
+        headers = {"HTTP_X_ROUTE": "pack", "HTTP_X_TEAM": "releases", "HTTP_IDEMPOTENCY_KEY": "key"}
+        asked = request_bytes(headers, b"x")
+        for caller, data in ((whole, asked), (half, asked[:20]), (backlog, asked)):
+            caller.socket.sendall(data)
+        await stand.program._end_connections()
+        for caller in (whole, half, silent, backlog):
+            await until(lambda caller=caller: caller.read() or caller.ended, lambda: "still open")
+            assert caller.got.startswith(b"Status: 503") and caller.got.endswith(b"nothing ran\n")
+            assert not caller.reset
+        assert not stand.program.counters["sent.launches"]
+
+    run(work)
+
+
+class Endless:
+    """An endpoint whose other side sends requests for as long as it is read."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+        self.ended = False
+
+    def receive(self) -> bytes:
+        self.reads += 1
+        assert self.reads < 1000, "it is read for as long as bytes come"
+        return request(self.reads)
+
+    def send(self, data: bytes) -> bool:
+        return True
+
+    def end(self) -> None:
+        self.ended = True
+
+    def end_if_empty(self) -> bool:
+        return False
+
+
+@pytest.mark.parametrize("force", [False, True])
+def test_who_sends_without_end_keeps_no_other_from_its_answer(force: bool) -> None:
+    """It is left for the others' turn, and then ended over what still comes."""
+
+    async def work(stand: Stand) -> None:
+        front, _ = await node(stand, 0)
+        endpoint = Endless()
+        assert front.peer().conclude_on(endpoint, 10 * len(request(1)), force) is force
+        assert endpoint.ended is force
+        assert 10 <= endpoint.reads <= 12
+
+    run(work)
+
+
+def test_no_last_answer_is_put_into_the_middle_of_another_whose_reader_is_slow() -> None:
+    async def work(stand: Stand) -> None:
+        front, [slow] = await node(stand)
+        [peer] = front.peers
+        peer._sending = True  # part of an answer is written, and the rest waits for its reader
+        before = slow.got
+        slow.send(request(2))
+        assert not peer.conclude(1000, force=True)
+        slow.read()
+        assert slow.got == before and not slow.ended
+        peer._sending = False
+        await slow.closed()  # as soon as the loop has written the rest
+
+    run(work)
+
+
+def test_old_connections_of_a_process_with_a_successor_have_their_answers_though_no_turn_is_left(
+    folder: Path,
+) -> None:
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        caller = Caller(pair.shared.getsockname())
+        caller.send(CHECK_1)
+        await caller.answered()
+        new = await pair.start()
+        await pair.following(old, new)
+        overdue(old.program)
+        caller.send(request(2))
+        await old.program._end_connections()
+        await caller.closed()
+        assert verdicts(caller) == [REFUSED]
+
+    run_pair(work, folder)
+
+
+@pytest.mark.parametrize(
+    ("stop_s", "lag_s", "earlier_s"),
+    [
+        (4.0, 0.0, 0.0),
+        (4.0, 0.01, 0.03),
+        (4.0, 0.1, MAX_EARLIER_S),
+        (1.0, 0.05, 0.15),
+        (0.5, 0.05, 0.5 * MAX_EARLIER_S),  # a short notice keeps its proportions
+        (0.1, 3.0, 0.1 * MAX_EARLIER_S),
+    ],
+)
+def test_a_loop_that_runs_late_ends_earlier_between_named_bounds(
+    stop_s: float, lag_s: float, earlier_s: float
+) -> None:
+    planned = schedule(stop_s)
+    found = hastened(planned, lag_s)
+    assert found.exit_s == pytest.approx(planned.exit_s - earlier_s)
+    assert planned.exit_s == pytest.approx(stop_s - min(1.0, stop_s) * EXIT_S)
+    assert 0 < found.answered_s < found.close_s < found.cut_s < found.exit_s < found.end_s < stop_s
+    assert found.answered_s <= planned.answered_s and found.end_s == planned.end_s
+
+
+def test_lateness_of_over_a_second_ago_counts_no_more() -> None:
+    lag = LoopLag()
+    assert lag.worst_s() == 0.0
+    for now_s, due_s in ((1.0, 0.8), (1.5, 1.45), (1.6, 1.7)):
+        lag.note(now_s, due_s)
+    assert lag.worst_s() == pytest.approx(0.2)
+    lag.note(2.2, 2.2)
+    assert lag.worst_s() == pytest.approx(0.05)
+
+
+def test_the_module_answers_earlier_where_the_loop_runs_late() -> None:
+    """Else what it holds at the closes would be failed, though it never ran."""
+
+    async def work(stand: Stand) -> None:
+        await node(stand)
+        program = stand.program
+        program.leave()
+        planned = program.departure.steps
+        await until(lambda: program.module.leaving_until is not None, lambda: "no notice")
+        first = program.module.node.shutdown.kill_s
+        stand.now += 3.0
+        program.departure.began_at -= 3.0
+        program.departure._hasten(hastened(planned, 0.5), program._module_ends_in)
+        await until(lambda: program.module.node.shutdown.kill_s < first, lambda: "no second notice")
+        left_s = program.departure.steps.close_s - 3.0
+        assert program.module.node.shutdown.kill_s - stand.now < left_s < planned.close_s - 3.0
+
+    run(work)
+
+
+@pytest.mark.parametrize("stopped_before_kill_s", [0.2, 0.17, 0.15, 0.12])
+def test_a_process_that_is_stopped_in_its_last_moments_still_ends_before_it_is_killed(
+    tmp_path: Path, stopped_before_kill_s: float
+) -> None:
+    """With a second SIGTERM and SIGINT, which change nothing."""
+    stop_s = 1.0
+    told = {
+        "name": "n1",
+        "listen": "127.0.0.1:0",
+        "agent": "127.0.0.1:1",
+        "seed": "1",
+        "stop_ms": round(1000 * stop_s),
+        "settings": SETTINGS,
+    }
+    (tmp_path / "config.json").write_text(ujson.dumps(told))
+    with subprocess.Popen(
+        [sys.executable, "-m", "beechrock"],
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "LB_CONFIG": str(tmp_path / "config.json")},
+    ) as process:
+        guard = threading.Timer(30.0, process.kill)  # a wait with a time-out looks only every 50 ms
+        try:
+            found = re.search(r"frames on 127\.0\.0\.1:(\d+)", line_with(process, "frames on"))
+            assert found is not None
+            links = [socket.create_connection(("127.0.0.1", int(found[1])), 30) for _ in range(20)]
+            for link in links:
+                link.sendall(CHECK_1)
+                link.recv(100)
+            process.send_signal(signal.SIGTERM)
+            left_at = time.monotonic()
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGINT)
+            time.sleep(max(0.0, left_at + stop_s - stopped_before_kill_s - time.monotonic()))
+            process.send_signal(signal.SIGSTOP)
+            stopped_at = time.monotonic()
+            time.sleep(STOPPED_S)
+            process.send_signal(signal.SIGCONT)
+            late_s = time.monotonic() - stopped_at - STOPPED_S  # this test's own: it is no part of the stop
+            guard.start()
+            code = process.wait()
+            ended_s = time.monotonic() - left_at - late_s
+            assert code == 0
+            assert ended_s < stop_s, f"it ended {ended_s:.3f} s after the notice"
+        finally:
+            guard.cancel()
+            process.kill()
