Way out: the last connections are ended one right after the other, with a new time slice

Cause, by what is left: between the look for input and the end of the stream two system calls follow each other; a process whose time slice ends just there waits some 50 ms at that load, and a request that comes meanwhile is lost. Each connection was answered and ended in turn, so the slice ended anywhere among some 60 such gaps.

Change: all that waits is answered first; then the process sleeps 0.5 ms, so that it is given a whole slice, and ends all connections that owe nothing one after the other. What came meanwhile is answered as before. It makes the case rarer and does not rule it out.

--- a/beechrock/net/connection.py
+++ b/beechrock/net/connection.py
@@ -149,40 +149,73 @@
         self.finish()
         return True
 
+    def answer_unread(self, max_bytes: int) -> None:
+        """Read and answer what has come, up to ``max_bytes``, without a turn of the loop."""
+        if self._reader is None or self._writer is None or self._ends_by_loop():
+            return
+        try:
+            self._answer_unread(StreamEndpoint(self._reader, self._writer), max_bytes)
+        except OSError:
+            self._note_reset()
+
     def conclude(self, max_bytes: int, force: bool) -> bool:
         """Read what has come, answer it, and end the connection, all without a turn of the loop.
 
         Reads up to ``max_bytes``; with ``force`` the connection is ended though more has come. Return whether
         nothing is left to do. What the other side takes no more of is left to the loop.
         """
-        if self._reader is None or self._writer is None or self._shut or self._writer.transport.is_closing():
+        if self._reader is None or self._writer is None:
             return True
-        if self._sending:  # an answer is written in part: the loop ends it once its reader has taken the rest
-            if force:
-                self.rejected = True
-                self.answer_all()
-                self.end()
-            return False
-        return self.conclude_on(StreamEndpoint(self._reader, self._writer), max_bytes, force)
+        if not self._ends_by_loop():
+            return self.conclude_on(StreamEndpoint(self._reader, self._writer), max_bytes, force)
+        if force and self._sending:
+            self.rejected = True
+            self.answer_all()
+            self.end()
+        return not self._sending
+
+    def _ends_by_loop(self) -> bool:
+        """Return whether its end is sent, or an answer is written in part, behind which none may be put."""
+        return self._sending or self._shut or self._writer is None or self._writer.transport.is_closing()
 
     def conclude_on(self, endpoint: DirectEndpoint, max_bytes: int, force: bool) -> bool:
         """Conclude a connection that is read and written by ``endpoint``, as ``conclude`` says.
 
-        The end is sent in the same step as a read that finds nothing: what comes between them is lost.
+        The end is sent in the same step as a look that finds nothing: what comes between them is lost.
         """
-        self.rejected = True
         try:
             if not self._answer_and_end(endpoint, max_bytes, force):
                 return False
-        except OSError:  # reset by the other side, where nobody waits for an answer any more
-            self.broken = True
-            self.counters.add(f"intake.{self.where}_resets")
+        except OSError:
+            self._note_reset()
         self._shut = True
         self.finish()
         return True
 
+    def _note_reset(self) -> None:
+        """Note that the other side has reset the connection: nobody waits for an answer any more."""
+        self.broken = True
+        self.counters.add(f"intake.{self.where}_resets")
+
     def _answer_and_end(self, endpoint: DirectEndpoint, max_bytes: int, force: bool) -> bool:
         """Answer until nothing waits, and send our end; return whether it was sent. Raises OSError."""
+        left = max_bytes
+        while True:
+            left -= self._answer_unread(endpoint, left)
+            if self.closing or (left < 0 and force):
+                endpoint.end()
+                return True
+            if left < 0:
+                return False
+            if endpoint.end_if_empty():
+                return True
+
+    def _answer_unread(self, endpoint: DirectEndpoint, max_bytes: int) -> int:
+        """Answer until a read finds nothing or over ``max_bytes`` came; return how many did. Raises OSError.
+
+        ``closing`` is set where no more can come, and where the other side does not read.
+        """
+        self.rejected = True
         taken = 0
         while True:
             data = None if self.closing else endpoint.receive()
@@ -194,16 +227,11 @@
             self.answer_all()
             answers = b"".join(self._encoded(message) for message in self.mailbox.drain())
             self.flushed = True
-            readable = not answers or endpoint.send(
-                answers
-            )  # else the other side does not read: no more waits
-            if self.closing or data == b"" or not readable or (force and taken >= max_bytes):
-                endpoint.end()
-                return True
-            if data is None and endpoint.end_if_empty():
-                return True
-            if taken >= max_bytes:
-                return False
+            readable = not answers or endpoint.send(answers)
+            if data == b"" or not readable:
+                self.closing = True
+            if self.closing or taken > max_bytes or (data is None and not answers):
+                return taken
 
     def drop(self) -> None:
         """End the connection at once, whatever is open on it."""
--- a/beechrock/net/connection_server.py
+++ b/beechrock/net/connection_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from typing import Any, Generic, TypeVar
 
 from beechrock.connections.table import UNREAD_SWEEPS, Placement, accept_budget, place_connection, victim
@@ -24,6 +25,7 @@
 MAX_LAST_BYTES = 2 * (
     RECEIVE_BUFFER + READ_CHUNK
 )  # what may wait as the last pass begins: the kernel doubles
+NEW_SLICE_S = 0.0005  # a sleep after which the scheduler gives a whole time slice
 LINGERING_PART = 16  # 1 / this of the table: connections ended for others that still hold a descriptor
 
 
@@ -133,6 +135,7 @@
         while True:
             self._conclude_backlog(end_at)
             self._conclude_coming()
+            self._shut_all()
             if self._conclude_peers(end_at) or loop.time() >= end_at:
                 return
             await asyncio.sleep(DEPART_STEP_S)
@@ -165,6 +168,18 @@
         peer.conclude_on(endpoint, MAX_LAST_BYTES, force=True)
         self.ended(peer)
 
+    def _shut_all(self) -> None:
+        """Answer what waits on all connections, and then end them one right after the other.
+
+        A request that comes between the look for it and the end of its connection is lost, and on a busy
+        machine a process has to wait wherever its time slice ends. So the ends are done with a new slice.
+        """
+        for peer in self.peers:
+            peer.answer_unread(FAIR_BYTES)
+        time.sleep(NEW_SLICE_S)
+        for peer in self.peers:
+            peer.shut()
+
     def _conclude_peers(self, end_at: float) -> bool:
         """End all connections; return whether nothing is left to do on any.
 
--- a/tests/test_closing_late.py
+++ b/tests/test_closing_late.py
@@ -1,5 +1,6 @@
 """The end of a process whose loop has no turn left: what waits is answered all the same."""
 
+import asyncio
 import os
 import re
 import signal
@@ -22,6 +23,7 @@
 from test_program import line_with
 
 from beechrock.connections.shutdown import EXIT_S, MAX_EARLIER_S, LoopLag, hastened, schedule
+from beechrock.net.connection_server import FAIR_BYTES, MAX_LAST_BYTES
 from beechrock.net.frame_codec import ANSWER, FAILED, REFUSED
 from beechrock.net.scgi_codec import request_bytes
 from beechrock.program import Program
@@ -109,6 +111,19 @@
     run(work)
 
 
+def test_all_that_waits_on_a_connection_is_answered_however_much_it_is() -> None:
+    async def work(stand: Stand) -> None:
+        front, [caller] = await node(stand)
+        many = b"".join(request(stream) for stream in range(2, 802))
+        assert FAIR_BYTES < len(many) < MAX_LAST_BYTES
+        caller.send(many)
+        now = asyncio.get_running_loop().time()
+        await front.depart(now, now, now + 20.0)
+        assert caller.answers() == caller.owed and caller.ended  # with no turn of the loop since
+
+    run(work)
+
+
 class Endless:
     """An endpoint whose other side sends requests for as long as it is read."""
 
