Way out: a full table leaves no request in the backlog as the last connections are ended (test)

What callers lost: with a full table whose places and rejected ones could not be ended for others, the backlog was not accepted before the listening socket was closed, and its requests were reset. Known by reading alone so far; the test over loopback fails on (a reset caller, its requests unanswered).

Cause: the table's budget lets at most 16 rejected connections in, and depart accepted by it alone.

--- a/tests/test_closing_late.py
+++ b/tests/test_closing_late.py
@@ -23,6 +23,7 @@
 from test_program import line_with
 
 from beechrock.connections.shutdown import EXIT_S, MAX_EARLIER_S, LoopLag, hastened, schedule
+from beechrock.connections.table import MAX_REJECTED
 from beechrock.net.connection_server import FAIR_BYTES, MAX_LAST_BYTES
 from beechrock.net.frame_codec import ANSWER, FAILED, REFUSED
 from beechrock.net.scgi_codec import request_bytes
@@ -124,6 +125,35 @@
     run(work)
 
 
+def test_a_full_table_leaves_no_request_in_the_backlog_as_the_last_connections_are_ended() -> None:
+    """More are unanswered than a full table may reject at once, so that the rest is not accepted by turns."""
+
+    async def work(stand: Stand) -> None:
+        front, [busy] = await node(stand)
+        front.max_connections = 1
+        busy.send(request(2))
+        await until(lambda: stand.program.module.table.last_id == 1, lambda: "unread")
+        half = [connect(front) for _ in range(MAX_REJECTED)]
+        for caller in half:
+            caller.socket.sendall(request(1)[:9])  # rejected ones that cannot be ended for others
+        await until(lambda: len(front.peers) == 1 + MAX_REJECTED, lambda: f"{len(front.peers)} connections")
+        waiting = [connect(front) for _ in range(3 * MAX_REJECTED)]
+        for caller in waiting:
+            caller.send(CHECK_1 + request(2))
+        departure = stand.program.departure
+        close_s = departure.steps.close_s
+        departure.steps = replace(
+            departure.steps, cut_s=close_s + 0.02, exit_s=close_s + 0.04, end_s=close_s + 20.0
+        )
+        stand.program.leave()
+        departure.began_at -= close_s
+        await stand.program._end_connections()
+        for caller in (busy, *waiting):
+            await caller.closed()
+
+    run(work)
+
+
 class Endless:
     """An endpoint whose other side sends requests for as long as it is read."""
 
