Decisions: a node whose estimates are old begins a run again, in place of rejecting all for ever

What callers saw: an idle node that answered 503 to everything until it was started again, after one stall of its cores, of the services behind it or of what lies below, or while one run hung and few others had ended.

On a driven clock, 100 short runs, four of 30 s at once, then 10 requests a second: 701 of 701 rejected in 70 s; with calls below 701 of 701.

Cause: whether a run can end in time is reckoned by the throughput meter (and the time of calls), which learns from completions alone and forgets over time in use alone. Once that passes the objective nothing begins, so nothing is learnt.

Change: policy/probing.py: where nothing runs, or no run has begun within the mean objective, an estimate alone rejects nobody, and one run begins if cores, memory, limits and slow start allow it. An overloaded node begins runs all the time and decides as before.

--- a/beechrock/policy/admission.py
+++ b/beechrock/policy/admission.py
@@ -12,6 +12,7 @@
 from beechrock.policy.memory import ADMIT_MEMORY_SHARE, RUN_MEMORY_SHARE, MemoryAccount
 from beechrock.policy.meter import ThroughputMeter
 from beechrock.policy.phases import HELD, RUNNING, SHARING
+from beechrock.policy.probing import Probing
 from beechrock.policy.requests import OpenRequest, RequestTable
 from beechrock.policy.retry_advice import RetryAdvice
 from beechrock.policy.shutdown import Shutdown
@@ -50,6 +51,7 @@
         budgets: TenantBudgets,
         concurrency: ConcurrencyLimit,
         launches: LaunchGate,
+        probing: Probing,
         calls: DownstreamCalls,
         cores: ThroughputMeter,
         shutdown: Shutdown,
@@ -65,6 +67,7 @@
         self._budgets = budgets
         self._concurrency = concurrency
         self._launches = launches
+        self._probing = probing
         self._calls = calls
         self._cores = cores
         self._shutdown = shutdown
@@ -153,7 +156,8 @@
         share = MAX_WAIT_SHARE * share_weight * self._value(entry)
         left_s = entry.objective_end_s - context.now_s
         table = self._table
-        if entry.must_call and self._calls.meter.wait(table.calls_ahead) > share * left_s:
+        calls_late = entry.must_call and self._calls.meter.wait(table.calls_ahead) > share * left_s
+        if calls_late and not self._probing.is_due():
             return False
         launch_wait_s = self._launches.wait_s(table.count[HELD] - 1)
         if launch_wait_s and launch_wait_s > share * left_s:
--- a/beechrock/policy/node.py
+++ b/beechrock/policy/node.py
@@ -19,6 +19,7 @@
 from beechrock.policy.meter import ThroughputMeter
 from beechrock.policy.other_process import OtherProcess
 from beechrock.policy.phases import CALLING, FINISHED, HELD, RUNNING
+from beechrock.policy.probing import Probing
 from beechrock.policy.requests import OpenRequest, RequestTable
 from beechrock.policy.retry_advice import RetryAdvice
 from beechrock.policy.shutdown import Shutdown
@@ -57,6 +58,7 @@
         self.answers = Answers(context, self.table, self.keys, self.budgets)
         self.concurrency = ConcurrencyLimit(context, self.table, self.statistics, self.other_process)
         self.launches = LaunchGate(context, self.other_process, self.statistics)
+        self.probing = Probing(context, self.table)
         self.calls = self._new_calls()
         self.retry_advice = RetryAdvice(
             context, self.table, self.answers, self.abacus, self.launches, self.statistics, self.cores
@@ -89,6 +91,7 @@
             self.budgets,
             self.concurrency,
             self.launches,
+            self.probing,
             self.calls,
             self.cores,
             self.shutdown,
@@ -265,14 +268,21 @@
         """Start held requests by the ends of their objectives; reject what is of no use any more."""
         for queue in sorted(self.table.held, key=lambda queue: queue[:1]):
             while (entry := self.table.first(queue, HELD)) is not None:
-                late = self.context.now_s + self.calls.remaining_s(entry) > entry.useful_until_s
-                if late or self.shutdown.past_grace(entry):
+                if self._too_late(entry) or self.shutdown.past_grace(entry):
                     self.retry_advice.reject_overload(entry)
                 elif self._may_start(entry):
                     self._start(entry)
                 else:
                     break
 
+    def _too_late(self, entry: OpenRequest) -> bool:
+        """Tell whether a run would end only when it is of no use any more; not by an old estimate alone."""
+        now_s = self.context.now_s
+        if now_s + self.calls.remaining_s(entry) <= entry.useful_until_s:
+            return False
+        probes = self.probing.is_due() and self._may_start(entry)
+        return now_s > entry.useful_until_s or not probes
+
     def _may_start(self, entry: OpenRequest) -> bool:
         return (
             self.table.count[RUNNING] < self.concurrency.run_limit()
@@ -286,6 +296,7 @@
         request = entry.request
         self.context.actions.append(api.Run(request.id))
         self.launches.launch(entry)
+        self.probing.note_start()
         self.table.move(entry, RUNNING)
         entry.may_have_run = True
         shared_ttl_s = self.context.settings.shared_read_ttl_s
