Way out: a process without standard error ends with code 0 again

What operators saw: a node that was started without a descriptor for standard error ended with code 1, as sys.stderr is None there and the new end_process flushed it.

Change: a stream that is not there is not flushed; departure stands after net in the order of modules. Both tests pass.

--- a/beechrock/start.py
+++ b/beechrock/start.py
@@ -53,6 +53,7 @@
     """
     logging.shutdown()
     for stream in (sys.stdout, sys.stderr):
-        with contextlib.suppress(OSError, ValueError):  # nobody reads it any more
-            stream.flush()
+        if stream is not None:  # it is where the process began without that descriptor
+            with contextlib.suppress(OSError, ValueError):  # nobody reads it any more
+                stream.flush()
     os._exit(code)
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -34,6 +34,7 @@
     "inventory",
     "config",
     "net",
+    "departure",
     "store",
     "talk",
     "members",
