--- a/beechrock/core/idempotency.py
+++ b/beechrock/core/idempotency.py
@@ -125,6 +125,15 @@
         """Return the current entry of each key."""
         return list(self._entries.values())
 
+    def replaced(self, request: Request) -> list[Entry]:
+        """Return the entries of the request's key whose place a later try took, the newest last."""
+        key = self.key(request)
+        return list(self._replaced.get(key, ())) if key is not None else []
+
+    def replaced_entries(self) -> list[Entry]:
+        """Return all entries whose place a later try took; of one key the newest last."""
+        return list(chain.from_iterable(self._replaced.values()))
+
     def sweep(self, now: float) -> None:
         """Drop the entries whose time is over."""
         for key, replaced in list(self._replaced.items()):
--- a/beechrock/handover/claim_copy.py
+++ b/beechrock/handover/claim_copy.py
@@ -12,6 +12,7 @@
 from beechrock.handover.peer import ChannelPeer
 
 COPY_CHUNK_CLAIMS = 200  # of a copy, in one turn of the loop
+MAX_REPLACED_CLAIMS = 1000  # of a copy; some 100 bytes each, and the kernel holds 200 KB for a late reader
 # Results follow the claims at this pace: what the kernel holds for a reader whose loop is late stays far
 # under its 200 KB, so that claims always find room.
 RESULT_CHUNK_BYTES = 32_768
@@ -51,6 +52,7 @@
         table = self._keys.module.idempotency
         own = [HeldKey(e.request, e.until) for e in table.entries() if e.request.nonce is not None]
         others = list(self._keys.ownership.other_claims.claims.values())
+        self._send_replaced(peer)
         self._keys.own_claims = {claim_key(held.request): held.until_s for held in own}
         if self._drained():
             peer.send(DrainCommand(True))
@@ -60,6 +62,24 @@
         peer.send(ClaimsSynced())
         await self._send_results(peer, own, others)
 
+    def _send_replaced(self, peer: ChannelPeer) -> None:
+        """Send the claims of runs whose key ran again; an attempt of their windows that is read late fails.
+
+        All of them before the first await, as a later claim of their key must not come before them. Where one
+        has been sent since this successor joined, its key's earlier runs are left out.
+        """
+        table = self._keys.module.idempotency
+        replaced = [
+            Claim(claim_key(entry.request), entry.request.digest, entry.until)
+            for entry in table.replaced_entries()
+            if entry.request.nonce is not None
+        ]
+        known = [*self._keys.ownership.other_claims.replaced(), *replaced]
+        for claim in known[-MAX_REPLACED_CLAIMS:]:
+            if claim.key not in self._keys.own_claims:
+                peer.send(KeyClaimed(claim.key, claim.digest, claim.until_s))
+                peer.send(RunEnded(claim.key, False))
+
     async def _send_own_claims(self, peer: ChannelPeer, own: list[HeldKey]) -> None:
         """Send the claims of this process, some in each turn of the loop."""
         for start in range(0, len(own), COPY_CHUNK_CLAIMS):
--- a/beechrock/handover/key_partner.py
+++ b/beechrock/handover/key_partner.py
@@ -1,7 +1,6 @@
 """What the module's actor asks of the other process before it runs a key (``core.requests.Partner``)."""
 
 import hashlib
-from dataclasses import dataclass
 
 from beechrock.core.actor import ModuleActor
 from beechrock.core.idempotency import SLACK_S
@@ -14,14 +13,6 @@
 from beechrock.interface import Idempotency
 
 
-@dataclass(frozen=True, slots=True)
-class FirstRequest:
-    """The other's request that attempts here repeat, and the claim that it stands for."""
-
-    claim: Claim
-    request: Request
-
-
 class KeyPartner:
     """The claims of both processes, between the module's actor and the channels to either side."""
 
@@ -36,7 +27,7 @@
             2 * module.idempotency.capacity,
             module.memory.max_result_bytes,
         )
-        self.first_requests: dict[bytes, FirstRequest] = {}
+        self.first_requests: dict[Claim, Request] = {}  # what attempts here repeat of the other's
         self.own_claims: dict[bytes, float] = {}  # claims here and their ends, while a successor is there
 
     @property
@@ -81,13 +72,13 @@
         claim = self.ownership.find_claim(key, request.earliest)
         if claim is None:
             return None
-        first = self.first_requests.get(key)
-        if first is None or first.claim is not claim:
-            first = self.first_requests[key] = FirstRequest(claim, self._proxy_request(request, claim))
-        if claim.ended and not first.request.over:
-            self._finish_first(first.request, claim)
+        first = self.first_requests.get(claim)
+        if first is None:
+            first = self.first_requests[claim] = self._proxy_request(request, claim)
+        if claim.ended and not first.over:
+            self._finish_first(first, claim)
         self.counters.add("handover.repeats")
-        return first.request
+        return first
 
     def _proxy_request(self, request: Request, claim: Claim) -> Request:
         """Return a request that stands here for the other's."""
@@ -107,11 +98,21 @@
         if self.ownership.role is PeerRole.ABSENT:
             return True
         key = claim_key(request)
+        earlier_goes_on = self._earlier_goes_on(request, key)
         if self.links.successor is not None:
             self.own_claims[key] = until
-        self.ownership.claim_run(key, request.digest, until)
+        self.ownership.claim_run(key, request.digest, until, earlier_goes_on)
         return self.flush()
 
+    def _earlier_goes_on(self, request: Request, key: bytes) -> bool:
+        """Return whether the other still takes the key's run before this one for open."""
+        replaced = self.module.idempotency.replaced(request)
+        return (
+            bool(replaced)
+            and not replaced[-1].request.over
+            and self.own_claims.get(key) == replaced[-1].until
+        )
+
     def release(self, request: Request) -> None:
         """Note that a claimed request did not run after all."""
         if self.ownership.role is PeerRole.ABSENT:
@@ -181,10 +182,10 @@
     def settle(self, ended: tuple[Claim, ...]) -> None:
         """Answer the attempts that repeat claims which are over now."""
         for claim in ended:
-            first = self.first_requests.get(claim.key)
-            if first is not None and first.claim is claim:
-                self._finish_first(first.request, claim)
-                self.module.table.share_result(first.request)
+            first = self.first_requests.get(claim)
+            if first is not None:
+                self._finish_first(first, claim)
+                self.module.table.share_result(first)
 
     def _finish_first(self, first: Request, claim: Claim) -> None:
         first.over = True
@@ -203,8 +204,8 @@
     def sweep(self, now_s: float) -> None:
         """Drop what no attempt can repeat any more."""
         self.ownership.sweep(now_s)
-        known = self.ownership.other_claims.claims
-        self.first_requests = {key: first for key, first in self.first_requests.items() if key in known}
+        known = set(self.ownership.other_claims)
+        self.first_requests = {c: first for c, first in self.first_requests.items() if c in known}
         linger_s = self.module.idempotency.linger_s
         self.own_claims = {
             key: until_s for key, until_s in self.own_claims.items() if until_s + SLACK_S + linger_s > now_s
--- a/beechrock/handover/ownership.py
+++ b/beechrock/handover/ownership.py
@@ -132,8 +132,12 @@
         self.requests.wait(pending, attempt, due_s)
         return Decision.WAIT
 
-    def claim_run(self, key: bytes, digest: bytes, until_s: float) -> None:
-        """Note that an attempt here is about to run."""
+    def claim_run(self, key: bytes, digest: bytes, until_s: float, earlier_goes_on: bool = False) -> None:
+        """Note that an attempt here is about to run.
+
+        ``earlier_goes_on``: the key's run before, whose window is over, has not ended. No end of it will be
+        told, so what the other knows of it ends here; else it would take both for one run.
+        """
         grant = self.grants.grants.get(key)
         if grant is not None:
             if until_s > grant.until_s:  # an entry that is held for longer than a window
@@ -142,6 +146,8 @@
             grant.until_s = max(until_s, grant.until_s)
             grant.run_until_s = until_s
         elif self.role is PeerRole.SUCCESSOR:
+            if earlier_goes_on:
+                self.outbox.append(RunEnded(key, False))
             self.outbox.append(KeyClaimed(key, digest, until_s))
 
     def release(self, key: bytes, earlier: EarlierRun | None = None) -> None:
@@ -197,7 +203,7 @@
             case RunEnded():
                 return Outcome(ended=tuple(self.other_claims.end(message)))
             case GrantRequest():
-                self._answer_request(message, held)
+                return Outcome(ended=tuple(self._answer_request(message, held)))
             case KeyGranted(key):
                 return Outcome(self._use_grant(key))
             case KeyDenied(key):
@@ -214,7 +220,8 @@
             self.outbox.append(KeyReleased(key))
         return attempts
 
-    def _answer_request(self, request: GrantRequest, held: bool) -> None:
+    def _answer_request(self, request: GrantRequest, held: bool) -> list[Claim]:
+        """Grant a key or deny it; return the other's claims that end by it."""
         claim = self.other_claims.find(request.key, request.born_s)
         if claim is not None and claim.ended:  # it ran, and the other no longer knows that it did
             self.outbox += [
@@ -225,8 +232,9 @@
         elif held:
             self.outbox.append(KeyDenied(request.key))
         else:
-            self.other_claims.grant(request)
             self.outbox.append(KeyGranted(request.key))
+            return self.other_claims.grant(request)
+        return []
 
     def on_claims_synced(self) -> None:
         """Note that all claims of the predecessor are known, and send open requests again."""
--- a/tests/handover/test_grants.py
+++ b/tests/handover/test_grants.py
@@ -143,3 +143,66 @@
     new.on_peer_lost(12.1)
     known = new.find_claim(KEY, 11.9)
     assert known is not None and known.ended and new.find_claim(KEY, 12.06) is None
+
+
+def test_a_try_of_an_earlier_window_shares_the_run_of_its_own_window_at_the_other_process() -> None:
+    """Where a key had run again, a try of the run before got the later run's result."""
+    old, new = pair()
+    for until, result in ((12.0, b"first"), (14.06, b"second"), (16.12, b"third")):
+        old.claim_run(KEY, BODY, until)
+        old.end_run(KEY, True, "", result)
+    told(old, new)
+    for born, result in ((11.9, b"first"), (14.0, b"second"), (14.2, b"third")):
+        known = new.find_claim(KEY, born)
+        assert known is not None and known.result == result
+    assert new.other_claims.result_bytes == len(b"firstsecondthird")
+    new.sweep(12.0 + SLACK_S + LINGER_S + 0.01)  # no try of the first window can be read any more
+    assert [claim.result for claim in new.other_claims] == [b"second", b"third"]
+    new.sweep(20.0)
+    assert not len(new.other_claims) and new.other_claims.result_bytes == 0
+
+
+def test_a_later_run_that_never_began_leaves_the_result_of_the_one_before_at_the_other_process() -> None:
+    old, new = pair()
+    old.claim_run(KEY, BODY, 12.0)
+    old.end_run(KEY, True, "", b"first")
+    old.claim_run(KEY, BODY, 14.06)
+    old.release(KEY, EarlierRun(BODY, 12.0))
+    told(old, new)
+    known = new.find_claim(KEY, 11.9)
+    assert known is not None and known.result == b"first" and new.find_claim(KEY, 12.06) is None
+    assert len(new.other_claims) == 1 and new.other_claims.result_bytes == len(b"first")
+
+
+def test_a_run_that_outlives_its_window_is_not_taken_for_the_one_that_follows_it() -> None:
+    old, new = pair()
+    old.claim_run(KEY, BODY, 12.0)
+    told(old, new)
+    old.claim_run(KEY, BODY, 14.06, earlier_goes_on=True)
+    old.end_run(KEY, True, "", b"second")
+    told(old, new)
+    first, second = new.find_claim(KEY, 11.9), new.find_claim(KEY, 12.06)
+    assert first is not None and first.ended and not first.succeeded
+    assert second is not None and second.result == b"second"
+
+
+def test_a_run_that_outlives_its_window_ends_at_the_other_process_as_the_key_is_granted_again() -> None:
+    old, new = pair()
+    granted(old, new, 10.0)
+    new.claim_run(KEY, BODY, 12.0)
+    new.finish_use(KEY)
+    after = 13.06 + GRANT_EXTRA_S
+    assert want(new, after) is Decision.WAIT
+    outcomes = [old.receive(message, False) for message in new.outbox]
+    assert [claim.until_s for outcome in outcomes for claim in outcome.ended] == [12.0 + GRANT_EXTRA_S]
+    assert old.find_claim(KEY, 12.0) is not None and old.find_claim(KEY, after) is not None
+
+
+def test_replaced_claims_count_against_the_room_for_claims() -> None:
+    claims: KeyOwnership[str] = KeyOwnership(WINDOW_S, LINGER_S, 2, 1000)
+    claims.role = PeerRole.PREDECESSOR
+    for until in (12.0, 14.06, 16.12):
+        claims.receive(messages.KeyClaimed(KEY, BODY, until), False)
+        claims.receive(messages.RunEnded(KEY, True), False)
+    assert len(claims.other_claims) == 2
+    assert claims.decide(KEY, BODY, 16.0, 18.0, "", 16.0) is Decision.REJECT  # its run has no room
--- /dev/null
+++ b/tests/handover/test_node_late.py
@@ -0,0 +1,98 @@
+"""Tries that are read after their key's window, by the other process of the node."""
+
+from pathlib import Path
+
+import pytest
+from handover_requests import later, part
+from pair import FAILED, LAUNCH, OK, PASS, Pair, asked, run
+from play import Stand
+
+from beechrock.handover.claim_copy import ClaimCopy
+from beechrock.handover.messages import Message
+from beechrock.handover.peer import ChannelPeer
+
+WINDOW_S = 10.0  # of the class
+SECOND = 'g > "outcome 2 %016d PASS 6 2\\r\\nno\\r\\n"\n'
+
+
+@pytest.mark.parametrize(("joined", "answer"), [(True, OK), (False, FAILED)])
+def test_a_try_of_an_earlier_window_gets_no_result_of_the_run_of_a_later_one(
+    folder: Path, joined: bool, answer: str
+) -> None:
+    """Its own run's result where that was told, else 'failed'; never the later run's, and it never runs."""
+
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        new = Stand()
+        if joined:
+            await pair.start(stand=new)
+            await pair.following(old, new)
+        await pair.caller(old, [new] if joined else [])
+        await old.play(asked(1, 1, 1) + LAUNCH % 1 + PASS % (1, 1) + OK % 1)
+        late = later(asked(1, 3, 1), old)
+        for stand in (old, new):
+            stand.now += WINDOW_S + 0.2
+        await old.play(later(asked(2, 2, 1), old) + LAUNCH % 2 + SECOND % 2)
+        if not joined:
+            await pair.start(stand=new)
+            await pair.following(old, new)
+        await pair.caller(new, [old])
+        await new.play(late + answer % 1)
+        assert new.program.counters["sent.launches"] == 0
+
+    run(work, folder)
+
+
+def test_a_run_that_outlives_its_window_is_not_taken_for_the_next_one_of_its_key(folder: Path) -> None:
+    """The next run's repeats got the earlier one's result, or went without an answer of their own."""
+
+    async def work(pair: Pair) -> None:
+        old, new = await pair.both()
+        await pair.caller(old, [new])
+        await old.play(asked(1, 1, 1) + LAUNCH % 1)
+        late, later_still = later(asked(2, 4, 1), old), later(asked(3, 5, 1), old)
+        for stand in (old, new):
+            stand.now += WINDOW_S + 0.2
+        await old.play(
+            later(asked(2, 2, 1), old) + LAUNCH % 2 + FAILED % 1
+        )  # the first one's due time is over
+        await pair.caller(new, [old])
+        await new.play(later(asked(1, 3, 1), new) + "counter handover.repeats 1\n" + late + FAILED % 2)
+        await old.play(SECOND % 2 + 'a ... "no"\n')
+        await new.play('a ... "no"\n' + later_still + (FAILED % 3).replace("0.0000", "0.4000"))
+        assert new.program.counters["sent.launches"] == 0
+
+    run(work, folder)
+
+
+class SentMessages(ChannelPeer):
+    """A channel that keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[Message] = []
+
+    def send(self, message: Message) -> bool:
+        self.sent.append(message)
+        return True
+
+
+def test_a_copy_tells_no_earlier_run_of_a_key_whose_later_one_was_told_before(folder: Path) -> None:
+    """It would end the later run's claim: between the join and the copy a run can begin."""
+
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        await pair.caller(old, [])
+        await old.play(asked(1, 1, 1) + LAUNCH % 1 + PASS % (1, 1) + OK % 1)
+        old.now += WINDOW_S + 0.2
+        await old.play(later(asked(2, 2, 1), old) + LAUNCH % 2)
+        keys = part(old).keys
+        copy, peer = ClaimCopy(keys, part(old).lifecycle, lambda: False), SentMessages()
+        copy._send_replaced(peer)
+        assert len(peer.sent) == 2
+        keys.own_claims = {peer.sent[0].key: old.now}  # type: ignore[union-attr]
+        copy._send_replaced(peer)
+        assert len(peer.sent) == 2
+
+    run(work, folder)
--- a/tests/handover/test_ownership.py
+++ b/tests/handover/test_ownership.py
@@ -166,7 +166,9 @@
     claims.receive(messages.KeyReleased(KEYS[0]), False)
     late = claims.find_claim(KEYS[0], 2.99)  # born in the first window, and read late
     assert late is not None and late.ended and claims.find_claim(KEYS[0], 3.2) is None
-    assert claims.other_claims.result_bytes == 0
+    assert late.result == b"r" and claims.other_claims.result_bytes == len(b"r")
+    claims.sweep(3.0 + SLACK_S + LINGER_S + 0.01)
+    assert claims.is_idle is False and not len(claims.other_claims) and claims.other_claims.result_bytes == 0
 
 
 def test_a_try_waits_for_its_answer_no_longer_than_until_it_is_due() -> None:
