--- a/beechrock/core/idempotency.py
+++ b/beechrock/core/idempotency.py
@@ -147,6 +147,10 @@
         """Return whether a try of an unknown key may repeat a run that a full table no longer knows."""
         return born <= self.dropped_until + SLACK_S
 
+    def doubt_ends(self) -> float:
+        """Return until when such a try can still be read."""
+        return self.dropped_until + SLACK_S + self.linger_s
+
     def _drop_lingering(self, now: float) -> None:
         """Drop the entries whose windows are over, and remember until when their tries are in doubt.
 
--- a/beechrock/handover/key_partner.py
+++ b/beechrock/handover/key_partner.py
@@ -35,6 +35,14 @@
         """Return whether a process that is gone may have run keys that nobody here knows of."""
         return self.module.clock() < self.ownership.doubt.until_s
 
+    @property
+    def misses_runs(self) -> bool:
+        """Return whether a try that may still be read can repeat a run that is unknown here.
+
+        That is so in doubt, and after a full table has dropped runs whose windows were over.
+        """
+        return self.in_doubt or self.module.clock() < self.module.idempotency.doubt_ends()
+
     def request_run(self, request: Request) -> bool:
         """Return whether a keyed attempt may be taken in now; if not, it comes again, or has its answer."""
         if self.ownership.is_idle:
--- a/beechrock/handover/successors.py
+++ b/beechrock/handover/successors.py
@@ -109,9 +109,9 @@
         if not parts.lifecycle.authority or parts.links.successor is not None:
             peer.send(Deferral())
             return
-        # In doubt it knows not all that ran. Without a copy the successor serves all else, and turns keys
-        # away as this process does.
-        if parts.keys.in_doubt:
+        # A copy without some runs would let the successor run them once more. Without one it serves all
+        # else, and turns keys away.
+        if parts.keys.misses_runs:
             parts.counters.spawn(self._join_after_doubt(), "handover.doubt")
             return
         self.waiting.remove(peer)
@@ -124,7 +124,7 @@
         parts.start_pulse()
 
     async def _join_after_doubt(self) -> None:
-        while self._parts.keys.in_doubt:
+        while self._parts.keys.misses_runs:
             await asyncio.sleep(RETRY_S)
         if self._parts.links.successor is None:
             self.join_next()
--- a/tests/handover/test_node_late.py
+++ b/tests/handover/test_node_late.py
@@ -1,13 +1,15 @@
 """Tries that are read after their key's window, by the other process of the node."""
 
+import asyncio
 from pathlib import Path
 
 import pytest
 from handover_requests import later, part
-from pair import FAILED, LAUNCH, OK, PASS, Pair, asked, run
-from play import Stand
+from pair import DOUBT, FAILED, LAUNCH, OK, PASS, Pair, asked, run
+from play import Stand, until
 
 from beechrock.handover.claim_copy import ClaimCopy
+from beechrock.handover.lifecycle import COPY_TIMEOUT_S, PredecessorStage
 from beechrock.handover.messages import Message
 from beechrock.handover.peer import ChannelPeer
 
@@ -66,6 +68,46 @@
     run(work, folder)
 
 
+@pytest.mark.parametrize("joined", [True, False])
+def test_a_run_that_a_full_table_dropped_is_run_by_no_successor(folder: Path, joined: bool) -> None:
+    """One that joined before knows it; one that comes later is vouched for no key until no try is left."""
+
+    async def work(pair: Pair) -> None:
+        old = await pair.start()
+        await pair.serving(old)
+        table = old.program.module.idempotency
+        table.capacity = 1
+        new = Stand()
+        if joined:
+            await pair.start(stand=new)
+            await pair.following(old, new)
+        await pair.caller(old, [new] if joined else [])
+        await old.play(asked(1, 1, 1) + LAUNCH % 1 + PASS % (1, 1) + OK % 1)
+        for stand in (old, new):
+            stand.now += WINDOW_S - 0.1
+        late = later(asked(1, 3, 1), old)
+        for stand in (old, new):
+            stand.now += 0.3
+        await old.play(later(asked(2, 2, 2), old) + LAUNCH % 2)
+        assert table.in_doubt(old.now - 0.2) and len(table) == 1
+        if not joined:
+            await pair.start(stand=new)
+            unheard = (PredecessorStage.SEARCHING, PredecessorStage.CONNECTED)
+            await until(lambda: part(new).lifecycle.predecessor not in unheard, lambda: "not met")
+            await asyncio.sleep(0.1)  # a copy would have come by now
+            if part(new).lifecycle.predecessor is PredecessorStage.COPYING:
+                new.now += COPY_TIMEOUT_S + 0.01  # it takes connections, without keys
+        await pair.serving(new)
+        await pair.caller(new, [old])
+        await new.play(late + (OK if joined else DOUBT) % 1)
+        assert new.program.counters["sent.launches"] == 0
+        if not joined:
+            old.now = new.now = table.doubt_ends() + 0.01
+            await pair.following(old, new)
+
+    run(work, folder)
+
+
 class SentMessages(ChannelPeer):
     """A channel that keeps what is sent."""
 
