--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import os
+import selectors
 import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -161,6 +162,30 @@
     run(work)
 
 
+def test_a_connection_that_epoll_refuses_at_first_is_read_once_it_takes_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """epoll_ctl(2) may fail by ENOMEM and ENOSPC for an accepted one: it stayed open and was never read."""
+
+    async def work(echo: Echo, server: Listener) -> None:
+        address = server.sockets[0].getsockname()
+        selector: selectors.BaseSelector = asyncio.get_running_loop()._selector  # type: ignore[attr-defined]
+        real, left = selector.register, [errno.ENOMEM, errno.ENOSPC, errno.ENOMEM]
+
+        def register(fd: Any, events: int, data: Any = None) -> selectors.SelectorKey:
+            number = fd if isinstance(fd, int) else fd.fileno()
+            with socket.socket(fileno=os.dup(number)) as sock:
+                if left and sock.family is socket.AF_INET and sock.getsockname() == address:
+                    raise error_of(left.pop())
+            return real(fd, events, data)
+
+        monkeypatch.setattr(selector, "register", register)
+        assert await asyncio.wait_for(ask(address), 5) == b"here"
+        assert not left and echo.counters["intake.echo_accept_shortages"] == 3 and not server.arriving
+
+    run(work)
+
+
 def test_a_rest_that_cannot_be_ended_is_tried_to_be_ended_again(monkeypatch: pytest.MonkeyPatch) -> None:
     """epoll_ctl(2) may fail by ENOMEM and ENOSPC: then nothing would be accepted for ever."""
 
