Tests: one place starts a node in a process of its own

The configuration, the start and the wait for its address stood in five tests of test_program.py and test_closing_late.py; platform_process.py has them now.

--- a/tests/test_clock_process.py
+++ b/tests/test_clock_process.py
@@ -13,8 +13,9 @@
 import pytest
 import ujson
 from clock_requests import STEPS, asked
+from platform_process import ROOT, line_with
 from play import HANG_S, SETTINGS, bytes_of
-from test_program import ROOT, line_with, message
+from test_program import message
 
 STEPPED = """
 import os, runpy, time
--- a/tests/test_closing_late.py
+++ b/tests/test_closing_late.py
@@ -1,25 +1,21 @@
 """The end of a process whose loop has no turn left: what waits is answered all the same."""
 
 import asyncio
-import os
-import re
 import signal
 import socket
 import subprocess
-import sys
 import time
 from dataclasses import replace
 from pathlib import Path
 
 import pytest
-import ujson
 from callers import Caller, request, turns
 from pair import Pair
 from pair import run as run_pair
-from play import SETTINGS, Stand, run, until
+from platform_process import frames_address, start_node, write_configuration
+from play import Stand, run, until
 from test_closing import CHECK_1, CHECK_2, connect, node
 from test_exchanges import open_both
-from test_program import line_with
 
 from beechrock.connections.shutdown import EXIT_S, MAX_EARLIER_S, LoopLag, hastened, schedule
 from beechrock.connections.table import MAX_REJECTED
@@ -295,27 +291,12 @@
     How late this test's own waits end is no part of the stop: the kill comes later by as much.
     """
     stop_s = 1.0
-    told = {
-        "name": "n1",
-        "listen": "127.0.0.1:0",
-        "agent": "127.0.0.1:1",
-        "seed": "1",
-        "stop_ms": round(1000 * stop_s),
-        "settings": SETTINGS,
-    }
-    (tmp_path / "config.json").write_text(ujson.dumps(told))
-    with subprocess.Popen(
-        [sys.executable, "-c", LAST_INSTRUCTION],
-        cwd=ROOT,
-        stdout=subprocess.PIPE,
-        stderr=subprocess.PIPE,
-        text=True,
-        env={**os.environ, "LB_CONFIG": str(tmp_path / "config.json")},
-    ) as process:
+    configuration = write_configuration(tmp_path, stop_ms=round(1000 * stop_s))
+    with start_node(configuration, "-c", LAST_INSTRUCTION, stdout=subprocess.PIPE) as process:
         try:
-            found = re.search(r"frames on 127\.0\.0\.1:(\d+)", line_with(process, "frames on"))
-            assert found is not None and process.stdout is not None
-            links = [socket.create_connection(("127.0.0.1", int(found[1])), 30) for _ in range(20)]
+            address = frames_address(process)
+            assert process.stdout is not None
+            links = [socket.create_connection(address, 30) for _ in range(20)]
             for link in links:
                 link.sendall(CHECK_1)
                 link.recv(100)
--- a/tests/test_log_writes.py
+++ b/tests/test_log_writes.py
@@ -13,8 +13,9 @@
 
 import pytest
 import ujson
+from platform_process import ROOT
 from play import SETTINGS
-from test_program import CHECK, ROOT, message
+from test_program import CHECK, message
 
 from beechrock.logs import Lines
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -14,11 +14,17 @@
 
 import ujson
 from callers import Caller, request
-from play import SETTINGS
+from platform_process import (
+    ROOT,
+    frames_address,
+    line_with,
+    platform_configuration,
+    start_node,
+    write_configuration,
+)
 
 from beechrock.net.scgi_codec import request_bytes
 
-ROOT = Path(__file__).parent.parent
 CHECK = bytes.fromhex("00000006 04 00000001 00".replace(" ", ""))
 NO_MORE = bytes.fromhex("00000005 06 00000000".replace(" ", ""))
 
@@ -35,37 +41,11 @@
     return head + exactly(link, int.from_bytes(head, "big"))
 
 
-def line_with(node: "subprocess.Popen[str]", words: str) -> str:
-    """The next line of the log that has these words; others may come between, as nothing else is quiet."""
-    assert node.stderr is not None
-    while line := node.stderr.readline():
-        if words in line:
-            return line
-    raise AssertionError(f"the log ended without {words!r}")
-
-
 def test_the_notice_to_leave_is_worked_off_with_open_ears_and_ends_with_code_0(tmp_path: Path) -> None:
-    told = {
-        "name": "n1",
-        "listen": "127.0.0.1:0",
-        "agent": "127.0.0.1:1",
-        "seed": "1",
-        "stop_ms": 5000,
-        "settings": SETTINGS,
-    }
-    (tmp_path / "config.json").write_text(ujson.dumps(told))
-    node = subprocess.Popen(
-        [sys.executable, "-m", "beechrock"],
-        cwd=ROOT,
-        stderr=subprocess.PIPE,
-        text=True,
-        env={**os.environ, "LB_CONFIG": str(tmp_path / "config.json")},
-    )
+    node = start_node(write_configuration(tmp_path, stop_ms=5000))
     assert node.stderr is not None
     try:
-        found = re.search(r"frames on 127\.0\.0\.1:(\d+)", line_with(node, "frames on"))
-        assert found is not None
-        address = ("127.0.0.1", int(found[1]))
+        address = frames_address(node)
         with socket.create_connection(address, 30) as old:
             old.sendall(CHECK)
             assert message(old)[4:10] == b"\x05\0\0\0\x01\x01"  # the agent is not up: bad
@@ -87,26 +67,9 @@
 
 def test_to_the_last_moment_each_whole_request_is_answered_or_crossed_the_end(tmp_path: Path) -> None:
     """Callers that heed no "no more requests" write to the end, on old connections and new ones."""
-    told = {
-        "name": "n1",
-        "listen": "127.0.0.1:0",
-        "agent": "127.0.0.1:1",
-        "seed": "1",
-        "stop_ms": 800,
-        "settings": SETTINGS,
-    }
-    (tmp_path / "config.json").write_text(ujson.dumps(told))
-    with subprocess.Popen(
-        [sys.executable, "-m", "beechrock"],
-        cwd=ROOT,
-        stderr=subprocess.PIPE,
-        text=True,
-        env={**os.environ, "LB_CONFIG": str(tmp_path / "config.json")},
-    ) as node:
+    with start_node(write_configuration(tmp_path, stop_ms=800)) as node:
         try:
-            found = re.search(r"frames on 127\.0\.0\.1:(\d+)", line_with(node, "frames on"))
-            assert found is not None
-            address, callers, refused = ("127.0.0.1", int(found[1])), list[Caller](), False
+            address, callers, refused = frames_address(node), list[Caller](), False
             written: dict[tuple[Caller, int], float] = {}
             node.send_signal(signal.SIGTERM)
             for turn in count():
@@ -143,15 +106,7 @@
 
 
 def test_a_platform_node_loads_no_needless_library_from_its_start_to_its_end(tmp_path: Path) -> None:
-    told = {
-        "name": "n1",
-        "listen": "127.0.0.1:0",
-        "agent": "127.0.0.1:1",
-        "seed": "1",
-        "stop_ms": 500,
-        "settings": SETTINGS,
-    }
-    (tmp_path / "config.json").write_text(ujson.dumps(told))
+    configuration = write_configuration(tmp_path, stop_ms=500)
     # Without ``site``, as what an environment's own .pth files load would hide what the node loads.
     found_in = os.pathsep.join((str(ROOT), sysconfig.get_path("purelib"), sysconfig.get_path("platlib")))
     with subprocess.Popen(
@@ -159,7 +114,7 @@
         cwd=tmp_path,
         text=True,
         stderr=subprocess.PIPE,
-        env={"LB_CONFIG": str(tmp_path / "config.json"), "PYTHONPATH": found_in},
+        env={"LB_CONFIG": str(configuration), "PYTHONPATH": found_in},
     ) as node:
         assert node.stderr is not None
         try:
@@ -184,23 +139,8 @@
 
 
 def test_a_reload_takes_a_good_file_and_outlives_a_bad_one(tmp_path: Path) -> None:
-    told = {
-        "name": "n1",
-        "listen": "127.0.0.1:0",
-        "agent": "127.0.0.1:1",
-        "seed": "1",
-        "stop_ms": 500,
-        "settings": SETTINGS,
-    }
-    path = tmp_path / "config.json"
-    path.write_text(ujson.dumps(told))
-    with subprocess.Popen(
-        [sys.executable, "-m", "beechrock"],
-        cwd=ROOT,
-        stderr=subprocess.PIPE,
-        text=True,
-        env={**os.environ, "LB_CONFIG": str(path)},
-    ) as node:
+    told, path = platform_configuration(stop_ms=500), write_configuration(tmp_path, stop_ms=500)
+    with start_node(path) as node:
         assert node.stderr is not None
         try:
             line_with(node, "frames on")
@@ -219,26 +159,8 @@
 
 def test_a_changed_file_is_read_though_nobody_tells_of_it_once_no_link_can_be_had(tmp_path: Path) -> None:
     """A node that started while the file was replaced, or met it half written, is told nothing more."""
-    path = tmp_path / "config.json"
-    told = {
-        "name": "n1",
-        "listen": "127.0.0.1:0",
-        "agent": "127.0.0.1:1",
-        "seed": "1",
-        "stop_ms": 500,
-        "settings": SETTINGS,
-    }
-    path.write_text(ujson.dumps(told))
-    with (
-        socket.create_server(("127.0.0.1", 0)) as agent,
-        subprocess.Popen(
-            [sys.executable, "-m", "beechrock"],
-            cwd=ROOT,
-            stderr=subprocess.PIPE,
-            text=True,
-            env={**os.environ, "LB_CONFIG": str(path)},
-        ) as node,
-    ):
+    told, path = platform_configuration(stop_ms=500), write_configuration(tmp_path, stop_ms=500)
+    with socket.create_server(("127.0.0.1", 0)) as agent, start_node(path) as node:
         assert node.stderr is not None
         try:
             line_with(node, "frames on")
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -12,9 +12,10 @@
 from hypothesis import given
 from hypothesis import settings as options
 from hypothesis import strategies as st
+from platform_process import ROOT, line_with
 from play import SETTINGS, START, Stand, run
 from test_deployments import Day, deployments
-from test_program import CHECK, NO_MORE, ROOT, line_with, message
+from test_program import CHECK, NO_MORE, message
 
 
 def test_sigterm_ends_the_process_in_time_though_connections_stay_open(tmp_path: Path) -> None:
