--- a/tests/test_closing_late.py
+++ b/tests/test_closing_late.py
@@ -316,3 +316,28 @@
             assert ended_at < kill_at, f"it ended {ended_at - kill_at:.3f} s after its kill"
         finally:
             process.kill()
+
+
+# Runs the node, and prints when an event loop is closed.
+CLOSED_LOOP = """
+import asyncio.base_events, runpy
+close = asyncio.base_events.BaseEventLoop.close
+asyncio.base_events.BaseEventLoop.close = lambda loop: (print("closed", flush=True), close(loop))
+runpy.run_module("beechrock", run_name="__main__")
+"""
+
+
+def test_a_platform_process_ends_without_the_teardown_of_its_event_loop(tmp_path: Path) -> None:
+    """It took up to 169 ms on a busy machine, as a time slice ended in it."""
+    configuration = write_configuration(tmp_path, stop_ms=500)
+    with start_node(configuration, "-c", CLOSED_LOOP, stdout=subprocess.PIPE) as process:
+        try:
+            with socket.create_connection(frames_address(process), 30) as link:
+                link.sendall(CHECK_1)
+                link.recv(100)
+                process.send_signal(signal.SIGTERM)
+                out, log = process.communicate(timeout=30)
+            assert process.returncode == 0 and out == ""
+            assert "answered.checks_bad 1" in log  # its last lines are written
+        finally:
+            process.kill()
