--- a/beechrock/net/listener.py
+++ b/beechrock/net/listener.py
@@ -214,14 +214,11 @@
                 return
             connection = self.arrivals[reader] = tolerant(connection)
             send_at_once(connection)
-            if not await self._watch_input(reader, connection):
-                return
             protocol = asyncio.StreamReaderProtocol(reader, self._hand_on, loop=self._loop)
             await self._loop.connect_accepted_socket(lambda: protocol, connection)
         except Exception as error:  # its descriptor would stay open for as long as anything refers to it
             self.arrivals.pop(reader, None)
             if connection is not None:
-                self._loop.remove_reader(connection.fileno())
                 connection.close()
             if not isinstance(error, OSError):
                 raise
@@ -229,30 +226,11 @@
         finally:
             self.arriving -= 1
 
-    async def _watch_input(self, reader: asyncio.StreamReader, connection: socket.socket) -> bool:
-        """Have the loop watch a connection; False if it was taken out of ``arrivals`` meanwhile.
-
-        The transport does so in a callback of its own, where an error of epoll_ctl(2), ENOMEM or ENOSPC,
-        leaves a connection that is open and never read. What is watched already cannot fail there.
-        """
-        while reader in self.arrivals:
-            try:
-                self._loop.add_reader(connection.fileno(), _wait_for_transport)
-                return True
-            except OSError:
-                self.counters.add(f"intake.{self.where}_accept_shortages")
-            await asyncio.sleep(RETRY_S)
-        return False
-
     def _hand_on(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.arrivals.pop(reader, None) is not None:
             self.accepted(reader, writer)
 
 
-def _wait_for_transport() -> None:
-    """Leave what has come on a connection to the transport that it is about to have."""
-
-
 def send_at_once(connection: socket.socket) -> None:
     """Let the kernel hold back no small writes (TCP_NODELAY).
 
