--- a/tests/handover/test_node_late.py
+++ b/tests/handover/test_node_late.py
@@ -17,6 +17,18 @@
 SECOND = 'g > "outcome 2 %016d PASS 6 2\\r\\nno\\r\\n"\n'
 
 
+async def ran_once(pair: Pair, joined: bool) -> tuple[Stand, Stand]:
+    """Key 1 has run at the first process; the second one has joined before, or is yet to be started."""
+    old, new = await pair.start(), Stand()
+    await pair.serving(old)
+    if joined:
+        await pair.start(stand=new)
+        await pair.following(old, new)
+    await pair.caller(old, [new] if joined else [])
+    await old.play(asked(1, 1, 1) + LAUNCH % 1 + PASS % (1, 1) + OK % 1)
+    return old, new
+
+
 @pytest.mark.parametrize(("joined", "answer"), [(True, OK), (False, FAILED)])
 def test_a_try_of_an_earlier_window_gets_no_result_of_the_run_of_a_later_one(
     folder: Path, joined: bool, answer: str
@@ -24,14 +36,7 @@
     """Its own run's result where that was told, else 'failed'; never the later run's, and it never runs."""
 
     async def work(pair: Pair) -> None:
-        old = await pair.start()
-        await pair.serving(old)
-        new = Stand()
-        if joined:
-            await pair.start(stand=new)
-            await pair.following(old, new)
-        await pair.caller(old, [new] if joined else [])
-        await old.play(asked(1, 1, 1) + LAUNCH % 1 + PASS % (1, 1) + OK % 1)
+        old, new = await ran_once(pair, joined)
         late = later(asked(1, 3, 1), old)
         for stand in (old, new):
             stand.now += WINDOW_S + 0.2
@@ -73,16 +78,9 @@
     """One that joined before knows it; one that comes later is vouched for no key until no try is left."""
 
     async def work(pair: Pair) -> None:
-        old = await pair.start()
-        await pair.serving(old)
+        old, new = await ran_once(pair, joined)
         table = old.program.module.idempotency
         table.capacity = 1
-        new = Stand()
-        if joined:
-            await pair.start(stand=new)
-            await pair.following(old, new)
-        await pair.caller(old, [new] if joined else [])
-        await old.play(asked(1, 1, 1) + LAUNCH % 1 + PASS % (1, 1) + OK % 1)
         for stand in (old, new):
             stand.now += WINDOW_S - 0.1
         late = later(asked(1, 3, 1), old)
