--- /dev/null
+++ b/review/standin/front.py
@@ -0,0 +1,185 @@
+"""Front ends: send requests over the platform's frames, and check the answers."""
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from standin import frames
+from standin.record import Record
+
+CROSSING_S = 0.05  # a request written this shortly before a close is sent once more
+
+
+@dataclass(slots=True, eq=False)
+class Try:
+    """One try of a request."""
+
+    trace: str
+    klass: str
+    body: bytes
+    nonce: str | None
+    give_up_s: float
+    written: float = 0.0
+    answers: list[tuple[float, frames.Reply]] = field(default_factory=list)
+    excused: str = ""  # why no answer is owed
+    resent: bool = False
+    process: str = ""
+    done: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def code(self) -> int | None:
+        """Return the code of the answer, or None."""
+        return self.answers[0][1].code if self.answers else None
+
+
+class Connection:
+    """One connection of a front end."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self.stream = 0
+        self.open: dict[int, Try] = {}
+        self.no_more = self.ended = self.reset = False
+        self.writing = asyncio.Lock()
+        self.task: asyncio.Task[None] | None = None
+
+
+class FrontEnd:
+    """One front end with its connections to one node."""
+
+    def __init__(self, record: Record, rng: random.Random, number: int, address: tuple[str, int]) -> None:
+        self.record, self.rng, self.number, self.address = record, rng, number, address
+        self.connections: list[Connection] = []
+        self.tries: list[Try] = []
+        self.most = 4
+        self.on_write: Callable[[Try], None] = lambda one: None
+        self.refused_connections = 0
+
+    def new_try(self, klass: str, give_up_s: float, body: bytes, nonce: str | None = None) -> Try:
+        """Make one try of a request, with a trace of its own."""
+        one = Try(f"{self.rng.getrandbits(64):016x}", klass, body, nonce, give_up_s)
+        self.tries.append(one)
+        return one
+
+    async def send(self, one: Try, redo: bool = False, pieces: int = 1) -> None:
+        """Write a try to a connection of this front end."""
+        link = await self._connection()
+        if link is None:
+            one.excused = "no connection"
+            one.done.set()
+            self.record.note("front", self.number, "no connection for", one.trace)
+            return
+        link.stream += 1
+        stream = link.stream
+        link.open[stream] = one
+        values = {
+            "route": one.klass,
+            "trace": one.trace,
+            "born": str(int(time.time() * 1000)),
+            "client": str(self.number),
+            "size": "20.0",
+            "order": f"{self.rng.random():.4f}",
+        }
+        if redo:
+            values["redo"] = "1"
+        if one.nonce is not None:
+            values["nonce"] = one.nonce
+        data = frames.frame(frames.REQUEST, stream, frames.fields_bytes(values) + one.body)
+        self.on_write(one)
+        step = -(-len(data) // pieces)
+        if link.reset:
+            one.excused = "reset by the front end"
+        async with link.writing:  # frames of one connection follow each other
+            for at in range(0, len(data), step):
+                link.writer.write(data[at : at + step])
+                if at + step < len(data):
+                    await asyncio.sleep(0.002)
+        one.written = time.time()
+        self.record.count("tries")
+        self.record.note("front", self.number, "wrote", one.trace, one.klass, one.nonce or "-")
+
+    def cancel(self, one: Try) -> None:
+        """Take a try back: nobody waits for it any more."""
+        for link in self.connections:
+            for stream, other in list(link.open.items()):
+                if other is one and not one.answers:
+                    one.excused = "taken back"
+                    asyncio.get_running_loop().create_task(
+                        self._write(link, frames.frame(frames.CANCEL, stream))
+                    )
+                    self.record.note("front", self.number, "took back", one.trace)
+
+    async def _write(self, link: Connection, data: bytes) -> None:
+        async with link.writing:
+            link.writer.write(data)
+
+    def reset_one(self) -> None:
+        """Reset a connection; nothing is owed for what is open on it."""
+        live = [link for link in self.connections if not link.ended]
+        if live:
+            link = self.rng.choice(live)
+            for one in link.open.values():
+                one.excused = "reset by the front end"
+            link.ended = link.reset = True
+            link.writer.transport.abort()
+
+    async def _connection(self) -> Connection | None:
+        fit = [c for c in self.connections if not c.ended and not c.no_more and len(c.open) < 32]
+        if fit and (len(fit) >= self.most or self.rng.random() < 0.9):
+            return self.rng.choice(fit)
+        try:
+            reader, writer = await asyncio.open_connection(*self.address)
+        except OSError:
+            self.refused_connections += 1
+            return None
+        link = Connection(reader, writer)
+        self.connections.append(link)
+        link.task = asyncio.get_running_loop().create_task(self._read(link))
+        return link
+
+    async def _read(self, link: Connection) -> None:
+        why = "end of stream"
+        try:
+            while True:
+                size = int.from_bytes(await link.reader.readexactly(4), "big")
+                self._take(link, frames.reply_of(await link.reader.readexactly(size)))
+                if link.no_more and not link.open:
+                    break
+        except asyncio.IncompleteReadError:
+            pass
+        except OSError as error:
+            why = str(error)
+        link.ended = True
+        now = time.time()
+        for one in link.open.values():
+            if one.excused or one.answers:
+                continue
+            if one.written and now - one.written <= CROSSING_S and not one.resent:
+                one.resent = True
+                self.record.note("front", self.number, "sends once more", one.trace)
+                asyncio.get_running_loop().create_task(self.send(one))
+            else:
+                self.record.note("front", self.number, "connection ended with", one.trace, "open:", why)
+        with contextlib.suppress(OSError):
+            link.writer.close()
+        self.connections.remove(link)
+
+    def _take(self, link: Connection, reply: frames.Reply) -> None:
+        if reply.kind == frames.NO_MORE:
+            link.no_more = True
+        elif reply.kind == frames.ANSWER and reply.stream == 0:
+            self.record.note("front", self.number, "error on stream 0:", reply.body)
+        elif reply.kind == frames.ANSWER:
+            one = link.open.pop(reply.stream, None)
+            if one is None:
+                self.record.breach("duplicate", "a second answer on stream", reply.stream)
+                return
+            one.answers.append((time.time(), reply))
+            self.record.count({0: "served", 8: "refused", 13: "failed"}.get(reply.code, "odd"))
+            self.record.note(
+                "front", self.number, "answer", one.trace, reply.code, dict(reply.values), reply.body[:60]
+            )
+            one.done.set()
