--- /dev/null
+++ b/review/2/play.py
@@ -0,0 +1,109 @@
+"""A process beside another one, and all front ends at once: the memory of both has to fit the node's."""
+
+import asyncio
+import os
+import random
+import signal
+import sys
+import time
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.dirname(HERE))
+
+from standin.agent import Agent, Ledger  # noqa: E402
+from standin.booking import booked_kb  # noqa: E402
+from standin.front import FrontEnd, Try  # noqa: E402
+from standin.node import Platform  # noqa: E402
+from standin.play import run_play  # noqa: E402
+from standin.record import Record  # noqa: E402
+from standin.settings import CORES, settings  # noqa: E402
+
+FRONT_ENDS = 40
+OPEN = 32  # requests on each connection; the most that the protocol allows
+KB = 60.0  # memory of a held request; the site's are 33 to 63 kB
+GIVE_UP_S = 7.1
+LONGEST_S = 9.0
+
+
+class Play:
+    """One node, which may be replaced just before its front ends come."""
+
+    def __init__(self, record: Record) -> None:
+        self.record = record
+        self.rng = random.Random(2)
+        self.settings = settings()
+        self.settings["extra"]["depShare"] = 6.25
+        self.platform = Platform(record, self.settings, shared=True)
+        self.agents = [Agent(record, self.rng, name) for name in ("agent 1", "agent 2")]
+        self.ledger = Ledger(record, self.rng)
+        self.fronts: list[FrontEnd] = []
+        cores = asyncio.Semaphore(CORES)
+        for agent in self.agents:  # two addresses of one agent
+            agent.calls_of, agent.phase_s, agent.cores = {"resolve": [1.0]}, (0.08, 0.16), cores
+
+    async def play(self, trouble: bool) -> None:
+        """Play it; raises RuntimeError if a process does not come up."""
+        self.platform.start(
+            "old",
+            agent=await self.agents[0].listen(),
+            ledger=await self.ledger.listen(),
+            registry="127.0.0.1:9",
+        )
+        await self._ready("old")
+        if trouble:
+            self.platform.start("new", agent=await self.agents[1].listen())
+            await self._ready("new")
+        host, port = self.platform.listen.split(":")
+        for number in range(FRONT_ENDS):
+            front = FrontEnd(self.record, self.rng, number, (host, int(port)))
+            front.most, front.on_write = 1, self._know
+            self.fronts.append(front)
+        await asyncio.gather(*(front.connect() for front in self.fronts))
+        await asyncio.sleep(0.2)
+        await asyncio.gather(*(self._ask(front) for front in self.fronts))
+        if trouble:
+            asyncio.get_running_loop().call_later(0.5, self._leave)
+        await self._watch()
+        self.platform.check_alive()
+
+    async def _ready(self, name: str) -> None:
+        if not await self.platform.wait_ready(name):
+            raise RuntimeError(f"{name} does not say yes")
+
+    def _know(self, one: Try) -> None:
+        for agent in self.agents:
+            agent.known[one.trace] = (one.klass, one.body)
+
+    async def _ask(self, front: FrontEnd) -> None:
+        tries = [front.new_try("resolve", GIVE_UP_S, self.rng.randbytes(20)) for _ in range(OPEN)]
+        for one in tries:
+            one.kb = KB
+        await front.send_all(tries)
+
+    def _leave(self) -> None:
+        self.platform.expected_ends.add("old")
+        self.platform.signal("old", signal.SIGTERM)
+
+    async def _watch(self) -> None:
+        limit = self.settings["extra"]["memLimitKb"]
+        factor = self.settings["extra"]["runFactor"]
+        end, most, over = time.time() + LONGEST_S, 0.0, 0.0
+        while time.time() < end:
+            await asyncio.sleep(0.02)
+            tries = [one for front in self.fronts for one in front.tries]
+            kb = booked_kb(tries, self.agents, factor)
+            most = max(most, kb)
+            if kb > limit:
+                over += 0.02
+                if over == 0.02:
+                    self.record.breach("fall-over", f"{kb:.0f} KB are booked, over {limit:.0f}")
+            self.record.note("booked", f"{kb:.0f} KB")
+        self.record.note(f"most booked: {most:.0f} of {limit:.0f} KB; over the limit for {over:.2f} s")
+
+    def stop(self) -> None:
+        """End what was started."""
+        self.platform.end()
+
+
+if __name__ == "__main__":
+    sys.exit(run_play(HERE, Play))
--- a/review/standin/front.py
+++ b/review/standin/front.py
@@ -22,6 +22,7 @@
     body: bytes
     nonce: str | None
     give_up_s: float
+    kb: float = 20.0
     written: float = 0.0
     answers: list[tuple[float, frames.Reply]] = field(default_factory=list)
     excused: str = ""  # why no answer is owed
@@ -66,28 +67,13 @@
 
     async def send(self, one: Try, redo: bool = False, pieces: int = 1) -> None:
         """Write a try to a connection of this front end."""
-        link = await self._connection()
+        link = await self.connect()
         if link is None:
             one.excused = "no connection"
             one.done.set()
             self.record.note("front", self.number, "no connection for", one.trace)
             return
-        link.stream += 1
-        stream = link.stream
-        link.open[stream] = one
-        values = {
-            "route": one.klass,
-            "trace": one.trace,
-            "born": str(int(time.time() * 1000)),
-            "client": str(self.number),
-            "size": "20.0",
-            "order": f"{self.rng.random():.4f}",
-        }
-        if redo:
-            values["redo"] = "1"
-        if one.nonce is not None:
-            values["nonce"] = one.nonce
-        data = frames.frame(frames.REQUEST, stream, frames.fields_bytes(values) + one.body)
+        data = self._frame(link, one, redo)
         self.on_write(one)
         step = -(-len(data) // pieces)
         if link.reset:
@@ -101,6 +87,38 @@
         self.record.count("tries")
         self.record.note("front", self.number, "wrote", one.trace, one.klass, one.nonce or "-")
 
+    async def send_all(self, tries: list[Try]) -> None:
+        """Write several tries at once, to one connection."""
+        link = await self.connect()
+        if link is None:
+            raise RuntimeError("no connection")
+        for one in tries:
+            self.on_write(one)
+        link.writer.write(b"".join(self._frame(link, one, False) for one in tries))
+        for one in tries:
+            one.written = time.time()
+            self.record.count("tries")
+            self.record.note("front", self.number, "wrote", one.trace, one.klass, one.nonce or "-")
+
+    def _frame(self, link: Connection, one: Try, redo: bool) -> bytes:
+        """Return the frame of a try on a new stream of a connection."""
+        link.stream += 1
+        link.open[link.stream] = one
+        values = {
+            "route": one.klass,
+            "trace": one.trace,
+            "born": str(int(time.time() * 1000)),
+            "client": str(self.number),
+            "size": f"{one.kb}",
+            "order": f"{self.rng.random():.4f}",
+        }
+        if redo:
+            values["redo"] = "1"
+        if one.nonce is not None:
+            values["nonce"] = one.nonce
+        payload = frames.fields_bytes(values) + one.body
+        return frames.frame(frames.REQUEST, link.stream, payload)
+
     def cancel(self, one: Try) -> None:
         """Take a try back: nobody waits for it any more."""
         for link in self.connections:
@@ -126,7 +144,8 @@
             link.ended = link.reset = True
             link.writer.transport.abort()
 
-    async def _connection(self) -> Connection | None:
+    async def connect(self) -> Connection | None:
+        """Return an open connection, a new one if there are too few; None if it is refused."""
         fit = [c for c in self.connections if not c.ended and not c.no_more and len(c.open) < 32]
         if fit and (len(fit) >= self.most or self.rng.random() < 0.9):
             return self.rng.choice(fit)
