--- a/review/1/play.py
+++ b/review/1/play.py
@@ -11,12 +11,12 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
 
-from standin.agent import Agent, Ledger  # noqa: E402
-from standin.front import FrontEnd, Try  # noqa: E402
-from standin.node import Platform  # noqa: E402
-from standin.play import run_play  # noqa: E402
-from standin.record import Record  # noqa: E402
-from standin.settings import brazos  # noqa: E402
+from standin_agent import Agent, Ledger  # noqa: E402
+from standin_front import FrontEnd, Try  # noqa: E402
+from standin_node import Platform  # noqa: E402
+from standin_play import run_play  # noqa: E402
+from standin_record import Record  # noqa: E402
+from standin_settings import brazos  # noqa: E402
 
 LENGTH_S = 75.0
 RATE = 60.0  # first tries a second
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -11,13 +11,13 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
 
-from standin.agent import Agent, Ledger  # noqa: E402
-from standin.booking import booked_kb  # noqa: E402
-from standin.front import FrontEnd, Try  # noqa: E402
-from standin.node import Platform  # noqa: E402
-from standin.play import run_play  # noqa: E402
-from standin.record import Record  # noqa: E402
-from standin.settings import CORES, settings  # noqa: E402
+from standin_agent import Agent, Ledger  # noqa: E402
+from standin_booking import booked_kb  # noqa: E402
+from standin_front import FrontEnd, Try  # noqa: E402
+from standin_node import Platform  # noqa: E402
+from standin_play import run_play  # noqa: E402
+from standin_record import Record  # noqa: E402
+from standin_settings import CORES, settings  # noqa: E402
 
 FRONT_ENDS = 28
 OPEN = 32  # requests on each connection; the most that the protocol allows
--- a/review/standin/agent.py
+++ b/review/standin_agent.py
@@ -8,7 +8,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from standin.record import Record
+from standin_record import Record
 
 KEPT_NOTICES = 4000
 
--- a/review/standin/booking.py
+++ b/review/standin_booking.py
@@ -3,8 +3,8 @@
 import time
 from collections.abc import Iterable
 
-from standin.agent import Agent
-from standin.front import Try
+from standin_agent import Agent
+from standin_front import Try
 
 COUNTS_AFTER_S = 0.1  # a request counts from so long after it was written, or from the start of its run
 
--- a/review/standin/front.py
+++ b/review/standin_front.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from standin import frames
-from standin.record import Record
+import standin_frames as frames
+from standin_record import Record
 
 CROSSING_S = 0.05  # a request written this shortly before a close is sent once more
 
--- a/review/standin/node.py
+++ b/review/standin_node.py
@@ -11,9 +11,9 @@
 import tomllib
 from typing import Any, TextIO
 
-from standin.record import Record
+from standin_record import Record
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 
 def command(key: str) -> str:
--- a/review/standin/play.py
+++ b/review/standin_play.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from standin.record import Record
+from standin_record import Record
 
 LONGEST_S = 115.0
 
