--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -191,7 +191,8 @@
 
     def deliver(self, request: Request, reply: bytes) -> None:
         """Give a run the reply to its call."""
-        self._send(request, Command(codec.deliver_line(request.trace), reply, advances=True))
+        delivery = Command(codec.deliver_line(request.trace), reply, advances=True, answers_call=True)
+        self._send(request, delivery)
 
     def forgo(self, request: Request, mark: int) -> None:
         """Let a run continue without the reply to the call with the number ``mark``."""
@@ -341,5 +342,10 @@
             elif (request.answered or request.cancelled) and self.runs.unconfirmed.never_sent(request.trace):
                 self.runs.end(request.trace, Outcome.MOOT)  # nobody waits for the result
             elif self.link is not None:
-                self.counters.add("agent.commands_sent_again")
+                self._count_resend(command)
                 self._post(self.link, command)
+
+    def _count_resend(self, command: Command) -> None:
+        self.counters.add("agent.commands_sent_again")
+        if command.answers_call and command.sends:
+            self.counters.add("agent.deliveries_sent_again")
--- a/beechrock/net/agent_commands.py
+++ b/beechrock/net/agent_commands.py
@@ -17,6 +17,7 @@
     body: bytes | None = None
     advances: bool = False  # the run advances by this command, so its next notice proves that it was read
     starts_run: bool = False  # the command starts the run
+    answers_call: bool = False  # the command is the reply to the call that the run waits for; names no call
     sends: int = 0  # number of links on which the command was sent
     settled: bool = False  # the agent has read the command, or it is no longer needed
 
