Agent: a move leaves the old link once the agent has confirmed its commands

Cause: a move cut the old link at once, though the agent still read and answered on it for 1.5 s. What it had read could not be confirmed any more, so each unconfirmed reply was sent again on the new link. A reply names its run alone; a run that had gone on to its next call took it for that call's.

Change: with commands unconfirmed, a move first writes a sample request on the old link and holds commands back; its answer proves that all before it was read, then the link is left. It is left at once if it ends, after the limits of a silent link, or after 1 s; only then is anything sent again.

--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -13,6 +13,7 @@
 from beechrock.net import agent_codec as codec
 from beechrock.net.agent_checks import PendingChecks
 from beechrock.net.agent_commands import MAX_COMMANDS, Command
+from beechrock.net.agent_move import AddressMove
 from beechrock.net.agent_notices import MAX_MISSED_NOTICES, NoticeSequence
 from beechrock.net.agent_runs import AgentRuns
 from beechrock.net.connection import BadInputError
@@ -106,6 +107,7 @@
         self.numbers = itertools.count(1)  # one sequence for commands and for the tags of samples and checks
         self.last_sample = 0  # number of the most recent sample request
         self.sync_tag = ""  # tag of the sample request that ends the synchronization of a new link
+        self.address_move = AddressMove(module, lambda to: self.link_actor.handle_event(life.Moved(to)))
         # The times below are in seconds of the module's clock; inf where the event has not happened yet.
         self.alive_at = math.inf  # arrival of the agent's last message
         self.subscribed_at = 0.0  # when the last handshake was sent
@@ -117,10 +119,31 @@
         self.link_actor.handle_event(life.Due())
 
     def move(self, address: tuple[str, int]) -> None:
-        """Connect to another address: the new link continues the notices and commands of the current one."""
-        if address != self.link_actor.life.address:
-            self.counters.add("agent.moves")
+        """Connect to another address: the new link continues the notices and commands of the current one.
+
+        The current link is kept until the agent has confirmed what was written on it. A reply to a call
+        names its run alone: if it is sent again after it was read, the run's next call may be given it.
+        """
+        current, pending = self.link_actor.life.address, self.address_move.pending
+        if address == (pending.address if pending is not None else current):
+            return
+        self.counters.add("agent.moves")
+        if pending is None:
+            self._leave_address(address)
+        elif address == current:
+            self.address_move.cancel()
+            self._post_unsent()
+        else:
+            pending.address = address
+
+    def _leave_address(self, address: tuple[str, int]) -> None:
+        """Move at once if nothing is unconfirmed, else once the agent has answered a last sample request."""
+        if self.link is None or not self.synced or not len(self.runs.unconfirmed):
             self.link_actor.handle_event(life.Moved(address))
+            return
+        self.last_sample = next(self.numbers)
+        self.address_move.begin(address, self.last_sample)
+        self._post(self.link, Command(codec.sample_line(f"g{self.last_sample}")))
 
     def able(self) -> bool:
         """Return whether runs can start: a link is up, or broke so recently that it is being reopened."""
@@ -131,6 +154,11 @@
         """Return whether all missed notices have arrived, so that commands may be sent."""
         return self.link_actor.life.state in (life.LinkState.UP, life.LinkState.PROBING)
 
+    @property
+    def accepts_commands(self) -> bool:
+        """Return whether a command may be written on the current link, which is not about to be left."""
+        return self.link is not None and self.synced and self.address_move.pending is None
+
     async def serve_link(
         self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -167,6 +195,7 @@
         link, self.link = self.link, None
         link.drop()
         self.checks.fail_all()
+        self.address_move.complete()
 
     # --- commands
 
@@ -200,7 +229,7 @@
 
     def sample(self) -> None:
         """Request the gauges."""
-        if self.link is not None and self.synced:
+        if self.link is not None and self.accepts_commands:
             self.last_sample = next(self.numbers)
             self.link.post(Command(codec.sample_line(f"g{self.last_sample}")))
 
@@ -218,7 +247,7 @@
         if not self.runs.unconfirmed.add(next(self.numbers), request, command):
             self.counters.add("trouble.agent_commands_full")
             return False
-        if self.link is not None and self.synced:
+        if self.link is not None and self.accepts_commands:
             self._post(self.link, command)
         return True
 
@@ -330,6 +359,7 @@
             if sample > self.last_sample:
                 raise BadInputError("an answer to a sample request that was never sent")
             self.runs.unconfirmed.settle_before(sample)
+            self.address_move.on_sample(sample)
 
     def link_ended(self) -> None:
         """Do nothing: this link is reopened after every break."""
@@ -345,6 +375,12 @@
                 self._count_resend(command)
                 self._post(self.link, command)
 
+    def _post_unsent(self) -> None:
+        """Write the commands that were held back for a move which was taken back."""
+        for _, _, command in self.runs.unconfirmed:
+            if self.link is not None and not command.sends:
+                self._post(self.link, command)
+
     def _count_resend(self, command: Command) -> None:
         self.counters.add("agent.commands_sent_again")
         if command.answers_call and command.sends:
--- a/tests/net/test_agent_histories.py
+++ b/tests/net/test_agent_histories.py
@@ -171,6 +171,11 @@
                     self.cores.command(command.line, command.body or b"", self.desk.now)
         return None
 
+    def move(self) -> None:
+        """Move the agent's address. The link to the old one stays open until the node leaves it."""
+        host, port = self.agent.link_actor.life.address
+        self.agent.move((host, port + 1))
+
     def read(self) -> None:
         words, body = self.cores.to_node.popleft()
         if self.agent.link_actor.life.state is life.LinkState.PROBING:
@@ -247,6 +252,26 @@
     asyncio.run(check(seed))  # an event loop is needed, as a link's end compares the current task
 
 
+# Guards against a reply that reaches the run's next call after a move, with any notices still on their way.
+@pytest.mark.parametrize("seed", range(1, 41))
+def test_no_reply_reaches_another_call_where_the_agent_only_moves(seed: int) -> None:
+    asyncio.run(check_moves(seed))
+
+
+async def check_moves(seed: int) -> None:
+    history, draw = History(2 * seed + 1), random.Random(seed)
+    assert not history.prompt
+    for _ in range(1500):
+        if draw.random() < 0.04:
+            history.move()
+        if draw.random() < 0.15:
+            history.arrive()
+        history.step(faults=False)
+    assert history.desk.actor.counters["agent.moves"] > 20
+    assert history.cores.starts
+    assert history.cores.wrong_deliveries == []
+
+
 async def check(seed: int) -> None:
     history = History(seed)
     for _ in range(500):
