Handover: count the most memory that both processes of a node use at a time

No counter told how much both used: a report that is read late, a report that is sent late, and refusals that leave late looked alike. handover.most_memory_kb is the greatest sum of the own memory and the other's report. No behaviour is changed.

--- a/beechrock/handover/load_exchange.py
+++ b/beechrock/handover/load_exchange.py
@@ -30,9 +30,16 @@
     def receive(self, report: LoadReport, present: bool = True) -> None:
         """Post the other process's load to the module; ``present`` is true if that process exists."""
         self.other_connections = report.connections
+        self._count_memory(report)
         self._module.post(OtherProcessLoad(report.runs, report.kb, report.calls, present))
         self._on_change()
 
+    def _count_memory(self, report: LoadReport) -> None:
+        """Keep the most memory that both processes are known to have used together."""
+        if report.kb:
+            both_kb = round(report.kb + self._module.load().held_kb)
+            self._module.counters.raise_max("handover.most_memory_kb", both_kb)
+
     def other_appeared(self) -> None:
         """Note that another process exists that has not reported its load yet."""
         self.receive(NO_LOAD)
