Handover: two processes of a node divide its memory, so neither admits what the other has

Cause: each process admitted up to 0.80 of the whole memory less what the other had last reported. A report tells of the past. No rate of reports mends that.

Change: each process has a part of the memory; a successor states its part once it knows the claims, the predecessor keeps the rest, and whoever needs more requests it from the other, which gives what it has free and stops using it first. Runs are bounded by the part too. So that the division refuses nothing that fits into the node, a request over the part waits for the transfer, 30 ms at most (it counts only 0.1 s after it was written). One process alone, and one beside an earlier build, do what they did: parts are announced by a byte behind the version in the first message, which earlier builds pass over. The trace gets the row memory_limit (version 3; versions 1 and 2 are read as before).

--- a/beechrock/core/actor.py
+++ b/beechrock/core/actor.py
@@ -13,6 +13,7 @@
 from beechrock.core.intake import Batch, Intake
 from beechrock.core.mailbox import Mailbox
 from beechrock.core.memory import DEFAULT_MEMORY_MB, MemoryBudget
+from beechrock.core.memory_transfers import MemoryTransfers
 from beechrock.core.module_timers import ModuleTimers
 from beechrock.core.node_clock import NodeClock
 from beechrock.core.node_status import NodeStatus
@@ -23,6 +24,7 @@
     CallDone,
     CallRequested,
     GaugesSampled,
+    MemoryMessage,
     Message,
     Request,
     RequestCancelled,
@@ -82,6 +84,7 @@
         self.intake = Intake(
             settings, counters, self.timers, self.idempotency, self.table, self.ports, self.status
         )
+        self.memory_transfers = MemoryTransfers(self.timers)
         self.runs = RunReports(counters, self.table, self.ports)
         self.module_timers = ModuleTimers(self.timers, self.table, self.ports)
         self.executor = ActionExecutor(counters, self.table, self.module_timers, self.ports, self.status)
@@ -122,7 +125,8 @@
     def post(self, message: Message) -> bool:
         """Put a message into the mailbox; return False, and count it, if there is no room for it."""
         if isinstance(message, RequestReceived):
-            if len(self.mailbox) + len(self.table.by_id) >= self.memory.max_open_requests:
+            unread = len(self.mailbox) + self.memory_transfers.waiting
+            if unread + len(self.table.by_id) >= self.memory.max_open_requests:
                 self.counters.add("intake.beyond_memory")
                 return False
             self.table.counts.on_received()
@@ -209,7 +213,7 @@
             and (changed := budget_parts.changed_settings(now, self.node)) is not None
         ):
             events.append(api.SettingsChanged(changed))
-        for message in self.mailbox.drain():
+        for message in self._take_messages(now):
             try:
                 self._handle(message, batch)
             except Exception as error:
@@ -219,14 +223,27 @@
                     self.table.answer(message.request, Answer(Verdict.FAILED, b"internal error"), now)
         for message in batch.deferred:
             self.mailbox.put(message)
+        events[:0] = self.memory_transfers.limit_events()
         if events:
             self._decide(now, events)
+        self.memory_transfers.end_batch(self.node, now)
         if self.table.overdue:
             self.table.answer_overdue(now)
         if self.table.next_events:
             self.mailbox.wake()
         return len(batch.deferred)
 
+    def _take_messages(self, now: float) -> list[Message]:
+        """Return the messages of this batch, without requests that wait for the other process's memory."""
+        transfers = self.memory_transfers
+        if not transfers.active:
+            return self.mailbox.drain()
+        messages: list[Message] = list(transfers.begin_batch(self.node, now))
+        for message in self.mailbox.drain():
+            if not (isinstance(message, RequestReceived) and transfers.keeps(message, self.node, now)):
+                messages.append(message)
+        return messages
+
     def _decide(self, now: float, events: list[api.Event]) -> None:
         """Pass the events to the module and execute the actions that it returns."""
         actions = self.node.decide(now, events)
@@ -264,7 +281,12 @@
 
     def _handle_node_message(
         self,
-        message: GaugesSampled | WorkersStarted | SettingsUpdated | ShutdownRequested | api.OtherProcessLoad,
+        message: GaugesSampled
+        | WorkersStarted
+        | SettingsUpdated
+        | ShutdownRequested
+        | api.OtherProcessLoad
+        | MemoryMessage,
         events: list[api.Event],
         now: float,
     ) -> None:
@@ -279,6 +301,10 @@
                 self._on_shutdown(message, events, now)
             case api.OtherProcessLoad():
                 events.append(message)
+            case _:
+                self.memory_transfers.handle(message, self.node, now)
+                if self.memory_transfers.waiting:
+                    self.wake()
 
     def _on_settings(self, settings: api.Settings, events: list[api.Event], now: float) -> None:
         # The inventory does not know whether the workers started cold, so a settings change during their slow
@@ -326,6 +352,7 @@
         self.node.set_started(now - age_s)
         # The other process reports only changes of its load, so the new module needs its last report.
         received: list[api.Event] = [other] if other.present else []
+        received += self.memory_transfers.limit_events(new_module=True)
         actions = self.node.decide(now, received)
         if self.ports.tracer is not None:
             self.ports.tracer.started(now, self.seed, settings, self.node.started_s)
--- a/beechrock/core/requests.py
+++ b/beechrock/core/requests.py
@@ -246,6 +246,39 @@
     settings: Settings
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryJoined:
+    """A predecessor shares the node's memory with this process; it expects the limit used here."""
+
+
+@dataclass(frozen=True, slots=True)
+class MemorySplit:
+    """A successor shares the node's memory with this process, and has stated its limit."""
+
+    other_kb: float
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryRequested:
+    """The other process requests memory over ``channel``; it waits for one reply."""
+
+    wanted_kb: float
+    channel: object
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryGiven:
+    """The other process has given memory in reply to a request."""
+
+    given_kb: float
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryEnded:
+    """The process that shared the node's memory has ended."""
+
+
+MemoryMessage = MemoryJoined | MemorySplit | MemoryRequested | MemoryGiven | MemoryEnded
 Message = (
     RequestReceived
     | RequestCancelled
@@ -257,4 +290,5 @@
     | SettingsUpdated
     | ShutdownRequested
     | OtherProcessLoad
+    | MemoryMessage
 )
--- a/beechrock/handover/messages.py
+++ b/beechrock/handover/messages.py
@@ -3,13 +3,17 @@
 from dataclasses import dataclass
 
 VERSION = 2  # Version of the protocol that this process speaks
+# Bits of ``Hello.features``: messages that a process understands beyond those of its version.
+MEMORY_PARTS = 1
+FEATURES = MEMORY_PARTS
 
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """The first message from both ends; its format is the same in all versions."""
+    """The first message from both ends; its format is the same in all versions, which may append to it."""
 
     version: int = VERSION
+    features: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +91,27 @@
     connections: int
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryLimit:
+    """A successor's statement, first on each channel, of how much of the node's memory it may use."""
+
+    kb: float
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryRequest:
+    """A request for a part of the receiver's memory, which is answered by one ``MemoryGrant``."""
+
+    kb: float
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryGrant:
+    """Memory that the sender does not use any more and the receiver may use; may be 0."""
+
+    kb: float
+
+
 @dataclass(frozen=True, slots=True)
 class DrainCommand:
     """An operator's command that sets whether the node is drained."""
@@ -111,6 +136,9 @@
     | KeyReleased
     | RunEnded
     | LoadReport
+    | MemoryLimit
+    | MemoryRequest
+    | MemoryGrant
     | DrainCommand
     | Leaving
 )
--- a/beechrock/handover/node.py
+++ b/beechrock/handover/node.py
@@ -12,7 +12,9 @@
 from beechrock.handover.key_partner import KeyPartner
 from beechrock.handover.lifecycle import Lifecycle, PredecessorStage
 from beechrock.handover.load_exchange import LoadExchange
+from beechrock.handover.memory_exchange import MemoryExchange
 from beechrock.handover.messages import (
+    MEMORY_PARTS,
     VERSION,
     ClaimsSynced,
     Deferral,
@@ -21,6 +23,9 @@
     Hello,
     Leaving,
     LoadReport,
+    MemoryGrant,
+    MemoryLimit,
+    MemoryRequest,
     Message,
     SuccessorReady,
 )
@@ -62,6 +67,8 @@
         self.links = PeerLinks()
         self.keys = KeyPartner(module, self.links)
         self.load = LoadExchange(module, self.links, connections, self._changed)
+        self.memory = MemoryExchange(module, self.links)
+        module.memory_transfers.partner = self.memory
         self.channel = Channel(folder, node) if folder is not None else None
         parts = SharedParts(
             module,
@@ -70,6 +77,7 @@
             self.links,
             self.keys,
             self.load,
+            self.memory,
             self.channel,
             self._changed,
             self._start_pulse,
@@ -112,6 +120,7 @@
             known = len(ownership.other_claims.claims)
             log.info("handover: the predecessor is gone; %d of its keys are kept", known)
         self.keys.on_peer_lost()
+        self.memory.on_predecessor_gone()
         self.lifecycle.on_absent()
         self.on_change()
         self.successors.join_next()
@@ -119,12 +128,14 @@
     def receive(self, peer: ChannelPeer, message: Message) -> None:
         """Dispatch a message of the other process, or of a successor that waits to join."""
         match message:
-            case Hello(version):
+            case Hello(version, features):
+                peer.shares_memory = version == VERSION and bool(features & MEMORY_PARTS)
                 self._on_hello(peer, version == VERSION)
             case Deferral() if peer is self.links.predecessor:
                 self.lifecycle.on_deferred()
             case ClaimsSynced() if peer is self.links.predecessor:
                 self.predecessor.on_claims_synced()
+                self.memory.on_synced(peer)
                 self.pulse()
             case SuccessorReady() if peer is self.links.successor:
                 log.info("handover: the successor takes connections")
@@ -140,6 +151,14 @@
             case GrantRequest() if peer.lost:
                 pass  # read from a channel that has ended: a reply could not arrive
             case _ if peer is self.links.current:
+                self._receive_from_partner(peer, message)
+
+    def _receive_from_partner(self, peer: ChannelPeer, message: Message) -> None:
+        """Dispatch a message of the process that shares keys and memory with this one."""
+        match message:
+            case MemoryLimit() | MemoryRequest() | MemoryGrant():
+                self.memory.receive(peer, message)
+            case _:
                 self.keys.receive(message)
 
     def _on_hello(self, peer: ChannelPeer, understood: bool) -> None:
@@ -232,6 +251,7 @@
             and not self._connections()
             and not self.module.table.by_id
             and not self.module.mailbox
+            and not self.module.memory_transfers.waiting
             and not self.keys.ownership.requests.waiting
             and self.copy.peer is None
             and (peer is None or (peer.flushed and self._silence.has_read_all))
--- a/beechrock/handover/peer.py
+++ b/beechrock/handover/peer.py
@@ -42,6 +42,7 @@
         self.is_successor = is_successor
         # Whether the other process has another version: its messages are ignored, but not the channel's end.
         self.incompatible = False
+        self.shares_memory = False  # whether the other process understands the messages about memory
         # Whether input was lost, as it could not be decoded or read: later messages were not received.
         self.unreadable = False
 
--- a/beechrock/handover/predecessor.py
+++ b/beechrock/handover/predecessor.py
@@ -5,7 +5,7 @@
 
 from beechrock.handover.channel import Channel
 from beechrock.handover.lifecycle import PredecessorStage
-from beechrock.handover.messages import Hello, Leaving, SuccessorReady
+from beechrock.handover.messages import FEATURES, Hello, Leaving, SuccessorReady
 from beechrock.handover.ownership import PeerRole
 from beechrock.handover.peer import ChannelPeer, Owner
 from beechrock.handover.shared import RETRY_S, SharedParts
@@ -66,7 +66,7 @@
         self._note_found()
         peer = ChannelPeer(self._owner, is_successor=False)
         self._parts.links.predecessor = peer
-        peer.post(Hello())
+        peer.post(Hello(features=FEATURES))
         self._parts.load.other_appeared()
         self._parts.start_pulse()
         await peer.serve(reader, writer)
--- a/beechrock/handover/shared.py
+++ b/beechrock/handover/shared.py
@@ -9,6 +9,7 @@
 from beechrock.handover.key_partner import KeyPartner
 from beechrock.handover.lifecycle import Lifecycle
 from beechrock.handover.load_exchange import LoadExchange
+from beechrock.handover.memory_exchange import MemoryExchange
 from beechrock.handover.peer import PeerLinks
 
 RETRY_S = 0.05  # Seconds between attempts to reach a predecessor, and between checks whether doubt has ended
@@ -24,6 +25,7 @@
     links: PeerLinks
     keys: KeyPartner
     load: LoadExchange
+    memory: MemoryExchange
     channel: Channel | None
     # Called when this process may have to start or stop accepting connections.
     on_change: Callable[[], None]
--- a/beechrock/handover/successors.py
+++ b/beechrock/handover/successors.py
@@ -5,7 +5,7 @@
 
 from beechrock.handover.channel import Channel, same_user
 from beechrock.handover.claim_copy import ClaimCopy
-from beechrock.handover.messages import Deferral, Hello
+from beechrock.handover.messages import FEATURES, Deferral, Hello
 from beechrock.handover.ownership import PeerRole
 from beechrock.handover.peer import ChannelPeer, Owner
 from beechrock.handover.shared import RETRY_S, SharedParts
@@ -65,7 +65,7 @@
             writer.close()
             return
         peer = ChannelPeer(self._owner, is_successor=True)
-        peer.post(Hello())
+        peer.post(Hello(features=FEATURES))
         await peer.serve(reader, writer)
         if peer in self.waiting:
             self.waiting.remove(peer)
@@ -89,6 +89,7 @@
         parts.keys.on_peer_lost()
         parts.lifecycle.on_successor_lost()
         parts.load.other_lost()
+        parts.memory.on_successor_lost()
         parts.on_change()
         self.join_next()
 
--- a/beechrock/handover/wire.py
+++ b/beechrock/handover/wire.py
@@ -26,6 +26,9 @@
     KeyReleased,
     Leaving,
     LoadReport,
+    MemoryGrant,
+    MemoryLimit,
+    MemoryRequest,
     Message,
     RunEnded,
     SuccessorReady,
@@ -50,6 +53,10 @@
     11: (LoadReport, struct.Struct(">IdII")),
     12: (DrainCommand, struct.Struct(">?")),
     13: (Leaving, struct.Struct(">")),
+    # Sent only to a process whose ``Hello`` has MEMORY_PARTS; another one would drop the channel.
+    14: (MemoryLimit, struct.Struct(">d")),
+    15: (MemoryRequest, struct.Struct(">d")),
+    16: (MemoryGrant, struct.Struct(">d")),
 }
 NUMBERS = {message_type: number for number, (message_type, _) in LAYOUTS.items()}
 HELLO_NUMBER = 1
@@ -65,9 +72,9 @@
 def encode(message: Message) -> bytes:
     """Return the message with its length and type."""
     match message:
-        case Hello(version):
+        case Hello(version, features):
             number = HELLO_NUMBER
-            payload = HELLO_LAYOUT.pack(MAGIC, version)
+            payload = HELLO_LAYOUT.pack(MAGIC, version) + (bytes([features]) if features else b"")
         case RunEnded():
             number = RUN_ENDED_NUMBER
             payload = _encode_run_ended(message)
@@ -130,11 +137,15 @@
 
 
 def _decode_hello(payload: bytes) -> Hello:
-    """Decode the magic word and the version; later versions may append further bytes."""
+    """Decode the magic word, the version and, where it follows, the byte of features.
+
+    Later versions may append further bytes, and a process without features sends none.
+    """
     magic, version = HELLO_LAYOUT.unpack(payload[: HELLO_LAYOUT.size])
+    features = payload[HELLO_LAYOUT.size] if len(payload) > HELLO_LAYOUT.size else 0
     if magic != MAGIC:
         raise WireError("a hello message has the wrong magic word")
-    return Hello(version)
+    return Hello(version, features)
 
 
 def _decode_run_ended(payload: bytes) -> RunEnded:
--- a/beechrock/interface/messages.py
+++ b/beechrock/interface/messages.py
@@ -114,6 +114,13 @@
     present: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryLimit:
+    """The part of the node's memory that this process may use; None: what the other process leaves."""
+
+    limit_kb: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class Gauges:
     """Gauges of the node itself; None for a gauge that the site doesn't provide."""
@@ -141,6 +148,7 @@
     | SettingsChanged
     | ShutdownNotice
     | OtherProcessLoad
+    | MemoryLimit
     | TimerFired
 )
 
--- a/beechrock/policy/memory.py
+++ b/beechrock/policy/memory.py
@@ -21,6 +21,7 @@
         running_factor = context.settings.running_memory_factor or 1.0
         self._factor_by_phase = (0.0, 1.0, 1.0, running_factor, running_factor, running_factor)
         self.held_kb = 0.0  # Memory of all open requests, in kilobytes
+        self.blocked_kb = 0.0  # Memory that this decision lacked to start a held run, in kilobytes
 
     def move(self, size_kb: float, before: Phase, after: Phase) -> None:
         """Update the total for a request of this size that changes its phase."""
@@ -35,13 +36,23 @@
         return self.held_kb + len(self._keys.ids) * (self._context.settings.idempotency_entry_kb or 0.0)
 
     def is_full(self, more_kb: float, share: float) -> bool:
-        """Return whether ``more_kb`` of additional use would exceed this share of the node's memory."""
+        """Return whether ``more_kb`` of additional use would exceed this share of the memory.
+
+        The other process's load was reported some time ago, so a limit that both have agreed on comes first.
+        """
+        limit_kb = self._other_process.memory_limit_kb
+        if limit_kb is not None:
+            return self.total_kb() + more_kb > share * limit_kb
         total_kb = self.total_kb() + self._other_process.load.held_kb + more_kb
         return total_kb > share * self._context.settings.memory_kb
 
     def blocks_run(self, size_kb: float) -> bool:
         """Return whether memory is too full to start a held request of this size."""
-        return self.is_full(size_kb * (self._factor_by_phase[RUNNING] - 1), RUN_MEMORY_SHARE)
+        more_kb = size_kb * (self._factor_by_phase[RUNNING] - 1)
+        if not self.is_full(more_kb, RUN_MEMORY_SHARE):
+            return False
+        self.blocked_kb = more_kb
+        return True
 
     def never_fits(self, request: api.Request, request_class: api.ClassSettings) -> bool:
         """Return whether a run needs more memory than the node has, even if nothing else runs.
--- a/beechrock/policy/node.py
+++ b/beechrock/policy/node.py
@@ -128,6 +128,7 @@
     def decide(self, now_s: float, events: list[api.Event]) -> list[api.Action]:
         """Process the events up to ``now_s`` (monotonic seconds) and return the actions to take."""
         self._advance(now_s)
+        self.memory.blocked_kb = 0.0
         for event in events:
             self._apply(event)
         self._answer_due()
@@ -188,6 +189,8 @@
                 self._change_settings(settings)
             case api.OtherProcessLoad():
                 self.other_process.update(event)
+            case api.MemoryLimit(limit_kb):
+                self.other_process.memory_limit_kb = limit_kb
             case api.ShutdownNotice():
                 self.shutdown.announce(event)
                 self.context.actions.append(api.Health(event.has_successor and self.health.healthy))
--- a/beechrock/policy/other_process.py
+++ b/beechrock/policy/other_process.py
@@ -15,6 +15,7 @@
     def __init__(self, context: Context) -> None:
         self._context = context
         self.load = api.OtherProcessLoad(present=False)
+        self.memory_limit_kb: float | None = None  # Part of the node's memory that this process may use
         self._departed_launches = 0
         self._departed_until_s = context.now_s  # Time at which these launches expire
 
--- a/beechrock/trace/format.py
+++ b/beechrock/trace/format.py
@@ -26,7 +26,8 @@
 from beechrock.trace.errors import FormatError
 from beechrock.trace.records import Row, value
 
-VERSION = 2  # 2: the kinds ``replaced`` and ``elsewhere``, which a replay cannot do without
+# 2: the kinds ``replaced`` and ``elsewhere``; 3: ``memory_limit``. A replay cannot do without them.
+VERSION = 3
 MAGIC, TRAILER_MAGIC, MARKER = b"BTRACE\r\n", b"BTRINDEX", b"BLK\x1a"
 HEAD = struct.Struct(">8sHI")
 BLOCK = struct.Struct(">4sBIIdd")  # marker, type, payload's bytes, rows, first and last time
--- a/beechrock/trace/records.py
+++ b/beechrock/trace/records.py
@@ -65,11 +65,12 @@
     # Of the module again; kinds keep their numbers, so what is new stands at the end.
     "replaced": ("left_s",),
     "elsewhere": ("runs", "kb", "calls", "present"),
+    "memory_limit": ("kb",),
 }
 # Of fields that were added to a kind: what a file holds that was written before.
 VALUES_BEFORE: dict[str, tuple[Any, ...]] = {"elsewhere": (True,)}
 KINDS = tuple(FIELDS)
-EVENTS = (*KINDS[2:10], "replaced", "elsewhere")
+EVENTS = (*KINDS[2:10], "replaced", "elsewhere", "memory_limit")
 ACTIONS = KINDS[10:24]
 ABOUT_ONE = frozenset(kind for kind, names in FIELDS.items() if names[:1] == ("id",))
 
@@ -141,6 +142,8 @@
             return "replaced" if replaced else "leaving", now, left
         case api.OtherProcessLoad(runs, kb, calls, there):
             return "elsewhere", now, runs, kb, calls, there
+        case api.MemoryLimit(limit_kb):
+            return "memory_limit", now, limit_kb
         case _:
             return _EVENT_KINDS[type(event)], now, event.id
 
@@ -172,6 +175,8 @@
                 return api.ShutdownNotice(told[0], True)
             case "elsewhere":
                 return api.OtherProcessLoad(*told)
+            case "memory_limit":
+                return api.MemoryLimit(*told)
             case "timer":
                 return api.TimerFired(told[0], api.Gauges(*told[1:]))
     except TypeError as error:
--- a/tests/handover/test_node_faults.py
+++ b/tests/handover/test_node_faults.py
@@ -58,7 +58,8 @@
         await until(
             lambda: any(peer.incompatible for peer in handover.successors.waiting), lambda: "not seen"
         )
-        assert (await reader.read(100)) == wire.encode(messages.Hello())
+        greeting = messages.Hello(features=messages.FEATURES)
+        assert (await reader.read(100)) == wire.encode(greeting)
         old.program.leave()
         assert old.program.replaced and old.program.frames.server is None
         writer.close()  # the successor is lost, so this process must serve again
--- a/tests/handover/test_wire.py
+++ b/tests/handover/test_wire.py
@@ -13,7 +13,7 @@
 
 
 MESSAGES = st.one_of(
-    st.builds(messages.Hello, st.integers(0, 65_535)),
+    st.builds(messages.Hello, st.integers(0, 65_535), st.integers(0, 255)),
     st.sampled_from(
         [messages.Deferral(), messages.ClaimsSynced(), messages.SuccessorReady(), messages.Leaving()]
     ),
@@ -37,6 +37,10 @@
         st.integers(0, 2**32 - 1),
         st.integers(0, 2**32 - 1),
     ),
+    *(
+        st.builds(made, TIMES)
+        for made in (messages.MemoryLimit, messages.MemoryRequest, messages.MemoryGrant)
+    ),
     st.builds(messages.DrainCommand, st.booleans()),
 )
 
--- a/tests/samples/test_handover_samples.py
+++ b/tests/samples/test_handover_samples.py
@@ -17,6 +17,9 @@
     KeyReleased,
     Leaving,
     LoadReport,
+    MemoryGrant,
+    MemoryLimit,
+    MemoryRequest,
     Message,
     RunEnded,
     SuccessorReady,
@@ -24,6 +27,7 @@
 
 SAMPLE = "handover"
 FILE = "messages.json"
+MEMORY_FILE = "memory_messages.json"  # of a later version, which appended features to the hello
 KEY, DIGEST = bytes(range(16)), bytes(range(16, 32))
 MESSAGES: dict[str, Message] = {
     "hello": Hello(),
@@ -41,10 +45,17 @@
     "word": DrainCommand(True),
     "leaving": Leaving(),
 }
+MEMORY_MESSAGES: dict[str, Message] = {
+    "hello": Hello(features=1),
+    "limit": MemoryLimit(21_000.0),
+    "request": MemoryRequest(4_200.5),
+    "grant": MemoryGrant(0.0),
+}
 
 
 def write(folder: Path) -> None:
-    write_messages(folder / FILE, {name: wire.encode(message) for name, message in MESSAGES.items()})
+    for file, messages in ((FILE, MESSAGES), (MEMORY_FILE, MEMORY_MESSAGES)):
+        write_messages(folder / file, {name: wire.encode(message) for name, message in messages.items()})
 
 
 def decoded(data: bytes) -> Message:
@@ -61,9 +72,13 @@
 def test_each_message_is_read() -> None:
     encoded = read_messages(DATA / SAMPLE / FILE)
     assert {name: decoded(data) for name, data in encoded.items()} == MESSAGES
+    encoded = read_messages(DATA / SAMPLE / MEMORY_FILE)
+    assert {name: decoded(data) for name, data in encoded.items()} == MEMORY_MESSAGES
 
 
 def test_every_type_is_in_the_sample() -> None:
-    numbers = {data[wire.MESSAGE_HEAD.size - 1] for data in read_messages(DATA / SAMPLE / FILE).values()}
+    samples = [data for file in (FILE, MEMORY_FILE) for data in read_messages(DATA / SAMPLE / file).values()]
+    numbers = {data[wire.MESSAGE_HEAD.size - 1] for data in samples}
     assert numbers == {wire.HELLO_NUMBER, wire.RUN_ENDED_NUMBER, *wire.LAYOUTS}
-    assert {type(message) for message in MESSAGES.values()} == {Hello, RunEnded, *wire.NUMBERS}
+    written = [*MESSAGES.values(), *MEMORY_MESSAGES.values()]
+    assert {type(message) for message in written} == {Hello, RunEnded, *wire.NUMBERS}
--- a/tests/samples/test_trace_samples.py
+++ b/tests/samples/test_trace_samples.py
@@ -18,6 +18,7 @@
 SAMPLE = "trace"
 FILE = "version2.btrace"
 VERSION_WRITTEN = 2
+MEMORY_FILE = "version3.btrace"  # the kind of row that version 3 added
 META = {"node": "n1", "sample": 1.0, "hidden": False, "unix_ahead_s": 0.25}
 NOW_S = 1000.125
 CLASS = api.ClassSettings(
@@ -113,6 +114,7 @@
     api.SetTimer(5, 0.1),
     api.Log("a line"),
 )
+MEMORY_LIMITS = [api.MemoryLimit(21_000.0), api.MemoryLimit(None)]
 GONE_PROCESS = api.OtherProcessLoad(1, 20.0, 0, False)
 SEED = 42
 OTHER_ROWS: list[Row] = [
@@ -184,8 +186,23 @@
         assert list(reader.rows()) == read_rows() and reader.meta == META
 
 
-def test_every_kind_of_row_is_in_the_sample() -> None:
-    assert {row[0] for row in read_rows()} == set(FIELDS)
+def test_every_kind_of_row_is_in_the_samples() -> None:
+    with Reader(DATA / SAMPLE / MEMORY_FILE) as reader:
+        added = {row[0] for row in reader.rows()} - {"batch"}
+    assert added == {"memory_limit"}
+    assert {row[0] for row in read_rows()} == set(FIELDS) - added
+
+
+def test_memory_limits_are_read_and_written_as_before(tmp_path: Path) -> None:
+    rows = list(records.batch_rows(NOW_S + 4, MEMORY_LIMITS, []))
+    writer = Writer(tmp_path / MEMORY_FILE, META)
+    writer.write(rows)
+    writer.close()
+    for file in (tmp_path / MEMORY_FILE, DATA / SAMPLE / MEMORY_FILE):
+        with Reader(file) as reader:
+            assert (reader.version, reader.whole, reader.check()) == (3, True, [])
+            assert list(reader.rows()) == rows
+    assert [records.event_of(row) for row in rows[1:]] == MEMORY_LIMITS
 
 
 def test_every_setting_is_in_the_sample() -> None:
--- a/tests/test_trace_tools.py
+++ b/tests/test_trace_tools.py
@@ -242,7 +242,10 @@
     assert call("info", Path(__file__)).exit_code == 2
 
 
-@pytest.mark.parametrize(("version", "new_after"), [(1, ("replaced", "elsewhere")), (2, ())])
+@pytest.mark.parametrize(
+    ("version", "new_after"),
+    [(1, ("replaced", "elsewhere", "memory_limit")), (2, ("memory_limit",)), (3, ())],
+)
 def test_each_version_is_read(version: int, new_after: tuple[str, ...]) -> None:
     with files.Reader(DATA / f"version{version}.btrace") as reader:
         assert (reader.version, reader.whole, reader.check()) == (version, True, [])
