Agent: after a break a reply is sent again only once its run must be waiting for it

Callers saw: after a break of the agent's link, a run could be given the reply to the call before, as after a move. docs/crossings/agent.md held this to be unmendable and one loopback turn wide.

Cause: the same as for a move. What a run had read before the break and not confirmed was sent again at once after the synchronization, and a run that had gone on to its next call took it for that call's. After a break no link is left to ask, but time tells: a run that has read its reply sends its next notice after a phase of work.

Change: a reply that was written before is sent again only once the measured time to a run's next notice (mean and four deviations, as TCP's retransmission timeout, 0.3 s at most, from the first writing) is over without one. Later commands about that run wait behind it, in order, and a sample's answer does not confirm what waits. The resending has a module of its own.

Cost: a reply that the break did lose arrives by that much later, 0.1 s before any measurement, 0.3 s at most.

--- a/beechrock/net/agent.py
+++ b/beechrock/net/agent.py
@@ -15,6 +15,7 @@
 from beechrock.net.agent_commands import MAX_COMMANDS, Command
 from beechrock.net.agent_move import AddressMove
 from beechrock.net.agent_notices import MAX_MISSED_NOTICES, NoticeSequence
+from beechrock.net.agent_resend import Resender
 from beechrock.net.agent_runs import AgentRuns
 from beechrock.net.connection import BadInputError
 from beechrock.net.line_connection import LineConnection
@@ -101,6 +102,7 @@
         self.gauges = gauges
         self.link: AgentLink | None = None
         self.runs = AgentRuns(module)
+        self.resender = Resender(module, self.runs, self._post_on_link, lambda: self.accepts_commands)
         self.notices = NoticeSequence(self.runs.miss_notices)
         self.checks = PendingChecks()
         self.dispatches = 0  # number of runs passed to the agent since the process started
@@ -222,6 +224,7 @@
         """Give a run the reply to its call."""
         delivery = Command(codec.deliver_line(request.trace), reply, advances=True, answers_call=True)
         self._send(request, delivery)
+        self.resender.on_delivery(request.trace)
 
     def forgo(self, request: Request, mark: int) -> None:
         """Let a run continue without the reply to the call with the number ``mark``."""
@@ -247,10 +250,16 @@
         if not self.runs.unconfirmed.add(next(self.numbers), request, command):
             self.counters.add("trouble.agent_commands_full")
             return False
-        if self.link is not None and self.accepts_commands:
+        if self.resender.holds(request.trace):
+            command.held = True
+        elif self.link is not None and self.accepts_commands:
             self._post(self.link, command)
         return True
 
+    def _post_on_link(self, command: Command) -> None:
+        if self.link is not None:
+            self._post(self.link, command)
+
     def _post(self, link: AgentLink, command: Command) -> None:
         command.sends += 1
         if not link.post(command):  # the queue is full, as the agent does not read; the next link resends it
@@ -274,6 +283,7 @@
             case codec.CallNotice(number, trace, body):
                 if self.notices.accept(number):
                     self.runs.unconfirmed.settle_read(trace, run_ended=False)
+                    self.resender.on_notice(trace)
                     self.module.post(CallRequested(trace, number, body))
             case codec.SkippedNotice(number):
                 self.notices.accept(number)
@@ -353,7 +363,7 @@
         self.module.post(GaugesSampled(gauges_from(self.gauges, values)))
         if tag == self.sync_tag and not self.synced:
             self.link_actor.handle_event(life.Synced(self.link_actor.life.link))
-            self._resend()
+            self.resender.resend_all()
         elif tag[:1] == "g":  # the agent has read all commands that were sent before this sample request
             sample = int(tag[1:])
             if sample > self.last_sample:
@@ -364,24 +374,8 @@
     def link_ended(self) -> None:
         """Do nothing: this link is reopened after every break."""
 
-    def _resend(self) -> None:
-        """Resend, after a break, the unconfirmed commands that are still needed."""
-        for number, request, command in self.runs.unconfirmed:
-            if not request.running:
-                self.runs.unconfirmed.settle(number)
-            elif (request.answered or request.cancelled) and self.runs.unconfirmed.never_sent(request.trace):
-                self.runs.end(request.trace, Outcome.MOOT)  # nobody waits for the result
-            elif self.link is not None:
-                self._count_resend(command)
-                self._post(self.link, command)
-
     def _post_unsent(self) -> None:
         """Write the commands that were held back for a move which was taken back."""
         for _, _, command in self.runs.unconfirmed:
             if self.link is not None and not command.sends:
                 self._post(self.link, command)
-
-    def _count_resend(self, command: Command) -> None:
-        self.counters.add("agent.commands_sent_again")
-        if command.answers_call and command.sends:
-            self.counters.add("agent.deliveries_sent_again")
--- a/beechrock/net/agent_commands.py
+++ b/beechrock/net/agent_commands.py
@@ -19,6 +19,7 @@
     starts_run: bool = False  # the command starts the run
     answers_call: bool = False  # the command is the reply to the call that the run waits for; names no call
     sends: int = 0  # number of links on which the command was sent
+    held: bool = False  # not written on the current link yet, as it waits for its turn
     settled: bool = False  # the agent has read the command, or it is no longer needed
 
     def encode(self) -> bytes:
@@ -61,10 +62,13 @@
             if number in self._commands:
                 yield number, request, command
 
+    def commands_of(self, trace: str) -> list[Command]:
+        """Return the commands about a run, in order."""
+        return [self._commands[number][1] for number in self._numbers.get(trace, ())]
+
     def launch_of(self, trace: str) -> Command | None:
         """Return the command that starts a run, or None once it is settled."""
-        commands = (self._commands[number][1] for number in self._numbers.get(trace, ()))
-        return next((command for command in commands if command.starts_run), None)
+        return next((command for command in self.commands_of(trace) if command.starts_run), None)
 
     def never_sent(self, trace: str) -> bool:
         """Return whether the run cannot have started, as its launch was sent on no link."""
@@ -81,9 +85,13 @@
             del self._numbers[trace]
 
     def settle_before(self, sample: int) -> None:
-        """Settle all commands before the sample request ``sample``: its answer proves that they were read."""
+        """Settle all commands before the sample request ``sample``: its answer proves that they were read.
+
+        That holds for the commands that were written on the link of the sample request.
+        """
         for number in list(itertools.takewhile(lambda number: number < sample, self._commands)):
-            self.settle(number)
+            if not self._commands[number][1].held:
+                self.settle(number)
 
     def settle_read(self, trace: str, run_ended: bool) -> None:
         """Settle the commands of a run that its notice confirms.
--- a/beechrock/net/agent_runs.py
+++ b/beechrock/net/agent_runs.py
@@ -1,5 +1,7 @@
 """Open runs on the agent, and the commands about them that it may not have read."""
 
+from collections.abc import Callable
+
 from beechrock.core.actor import ModuleActor
 from beechrock.core.requests import Request, RunEnded
 from beechrock.interface import Outcome
@@ -17,12 +19,16 @@
         self.module = module
         self.open: dict[str, Request] = {}  # launched requests without a reported end, by trace
         self.unconfirmed = UnconfirmedCommands()  # commands that the agent may not have read
+        self.on_end: Callable[[str], None] = lambda trace: (
+            None
+        )  # called with the trace of a run that has ended
 
     def end(self, trace: str, outcome: Outcome, elapsed_s: float = 0.0, result: bytes = b"") -> None:
         """Report the end of a run, and settle its commands."""
         # Settle them now: a new link could launch the run again before the module handles the event.
         self.unconfirmed.settle_read(trace, run_ended=True)
         self.open.pop(trace, None)
+        self.on_end(trace)
         self.module.post(RunEnded(trace, outcome, elapsed_s, result))
 
     def refuse(self, arguments: list[str]) -> None:
