Handover: a successor states the limit that was agreed on before, and nothing above it

On a new channel a successor stated its use divided by the share up to which requests are admitted, if that was more than its limit. It states the limit as it is now.

The guard of the order (statement before request) passed without itself: its test met the crossing by chance alone.

--- a/beechrock/core/memory_share.py
+++ b/beechrock/core/memory_share.py
@@ -49,10 +49,14 @@
     # --- the parts
 
     def join(self, used_kb: float, node_kb: float) -> float:
-        """Take part beside a predecessor; return the limit to state to it, which covers what is in use."""
+        """Take part beside a predecessor; return the limit to state to it.
+
+        A limit that was agreed on over an earlier channel stays; a new one covers what is in use.
+        """
         self._node_kb = node_kb
         self._requested_kb = 0.0
-        self.limit_kb = min(node_kb, max(self.limit_kb or 0.0, used_kb / ADMIT_MEMORY_SHARE))
+        if self.limit_kb is None:
+            self.limit_kb = min(node_kb, used_kb / ADMIT_MEMORY_SHARE)
         return self.limit_kb
 
     def split(self, other_kb: float, node_kb: float) -> None:
--- a/tests/handover/test_node_memory.py
+++ b/tests/handover/test_node_memory.py
@@ -186,3 +186,37 @@
         assert rush.answers == []
 
     run(work, folder)
+
+
+# Guards against a grant that crosses the statement of the limit, and then counts in both processes.
+def test_on_a_new_channel_the_limit_is_stated_before_anything_is_requested(folder: Path) -> None:
+    async def work(pair: Pair) -> None:
+        predecessor = ScriptedPredecessor(pair)
+        new = await pair.start()
+        hello = messages.Hello(features=messages.FEATURES)
+        first = await predecessor.accept()
+        first.send_messages(hello, messages.ClaimsSynced())
+        await first.receive(messages.MemoryRequest)
+        first.send_messages(messages.MemoryGrant(NODE_KB / 2))
+        await until(lambda: limit_kb(new) == NODE_KB / 2, lambda: f"{limit_kb(new)}")
+        first.kill()
+        second = await predecessor.accept()
+        second.send_messages(hello)
+        module = new.program.module
+        await until(
+            lambda: (
+                new.program.handover.links.predecessor is not None
+                and new.program.handover.links.predecessor.shares_memory
+            ),
+            lambda: "no second channel",
+        )
+        module.ports.work = None  # no run ends meanwhile
+        Rush(new, FITTING)
+        await until(lambda: module.memory_transfers.waiting > 0, lambda: "nothing waits for memory")
+        second.send_messages(messages.ClaimsSynced())
+        kinds = (messages.MemoryLimit, messages.MemoryRequest)
+        said = [await second.receive(kinds) for _ in kinds]  # type: ignore[arg-type]
+        assert [type(message) for message in said] == list(kinds)
+        assert said[0] == messages.MemoryLimit(NODE_KB / 2)
+
+    run(work, folder)
