Handover: the memory of waiting requests is summed once a batch

Each look at a request summed all that waited; a rush that the other process has room for may be some 270 of them, each looked at anew in every batch. A running sum in place of it, with the same decisions.

--- a/beechrock/core/memory_share.py
+++ b/beechrock/core/memory_share.py
@@ -45,6 +45,7 @@
         self._requested_kb = 0.0  # requested from the other process and not answered yet
         self._retry_at_s = 0.0
         self._batch_kb = 0.0  # memory of the requests that this batch has received so far
+        self._waiting_kb = 0.0  # memory of the requests that wait
 
     # --- the parts
 
@@ -102,8 +103,7 @@
 
     def _needed_kb(self, usage: Usage, batch_kb: float) -> float:
         """Return the limit that the requests here need, those that wait among them."""
-        waiting_kb = sum(entry.message.request.kb for entry in self.waiting)
-        admit_kb = (usage.used_kb + batch_kb + waiting_kb) / ADMIT_MEMORY_SHARE
+        admit_kb = (usage.used_kb + batch_kb + self._waiting_kb) / ADMIT_MEMORY_SHARE
         run_kb = (usage.used_kb + usage.blocked_kb) / RUN_MEMORY_SHARE
         return max(admit_kb, run_kb)
 
@@ -112,23 +112,24 @@
     def begin_batch(self) -> list[WaitingRequest]:
         """Return the requests that wait; each of them is passed to ``must_wait`` again."""
         waiting, self.waiting = self.waiting, []
-        self._batch_kb = 0.0
+        self._batch_kb = self._waiting_kb = 0.0
         return waiting
 
     def must_wait(self, entry: WaitingRequest, usage: Usage, now_s: float) -> bool:
         """Return whether a request is kept for now, as this process is full and the node is not."""
         if self.limit_kb is None:
             return False
-        here_kb = usage.used_kb + self._batch_kb + entry.message.request.kb
+        size_kb = entry.message.request.kb
+        here_kb = usage.used_kb + self._batch_kb + size_kb
         if here_kb > ADMIT_MEMORY_SHARE * self.limit_kb and self._may_get_room(here_kb, entry, usage, now_s):
             self.waiting.append(entry)
+            self._waiting_kb += size_kb
             return True
-        self._batch_kb += entry.message.request.kb
+        self._batch_kb += size_kb
         return False
 
     def _may_get_room(self, here_kb: float, entry: WaitingRequest, usage: Usage, now_s: float) -> bool:
         """Return whether a transfer may still make room: by its report the other process has some."""
-        waiting_kb = sum(other.message.request.kb for other in self.waiting)
         in_time = now_s < entry.due_s and (self._requested_kb > 0 or now_s >= self._retry_at_s)
-        node_has_room = here_kb + waiting_kb + usage.other_kb <= ADMIT_MEMORY_SHARE * self._node_kb
+        node_has_room = here_kb + self._waiting_kb + usage.other_kb <= ADMIT_MEMORY_SHARE * self._node_kb
         return in_time and node_has_room
