--- a/benchmarks/edges.py
+++ b/benchmarks/edges.py
@@ -91,7 +91,7 @@
 def _fill(one, store, count: int) -> None:  # type: ignore[no-untyped-def]
     for n in range(one.counter + 1, one.counter + count + 1):
         record = b"E" + _entry(one.names.writer, n).pack()
-        one._hold(_entry(one.names.writer, n), len(record), store.append(record))
+        one._add_to_queue(_entry(one.names.writer, n), len(record), store.append(record))
     one.counter += count
 
 
--- a/benchmarks/trace_cost.py
+++ b/benchmarks/trace_cost.py
@@ -19,7 +19,9 @@
 import time
 from pathlib import Path
 
-import inventory_reload as load_tool
+import inventory_reload as load_tool  # puts the tree on the path
+
+from beechrock.lab.scgi_servers import Server
 
 MOST, WINDOW_S, RATE = 0.05, 2.0, 200.0
 
@@ -54,7 +56,7 @@
 
 async def measured(windows: int) -> tuple[list[list[float]], list[float]]:
     """What the node printed, under load."""
-    servers = [load_tool.Server(0.005) for _ in range(2)]
+    servers = [Server(0.005) for _ in range(2)]
     ports = [(await server.start())[1] for server in servers]
     load_tool.OFFERED = RATE
     with tempfile.TemporaryDirectory() as name:
--- a/benchmarks/trace_hour.py
+++ b/benchmarks/trace_hour.py
@@ -23,7 +23,7 @@
 import scenario  # noqa: E402
 
 from beechrock.trace import replay, tools, whatif  # noqa: E402
-from beechrock.trace.codec import FormatError  # noqa: E402
+from beechrock.trace.errors import FormatError  # noqa: E402
 from beechrock.trace.flow import Rules  # noqa: E402
 from beechrock.trace.format import Reader  # noqa: E402
 from beechrock.trace.recorder import Recorder, keyed_hash  # noqa: E402
