SCGI: the interfaces of its optional subsystems have a module of their own

The interfaces for contracts and edges, and the reply to a rejection by contract, move to net/scgi_extensions.py; Reply and reply_to are imported from net/scgi_reply.py, where they are defined. No behaviour changes.

--- a/beechrock/edges/member.py
+++ b/beechrock/edges/member.py
@@ -17,8 +17,8 @@
 from beechrock.edges.told import Told
 from beechrock.edges.words import Copied, Have, Names, ProbeAck, WhenGone, Word, Write, unpack
 from beechrock.interface import Idempotency
-from beechrock.net.scgi import Reply
 from beechrock.net.scgi_codec import ScgiError
+from beechrock.net.scgi_reply import Reply
 from beechrock.store.codec import Mark
 from beechrock.store.limits import StoreLimits
 from beechrock.store.log import Store
--- a/beechrock/edges/part.py
+++ b/beechrock/edges/part.py
@@ -19,8 +19,8 @@
 from beechrock.edges.told import Told
 from beechrock.edges.words import MIN_FENCE, Offer, Settle, StraightDone, pack, unpack
 from beechrock.errors import OperatorError
-from beechrock.net.scgi import Reply
 from beechrock.net.scgi_codec import ScgiError
+from beechrock.net.scgi_reply import Reply
 from beechrock.parts import Context
 from beechrock.store import folder as state_folder
 from beechrock.store.errors import StoreFailedError, at_start
--- a/beechrock/edges/runs.py
+++ b/beechrock/edges/runs.py
@@ -21,8 +21,9 @@
 from beechrock.edges.words import Entry, State, Straight, StraightDone, Word, pack
 from beechrock.errors import OperatorError
 from beechrock.interface import Idempotency
-from beechrock.net.scgi import REQUEST_OVERHEAD_KB, Reply
+from beechrock.net.scgi import REQUEST_OVERHEAD_KB
 from beechrock.net.scgi_codec import ScgiError
+from beechrock.net.scgi_reply import Reply
 from beechrock.store.files import Files
 from beechrock.store.limits import StoreLimits
 from beechrock.store.log import Store
--- a/beechrock/lab/edges_play.py
+++ b/beechrock/lab/edges_play.py
@@ -12,8 +12,8 @@
 
 from beechrock.lab.edges_heard import Carried, Try, contradicted, limit_s
 from beechrock.lab.fleet.fleet import Fleet
-from beechrock.net.scgi import Reply
 from beechrock.net.scgi_codec import ScgiError, decode_headers
+from beechrock.net.scgi_reply import Reply
 
 UP = "up"
 INVENTORY = """
--- a/beechrock/lab/scgi_servers.py
+++ b/beechrock/lab/scgi_servers.py
@@ -7,8 +7,8 @@
 import asyncio
 import sys
 
-from beechrock.net.scgi import Reply
 from beechrock.net.scgi_codec import ScgiError, decode_headers
+from beechrock.net.scgi_reply import Reply
 
 MOST_BODY = 1 << 20
 
--- a/beechrock/limits/part.py
+++ b/beechrock/limits/part.py
@@ -24,7 +24,7 @@
 from beechrock.limits.places import C, place_for_team
 from beechrock.limits.told import LimitsSettings
 from beechrock.limits.tree import CONCURRENCY_RETRY_AFTER_S, RejectReason
-from beechrock.net.scgi import Allowed, ContractRejection
+from beechrock.net.scgi_extensions import Allowed, ContractRejection
 from beechrock.parts import Context
 from beechrock.policy import Node
 from beechrock.store.folder import open_folder
--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -1,11 +1,9 @@
 """Server for SCGI callers: one request per connection, answered with a ``Status:`` header as in CGI."""
 
 import asyncio
-import math
 import secrets
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Protocol
+from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from beechrock.core.actor import ModuleActor
 from beechrock.core.requests import Answer, Request, RequestCancelled, RequestReceived, Verdict
@@ -26,8 +24,8 @@
     decode_headers,
     parse_generation,
 )
-from beechrock.net.scgi_reply import Reply as Reply
-from beechrock.net.scgi_reply import reply_to as reply_to
+from beechrock.net.scgi_extensions import Allowed, ContractRejection, Edges, Limits, rejection_reply
+from beechrock.net.scgi_reply import Reply, reply_to
 
 if TYPE_CHECKING:
     from beechrock.inventory.model import Inventory
@@ -40,75 +38,6 @@
 ENDING = "this connection ends; nothing ran"
 
 
-ReplyHeaders = tuple[tuple[str, str], ...]
-
-
-def rejection_reply(found: "ContractRejection") -> Reply:
-    """Return the reply to a rejection, with headers for a retry: not elsewhere, as all share the contract."""
-    return Reply(
-        503,
-        f"beyond its contract ({found.reason}); this try never ran\n".encode(),
-        (
-            ("Retry-After", str(math.ceil(found.after_s))),
-            ("X-Retry-After-Ms", str(max(1, round(1000 * found.after_s)))),
-            ("X-Retry-Elsewhere", "no"),
-            ("X-Limit", found.reason),
-            *found.headers,
-        ),
-    )
-
-
-class Edges(Protocol):
-    """Interface of the optional subsystem for edges."""
-
-    def takes(self, request: Request, headers: dict[str, str], send_reply: Callable[[Reply], None]) -> bool:
-        """Return whether edges answer the request, which cannot be served now. Raises ScgiError."""
-        ...
-
-
-@dataclass(frozen=True, slots=True)
-class Allowed:
-    """A request within its contract.
-
-    ``tenant_index`` identifies the tenant to the module; ``ended`` is called once, with the duration of the
-    run in seconds, or None if it never ran; ``headers`` returns headers for the answer.
-    """
-
-    tenant_index: int
-    ended: Callable[[float | None], None]
-    headers: Callable[[], ReplyHeaders]
-
-
-@dataclass(frozen=True, slots=True)
-class ContractRejection:
-    """Rejection of a request or connection beyond its contract; ``after_s`` is the seconds until a retry."""
-
-    after_s: float
-    reason: str
-    headers: ReplyHeaders
-
-
-class Limits(Protocol):
-    """Interface of the optional subsystem for contracts and budgets."""
-
-    def admit(self, contract: tuple[str, str], size: int) -> Allowed | ContractRejection:
-        """Admit or reject a request by its contract, after its headers and before its body are read."""
-        ...
-
-    def connect(
-        self, team: str, own: "Iterable[ScgiConnection]"
-    ) -> "ScgiConnection | ContractRejection | None":
-        """Admit one more connection of a team with the connections ``own``.
-
-        Returns a rejection, or a connection of ``own`` to close in exchange, or None.
-        """
-        ...
-
-    def apply_inventory(self, meaning: "Inventory") -> None:
-        """Apply a new inventory."""
-        ...
-
-
 class ScgiConnection(ConnectionActor[Reply]):
     """One connection, with one request and one answer."""
 
