SCGI: a request's times count from its last byte, not from the accept of its connection

A request on a connection that had been quiet for longer than its wanted time was refused although nothing else ran. What was written over 2 s after the notice to leave, on a connection accepted before, ran.

Cause: ScgiConnection gave the time of its accept as the request's birth. For a due time that is early, and safe; for the window of the first try, the grace after a notice and the wanted time it is early too, and wrong; for a repeat in a node that was stopped it is late.

Change: the kernel is asked when the connection's last data came (TCP_INFO, net/arrival.py). From that the request gets both bounds of its birth, which core/requests.py has had for steps of the wall clock: due times count from the earliest, repeats are looked up as of the earliest, keys, wanted time and grace count from the latest. Where the record proves too little (over 16 KB, bytes behind the body, no record) the bounds widen. Two counters tell how long requests wait unread, and how many are uncertain. Why it works: the last byte can't have come after the kernel's last data, nor, where nothing came behind it, before.

--- a/beechrock/core/clock_offset.py
+++ b/beechrock/core/clock_offset.py
@@ -49,6 +49,16 @@
     earlier_s: float = 0.0  # seconds by which it may be earlier; repeats are looked up as of this birth
     later_s: float = 0.0  # seconds by which it may be later; a new key is remembered from the latest birth
 
+    @property
+    def earliest(self) -> float:
+        """The earliest possible birth."""
+        return self.born - self.earlier_s
+
+    @property
+    def latest(self) -> float:
+        """The latest possible birth."""
+        return self.born + self.later_s
+
 
 FAR_OFF = Birth(-math.inf)  # no offset of the remembered time explains the stamp
 
--- a/beechrock/core/intake.py
+++ b/beechrock/core/intake.py
@@ -9,12 +9,10 @@
 from beechrock.core.idempotency import IdempotencyTable
 from beechrock.core.node_status import NodeStatus
 from beechrock.core.ports import Ports
-from beechrock.core.request_table import RequestTable
+from beechrock.core.request_table import OVERDUE_S, RequestTable
 from beechrock.core.requests import Answer, Request, RequestReceived, Verdict
 from beechrock.core.timer_wheel import TimerWheel
 
-OVERDUE_S = 0.02  # seconds past its due time at which a request that the module has not answered fails
-
 
 @dataclass(slots=True)
 class Batch:
@@ -154,10 +152,10 @@
     def _description(self, request: Request, now: float) -> api.Request:
         """Return a request as the module sees it.
 
-        If a step of the wall clock leaves the birth uncertain, the module gets the latest possible one: with
-        the earliest, requests read soon after a backward step would be refused as late, and keys forgotten
-        early. The due time is enforced by ``RequestTable.overdue``, which counts from ``born``, the earliest
-        birth that leaves any time.
+        If the birth is uncertain, the module gets the latest possible one. With the earliest, requests read
+        soon after a backward step of the wall clock would be refused as late, keys forgotten early, and
+        requests that came too late in a shutdown would run. The due time is enforced by
+        ``RequestTable.overdue``, which counts from ``born``, the earliest birth that leaves any time.
         """
         idempotency = self.settings.classes[request.klass].idempotency
         return api.Request(
--- a/beechrock/core/request_table.py
+++ b/beechrock/core/request_table.py
@@ -16,6 +16,8 @@
 from beechrock.core.request_counts import RequestCounts
 from beechrock.core.requests import Answer, Request, Verdict
 
+OVERDUE_S = 0.02  # seconds past its due time at which a request that the module has not answered fails
+
 
 class RequestTable:
     """Owns the open requests, sends their answers and collects events for the next batch."""
@@ -187,8 +189,9 @@
         for request in overdue:
             if request.answered or request.cancelled or request.over:
                 continue
-            # If the birth is uncertain, the module counts from a later one than the due time does.
-            self._counters.add("clock.cut_short" if request.later_s else "trouble.overdue")
+            # If the birth is very uncertain, the module counts from a much later one than the due time does.
+            uncertain = request.later_s > OVERDUE_S
+            self._counters.add("clock.cut_short" if uncertain else "trouble.overdue")
             self.answer(request, Answer(Verdict.FAILED, b"out of time"), now)
 
     def answer(self, request: Request, answer: Answer, now: float) -> None:
--- a/beechrock/core/requests.py
+++ b/beechrock/core/requests.py
@@ -52,7 +52,8 @@
     limits_tenant: int | None = None  # index of the limits' tenant, which replaces the team's
     # Called once when the request ends, with the seconds that its run took, or None if it never ran.
     ended: Callable[[float | None], None] | None = None
-    # Uncertainty of ``born`` after a step of the wall clock: seconds by which it may be earlier or later.
+    # Uncertainty of ``born``: seconds by which it may be earlier or later. Due times count from ``born``,
+    # repeats are looked up as of ``earliest``, and keys are remembered from ``latest``.
     earlier_s: float = 0.0
     later_s: float = 0.0
     patience_s: float | None = None  # seconds from its birth that its caller waits; None: unknown
--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import secrets
+import socket
+from collections.abc import Callable
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from beechrock.core.actor import ModuleActor
+from beechrock.core.clock_offset import Birth
 from beechrock.core.requests import Answer, Request, RequestCancelled, RequestReceived, Verdict
 from beechrock.interface import Idempotency
+from beechrock.net.arrival import InputAge, birth, since_input_s
 from beechrock.net.connection import ConnectionActor
 from beechrock.net.connection_server import ConnectionServer
 from beechrock.net.scgi_codec import (
@@ -47,9 +51,11 @@
         super().__init__(front.module.counters, MAX_HEADER_BYTES + MAX_BODY_BYTES, MAX_OUT_BYTES, 4)
         self.front = front
         self.module = front.module
-        self.born = self.module.clock()
-        self.last_message_at = self.born
+        self.accepted_at = self.module.clock()
+        self.last_message_at = self.accepted_at
         self.headers: dict[str, str] | None = None
+        self.body_bytes = 0  # length of the body, by the headers
+        self.whole_bytes = 0  # length of the headers and the body
         self.request: Request | None = None
         self.only_team: str | None = None  # the only team for which this front end may send requests, if any
         self.team: str | None = None  # the team whose connection count includes this one
@@ -58,7 +64,7 @@
         self.end_reported = False  # the end of the request was reported to the limits
         limit = min(STALL_S, STALL_SHARE * min(c.deadline_s for c in self.module.settings.classes))
         # An incomplete request is answered too, long before any deadline.
-        self.stall = self.module.timers.at(self.born + limit, self._reject_stalled)
+        self.stall = self.module.timers.at(self.accepted_at + limit, self._reject_stalled)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve the connection until it ends; reject a host that is no front end of the inventory."""
@@ -125,22 +131,48 @@
         length = self.headers[LENGTH_HEADER]
         if len(length) > 10 or int(length) > MAX_BODY_BYTES:  # leading zeros must not hide a long number
             raise ScgiError(413, f"a body of over {MAX_BODY_BYTES} bytes")
-        return self.front.limits is None or self._admitted(self.front.limits, self.headers, int(length))
-
-    def _admitted(self, limits: Limits, headers: dict[str, str], size: int) -> bool:
-        """Return whether the body is to be read; a request beyond its contract is rejected before that."""
+        self.body_bytes = int(length)
+        self.whole_bytes = len(digits) + 1 + size + 1 + self.body_bytes
+        return self._admitted(self.headers, self._birth())
+
+    def _birth(self) -> Birth:
+        """Return when the request came to this machine; if it is incomplete, when its latest part came."""
+        writer = self._writer
+        connection = writer.get_extra_info("socket") if writer is not None else None
+        age = InputAge.read(self.module.clock, self.front.since_input_s, connection)
+        # Checked after the age was read: input behind the request that came in between is then noticed.
+        is_last_input = len(self.inbox) <= self.body_bytes and not self.has_unread_input()
+        unseen_s = self.module.idempotency.linger_s
+        return birth(age, self.accepted_at, self.whole_bytes, is_last_input, unseen_s)
+
+    def _count_birth(self, found: Birth) -> None:
+        """Count how long requests wait unread, and those of which the kernel's record proves too little."""
+        unread_ms = round(1000 * (self.module.clock() - found.latest), 1)
+        self.counters.raise_max("intake.scgi_most_unread_ms", unread_ms)
+        if found.earlier_s:
+            self.counters.add("intake.scgi_uncertain_births")
+
+    def _admitted(self, headers: dict[str, str], found: Birth) -> bool:
+        """Return whether the request is read further; one that is beyond its contract is rejected."""
+        limits = self.front.limits
+        if limits is None or self.allowed is not None:
+            return True
         team, route, klass = self._find_contract(headers)
         # A repeat of a request that runs or has run costs no run: it gets that request's answer, whatever its
         # team has left. If it were rejected, its caller would conclude that the request never ran.
         nonce = headers.get(KEY_HEADER, "")
         if self.module.settings.classes[klass].idempotency is Idempotency.KEYED and (
-            self.module.idempotency.is_repeat(route, nonce, self.born)
+            self.module.idempotency.is_repeat(route, nonce, found.earliest)
         ):
             return True
+        return self._admit(limits, team, route)
+
+    def _admit(self, limits: Limits, team: str, route: str) -> bool:
+        """Return whether the request is within its team's contract; if not, it is rejected."""
         if not self._join(team):
             self.module.table.counts.on_front_answer(route, Verdict.REFUSED)
             return False
-        found = limits.admit((team, route), size)
+        found = limits.admit((team, route), self.body_bytes)
         if isinstance(found, ContractRejection):
             self.counters.add("answered.scgi_beyond_contract")
             self.module.table.counts.on_front_answer(route, Verdict.REFUSED)
@@ -152,10 +184,11 @@
     def _read_body(self) -> None:
         if self.headers is None or self.request is not None or self.answered:
             return
-        size = int(self.headers[LENGTH_HEADER])
-        if len(self.inbox) < size:
+        if len(self.inbox) < self.body_bytes:
             return
-        request = self._request(self.headers, self.inbox.read(size))
+        found = self._birth()
+        self._count_birth(found)
+        request = self._request(self.headers, self.inbox.read(self.body_bytes), found)
         self.stall.cancel()
         if self.rejected:
             self.module.table.counts.on_front_answer(request.route, Verdict.REFUSED)
@@ -190,7 +223,7 @@
             raise ScgiError(403, f"X-Team: {team} has no contract for {route}")
         return team, route, klass
 
-    def _request(self, headers: dict[str, str], body: bytes) -> Request:
+    def _request(self, headers: dict[str, str], body: bytes, found: Birth) -> Request:
         team, route, klass = self._find_contract(headers)
         nonce = headers.get(KEY_HEADER) or None
         if self.module.settings.classes[klass].idempotency is not Idempotency.KEYED:
@@ -202,7 +235,7 @@
             trace=secrets.token_hex(8),
             klass=klass,
             route=route,
-            born=self.born,
+            born=found.born,
             body=body,
             answer=self._answer,
             kb=REQUEST_OVERHEAD_KB + len(body) / 1024,
@@ -210,6 +243,8 @@
             retry=headers.get(RETRY_HEADER) == "1",
             nonce=nonce,
             entity=headers.get(ENTITY_HEADER) or None,
+            earlier_s=found.earlier_s,
+            later_s=found.later_s,
             generation=parse_generation(headers.get(GENERATION_HEADER, "")),
         )
 
@@ -227,8 +262,9 @@
             self.allowed.ended(cost_s)
 
     def _reject_stalled(self) -> None:
-        if self.request is None and not self.lost:
-            self.reject(ScgiError(408, "the request did not come whole in time"))
+        if self.request is not None or self.lost:
+            return
+        self.reject(ScgiError(408, "the request did not come whole in time"))
 
     def input_ended(self) -> None:
         """Reject a request that is cut off; a complete request still gets its answer."""
@@ -294,6 +330,8 @@
     def __init__(self, module: ModuleActor, inventory: "Inventory", max_connections: int) -> None:
         super().__init__(module, max_connections)
         self.inventory = inventory
+        # Seconds since the kernel received input on a connection; replaced under a simulated clock.
+        self.since_input_s: Callable[[socket.socket], float | None] = since_input_s
         self.edges: Edges | None = None
         self.limits: Limits | None = None
         # Connections by team, in the order in which they joined; empty without limits.
--- a/tests/play.py
+++ b/tests/play.py
@@ -155,6 +155,8 @@
         self.running: Generation | None = None
         self.silent_listeners: dict[str, socket.socket] = {}  # listening sockets that accept nothing
         self.fillers: list[socket.socket] = []
+        # By the caller's address: the node's time at which bytes were last written on its connection.
+        self.written_at: dict[Any, float] = {}
 
     async def open(
         self,
@@ -196,6 +198,27 @@
             origin_s=self.origin_s,
         )
         await self.program.start()
+        if self.program.scgi is not None:
+            self.program.scgi.since_input_s = self.since_input_s
+
+    def since_input_s(self, connection: socket.socket) -> float | None:
+        """Return what the kernel would under the simulated clock: seconds since bytes were last written."""
+        return self.now - self.written_at.get(connection.getpeername(), self.now)
+
+    def write(self, wire: Wire, data: bytes) -> None:
+        """Write bytes on a connection, and note when."""
+        wire.writer.write(data)
+        self.written_at[wire.writer.get_extra_info("sockname")] = self.now
+
+    async def read_to_end(self, connection: socket.socket, begins: bytes, ends: bytes) -> None:
+        """Read a caller's connection to the end of its stream, and check how its answer begins and ends."""
+        connection.setblocking(False)
+        got = b""
+        async with asyncio.timeout(HANG_S):
+            while data := await asyncio.get_running_loop().sock_recv(connection, 65_536):
+                got += data
+        connection.close()
+        assert got.startswith(begins) and got.endswith(ends), got
 
     def take_up(self, name: str) -> None:
         """Apply a generation, as the inventory's keeper does with one that it accepts."""
@@ -297,7 +320,7 @@
                 headers = {"HTTP_X_ROUTE": service, "HTTP_X_TEAM": team}
                 if key:
                     headers["HTTP_IDEMPOTENCY_KEY"] = key[0]
-                self.wires[name].writer.write(request_bytes(headers, body.encode()))
+                self.write(self.wires[name], request_bytes(headers, body.encode()))
             case [name, "answered", status, *body]:
                 wire = self.wires[name]
                 await until(lambda: wire.ended, lambda: f"no end, {wire.got!r}")
@@ -344,7 +367,7 @@
 
     async def wire_step(self, wire: Wire, verb: str, rest: str) -> None:
         if verb == ">":
-            wire.writer.write(bytes_of(rest))
+            self.write(wire, bytes_of(rest))
         elif verb == "<":
             want = bytes_of(rest)
             await until(lambda: len(wire.got) >= len(want) or wire.ended, lambda: f"only {wire.got!r}")
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -19,9 +19,9 @@
     play(path)
 
 
-async def open_both(stand: Stand) -> None:
-    """Start a node with both servers, and a stand-in SCGI server for one of its services."""
-    contract = {"share": 0.3, "rate": 50, "aim_ms": 1800, "due_ms": 3600}
+async def open_both(stand: Stand, **terms: int) -> None:
+    """Start a node with both servers, and a stand-in SCGI server; ``terms`` are those of all contracts."""
+    contract = {"share": 0.3, "rate": 50, "aim_ms": 1800, "due_ms": 3600, **terms}
     keyed = {**contract, "effect": "keyed", "window_ms": 10_000}
     host, port = await stand.listen("server")
     await stand.open(
