SCGI: a request that is whole but unread is not rejected as incomplete

What callers saw: 408 for a request whose last byte came in time, where the node was stopped until after half of the shortest due time had passed since the accept.

Cause: the check for incomplete requests is a timer, and goes by what has been parsed; after a pause it may fire before the event loop has read the rest, which waits in the kernel.

Change: where input is unread, the check looks again after 20 ms.

--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -38,6 +38,7 @@
 MAX_OUT_BYTES = 1 << 21
 # A request is rejected if it is incomplete after this share of the shortest deadline, or after STALL_S.
 STALL_SHARE, STALL_S = 0.5, 2.5
+STALL_RETRY_S = 0.02  # until an incomplete request with unread input is looked at again
 REQUEST_OVERHEAD_KB = 4.0  # memory of a request in KB, without its body
 ENDING = "this connection ends; nothing ran"
 
@@ -264,6 +265,9 @@
     def _reject_stalled(self) -> None:
         if self.request is not None or self.lost:
             return
+        if self.has_unread_input():  # on a lagging event loop, it may be the rest of the request
+            self.stall = self.module.timers.at(self.module.clock() + STALL_RETRY_S, self._reject_stalled)
+            return
         self.reject(ScgiError(408, "the request did not come whole in time"))
 
     def input_ended(self) -> None:
--- a/tests/net/test_scgi_births.py
+++ b/tests/net/test_scgi_births.py
@@ -159,6 +159,23 @@
     run(work)
 
 
+def test_a_request_that_came_whole_in_time_is_not_rejected_as_incomplete_while_it_is_unread() -> None:
+    """After a pause the check for incomplete requests ran before the event loop had read the rest."""
+
+    async def work(stand: Stand) -> None:
+        await open_both(stand)
+        caller = Caller(stand)
+        caller.write(REQUEST[:40])
+        await stand.play("counter intake.scgi_connections 1\nclock 1.7\n")
+        caller.write(REQUEST[40:])
+        stand.now += STOPPED_S
+        stand.program.module.tick(stand.now)
+        await stand.play(RUN)
+        await caller.answered(200, b"done")
+
+    run(work)
+
+
 class Contract:
     """Stands for the limits: admits or rejects all requests, and counts those that it was asked for."""
 
