SCGI: a request whose key's window ends before its body has come is admitted by its contract

What callers saw: nothing; the operators of contracts did: a run that no contract counted. As the headers are read, a repeat passes by its contract, as it costs no run. Where its window ended before its last byte came, it was no repeat any more, and ran.

Change: a request that has passed as a repeat is looked at again once it is whole, as of the birth that decides whether it runs.

The test of quiet connections has a wanted time of 1.4 s now, so that it shows the refusal after 1.7 s too.

--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -194,6 +194,8 @@
         if self.rejected:
             self.module.table.counts.on_front_answer(request.route, Verdict.REFUSED)
             raise ScgiError(503, ENDING)
+        if not self._admitted(self.headers, found):  # its key's window may have ended since the headers came
+            return
         if self.allowed is not None:
             request.limits_tenant, request.ended = self.allowed.tenant_index, self._report_end
         edges = self.front.edges
--- a/tests/net/test_scgi_births.py
+++ b/tests/net/test_scgi_births.py
@@ -52,7 +52,7 @@
     """The end of the window was missing, so that a repeat ran again; after 1.4 s all was refused as late."""
 
     async def work(stand: Stand) -> None:
-        await open_both(stand)
+        await open_both(stand, aim_ms=1400)
         if not kernel_tells:
             stand.program.scgi.since_input_s = lambda connection: None
         await stand.play(f"a = connect scgi\ncounter intake.scgi_connections 1\nclock {quiet_s}\n")
@@ -201,7 +201,13 @@
     stand.now += STOPPED_S
 
 
-@pytest.mark.parametrize(("write", "is_repeat"), [(stop_until_after_the_window, True)])
+def write_the_end_after_the_window(stand: Stand, caller: Caller) -> None:
+    caller.write(REQUEST[:-1])
+
+
+@pytest.mark.parametrize(
+    ("write", "is_repeat"), [(stop_until_after_the_window, True), (write_the_end_after_the_window, False)]
+)
 def test_a_contract_takes_as_a_repeat_just_what_the_module_does(
     write: Callable[[Stand, Caller], None], is_repeat: bool
 ) -> None:
