--- a/tests/handover/pair.py
+++ b/tests/handover/pair.py
@@ -6,8 +6,9 @@
 from pathlib import Path
 from typing import TypeVar
 
-from play import HANG_S, Stand, until
+from play import Stand
 from test_admin import ASKED
+from wires import HANG_S, until
 
 from beechrock.handover import messages, wire
 from beechrock.handover.lifecycle import SuccessorStage
--- a/tests/net/test_registry.py
+++ b/tests/net/test_registry.py
@@ -7,8 +7,8 @@
 from contextlib import closing
 
 import pytest
-from play import Beats, until
 from syscall_faults import faults
+from wires import Beats, until
 
 from beechrock.core.counters import Counters
 from beechrock.net import registry
--- a/tests/net/test_scgi_births.py
+++ b/tests/net/test_scgi_births.py
@@ -53,15 +53,17 @@
 
     async def work(stand: Stand) -> None:
         await open_both(stand, aim_ms=1400)
+        front = stand.program.scgi
         if not kernel_tells:
-            stand.program.scgi.since_input_s = lambda connection: None
+            front.since_input_s = lambda connection: None
         await stand.play(f"a = connect scgi\ncounter intake.scgi_connections 1\nclock {quiet_s}\n")
         await stand.play("a ask pack releases pk k\n" + RUN + "a answered 200 done\n")
+        front.since_input_s = stand.since_input_s
         await stand.play(f"clock {WINDOW_S - 0.05}\nb = connect scgi\nb ask pack releases pk k\n")
         await stand.play("b answered 200 done\ncounter sent.launches 1\n")
-        if kernel_tells:  # nor does the window last longer than it must
-            await stand.play("clock 0.2\nc = connect scgi\nc ask pack releases pk k\n" + RUN)
-            await stand.play("c answered 200 done\ncounter sent.launches 2\n")
+        # Nor does the window last longer than it must.
+        await stand.play("clock 0.2\nc = connect scgi\nc ask pack releases pk k\n" + RUN)
+        await stand.play("c answered 200 done\ncounter sent.launches 2\n")
 
     run(work)
 
--- a/tests/test_clock_process.py
+++ b/tests/test_clock_process.py
@@ -14,8 +14,9 @@
 import ujson
 from clock_requests import STEPS, request_frame
 from platform_process import ROOT, line_with
-from play import HANG_S, SETTINGS, bytes_of
+from play import SETTINGS
 from test_program import receive_message
+from wires import HANG_S, bytes_of
 
 # Program that runs a node; once the file ``flag`` exists, ``time.time`` is ahead by ``step`` seconds.
 STEPPED_NODE = """
