Edges: a queued write's time to its answer counts from its birth; postmortem of the window

What callers saw: a keyed write at an edge that was read late (the node stopped or its loop behind by over 0.2 of the due time) could be accepted or rejected after its due time.

Change: the time that the request waited is taken off. Not shown with real processes.

--- a/beechrock/edges/member.py
+++ b/beechrock/edges/member.py
@@ -33,6 +33,7 @@
 SYNC_FAILED = b"the disk of this node failed; it may still run\n"
 MARKS = "marks"  # In place of a receipt: names upstream's marks
 READ_AFTER_S = 0.5
+ANSWER_SHARE = 0.8  # share of the time to its due time within which a write is accepted or rejected
 
 
 class Member:
@@ -126,7 +127,9 @@
         self.refs += 1
         request.answered = True
         self.callers[self.refs] = request, send_reply
-        due_s = self.part.module.settings.classes[request.klass].deadline_s
+        module = self.part.module
+        waited_s = module.clock() - request.born  # in the kernel, while the node lagged
+        answer_within_s = ANSWER_SHARE * module.settings.classes[request.klass].deadline_s - waited_s
         self.part.post(
             lambda now, now_s: edge.write(
                 now,
@@ -145,7 +148,7 @@
                     terms.get("keep_s", KEEP_S),
                     int(terms.get("copies", 0)),
                     request.retry,
-                    now + 0.8 * due_s,
+                    now + answer_within_s,
                 ),
             )
         )
