--- a/beechrock/net/scgi.py
+++ b/beechrock/net/scgi.py
@@ -134,7 +134,7 @@
             raise ScgiError(413, f"a body of over {MAX_BODY_BYTES} bytes")
         self.body_bytes = int(length)
         self.whole_bytes = len(digits) + 1 + size + 1 + self.body_bytes
-        return self._admitted(self.headers, self._birth())
+        return self.front.limits is None or self._admitted(self.headers, self._birth())
 
     def _birth(self) -> Birth:
         """Return when the request came to this machine; if it is incomplete, when its latest part came."""
