--- a/beechrock/edges/member.py
+++ b/beechrock/edges/member.py
@@ -1,24 +1,17 @@
-"""The actor's side of an edge's member: callers' requests and answers, its store, and operators' calls.
-Thin."""
+"""The actor's side of an edge's member: its store, messages of other nodes and operators' calls. Thin."""
 
-import hashlib
-import math
 import secrets
-from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from beechrock import clocks, logs
-from beechrock.core.requests import Request, Verdict
 from beechrock.edges import build
-from beechrock.edges.actions import Accepted, Action, Done, Send, Turned
-from beechrock.edges.causal import NOTHING, Dot, Token, read_tokens
+from beechrock.edges.actions import Accepted, Action, Done, Send
+from beechrock.edges.callers import Callers
+from beechrock.edges.causal import Dot, Token
 from beechrock.edges.errors import EdgeDiskWaitsError, EdgeError, UnknownReceiptError
 from beechrock.edges.kept import Led
 from beechrock.edges.told import Told
-from beechrock.edges.words import Copied, Have, Names, ProbeAck, WhenGone, Word, Write, unpack
-from beechrock.interface import Idempotency
-from beechrock.net.scgi_codec import ScgiError
-from beechrock.net.scgi_reply import Reply
+from beechrock.edges.words import Copied, Have, Names, ProbeAck, Word, unpack
 from beechrock.store.codec import Mark
 from beechrock.store.limits import StoreLimits
 from beechrock.store.log import Store
@@ -29,11 +22,8 @@
     from beechrock.edges.part import EdgesPart
     from beechrock.inventory.model import Inventory
 
-KEEP_S = 86_400.0
 SYNC_FAILED = b"the disk of this node failed; it may still run\n"
 MARKS = "marks"  # In place of a receipt: names upstream's marks
-READ_AFTER_S = 0.5
-ANSWER_SHARE = 0.8  # share of the time to its due time within which a write is accepted or rejected
 
 
 class Member:
@@ -61,8 +51,7 @@
             first,
             (store.entry(index) for index in range(first, store.last + 1)),
         )
-        self.callers: dict[int, tuple[Request, Callable[[Reply], None]]] = {}
-        self.refs = 0
+        self.callers = Callers(part, self.edge)
         logs.event(
             "edge.opened",
             edge=told.edge,
@@ -94,120 +83,6 @@
         if inventory is not self.inventory:
             self.inventory, self.edge.shares = inventory, self._shares()
 
-    # --- callers
-
-    def takes(self, request: Request, headers: dict[str, str], send_reply: Callable[[Reply], None]) -> bool:
-        # Upstream steered this request here, so its key has an intent already. Queued again, it was reported
-        # as served upstream and as another attempt of its key here, and never ran.
-        if request.generation:
-            return False
-        inventory, edge = self.part.inventory, self.edge
-        terms = inventory.when_cut.get((self.part.team(request), request.route))
-        text = headers.get("HTTP_X_SEEN", "")
-        try:
-            seen = read_tokens(text, self.part.key) if text else NOTHING
-        except EdgeError as error:
-            raise ScgiError(400, str(error)) from None
-        keyed = self.part.module.settings.classes[request.klass].idempotency is Idempotency.KEYED
-        if terms is None or terms["when_cut"] != "queue" or not keyed:
-            after_s = edge.reads(seen) if seen else None
-            if after_s is None and terms is not None and not edge.link.straight:
-                after_s = READ_AFTER_S * 10
-            if after_s is None:
-                return False
-            self._refuse(
-                request,
-                send_reply,
-                after_s,
-                "not now: what it has seen is not upstream yet\n"
-                if seen
-                else "not now: this edge is cut off from upstream\n",
-            )
-            return True
-        self.refs += 1
-        request.answered = True
-        self.callers[self.refs] = request, send_reply
-        module = self.part.module
-        waited_s = module.clock() - request.born  # in the kernel, while the node lagged
-        answer_within_s = ANSWER_SHARE * module.settings.classes[request.klass].deadline_s - waited_s
-        self.part.post(
-            lambda now, now_s: edge.write(
-                now,
-                now_s,
-                Write(
-                    self.ref_of(request),
-                    self.part.team(request),
-                    request.route,
-                    request.nonce or "",
-                    request.body,
-                    hashlib.blake2b(request.body, digest_size=16).digest(),
-                    seen,
-                    headers.get("HTTP_X_SESSION", ""),
-                    request.entity or "",
-                    WhenGone(terms.get("when_gone", "hold")),
-                    terms.get("keep_s", KEEP_S),
-                    int(terms.get("copies", 0)),
-                    request.retry,
-                    now + answer_within_s,
-                ),
-            )
-        )
-        return True
-
-    def ref_of(self, request: Request) -> int:
-        return next(ref for ref, (held, _) in reversed(self.callers.items()) if held is request)
-
-    def _refuse(
-        self, request: Request, send_reply: Callable[[Reply], None], after_s: float, why: str
-    ) -> None:
-        request.answered = True
-        if self.part.runs is not None:
-            self.part.runs.refused += 1
-        self.part.module.table.counts.on_front_answer(request.route, Verdict.REFUSED)
-        send_reply(
-            Reply(
-                503,
-                why.encode(),
-                (("Retry-After", str(math.ceil(after_s))), ("X-Retry-After-Ms", str(round(1000 * after_s)))),
-            )
-        )
-
-    def answer(self, action: Action) -> None:
-        """Answer the caller of an Accepted, Turned or Done action."""
-        match action:
-            case Accepted(ref, dot, seen, places) if (caller := self.callers.pop(ref, None)) is not None:
-                request, send_reply = caller
-                logs.event("edge.accepted", receipt=str(dot), nonce=request.nonce, places=list(places))
-                self.part.counters.add("edges.accepted")
-                send_reply(
-                    Reply(
-                        202,
-                        b"accepted; it runs once upstream is reached\n",
-                        (("X-Receipt", Token(seen, places).encode(self.part.key)),),
-                    )
-                )
-            case Turned(ref, after_s, why) if (caller := self.callers.pop(ref, None)) is not None:
-                self.part.counters.add("edges.turned")
-                self._refuse(*caller, after_s, why + "\n")
-            case Done(ref, verdict, body, media, after_s) if (
-                caller := self.callers.pop(ref, None)
-            ) is not None:
-                request, send_reply = caller
-                if verdict == "refused":
-                    self._refuse(request, send_reply, after_s or READ_AFTER_S, "turned away; it never ran\n")
-                    return
-                served = verdict == "served"
-                self.part.module.table.counts.on_front_answer(
-                    request.route, Verdict.SERVED if served else Verdict.FAILED
-                )
-                send_reply(
-                    Reply(
-                        200 if served else 500,
-                        body or (b"" if served else b"failed\n"),
-                        (("Content-Type", media or "application/octet-stream"),),
-                    )
-                )
-
     def filter_promises(self, actions: list[Action]) -> list[Action]:
         """Return the actions to carry out after the turn's sync, without promises if that sync failed."""
         if not self.store.failed or self.store.synced == self.store.last:
--- a/beechrock/edges/part.py
+++ b/beechrock/edges/part.py
@@ -117,7 +117,7 @@
                 raise ScgiError(503, "this node's queue has failed")
             return False
         if self.member is not None:
-            return self.member.takes(request, headers, send_reply)
+            return self.member.callers.takes(request, headers, send_reply)
         return self.runs is not None and self.runs.takes(request, headers, send_reply)
 
     def post(self, event: Event) -> None:
@@ -313,8 +313,7 @@
         logs.event("edges.stopped", "error", **error.fields())
         self.counters.record_error("edges", error)
         if self.member is not None:
-            for ref in list(self.member.callers):
-                self.member.answer(Done(ref, "failed", b"this node's queue has failed; it may still run\n"))
+            self.member.callers.fail_all(b"this node's queue has failed; it may still run\n")
         if self.runs is not None:
             self.runs.fail_callers()
 
@@ -342,7 +341,7 @@
             case Noted() if self.runs is not None:
                 self.runs.note(action)
             case Accepted() | Turned() | Done() if self.member is not None:
-                self.member.answer(action)
+                self.member.callers.answer(action)
 
     def _fence(self) -> int | None:
         if self.duties is not None:
--- a/beechrock/edges/runs.py
+++ b/beechrock/edges/runs.py
@@ -18,7 +18,7 @@
 from beechrock.edges.recovering import CHECK_BYTES, heals
 from beechrock.edges.room import Room
 from beechrock.edges.upstream import Came, Running, Upstream
-from beechrock.edges.words import Entry, State, Straight, StraightDone, Word, pack
+from beechrock.edges.words import KEEP_S, Entry, State, Straight, StraightDone, Word, pack
 from beechrock.errors import OperatorError
 from beechrock.interface import Idempotency
 from beechrock.net.scgi import REQUEST_OVERHEAD_KB
@@ -37,7 +37,6 @@
 CALLER_TIMEOUT_S = 10.0
 MAX_CALLERS = 4096  # Maximum number of callers that wait for the holder
 CHANNEL = "edges"
-KEEP_S = 86_400.0  # Default ``keep_s`` in seconds, of a contract without one
 RUNS_PER_CORE = 1.2  # Concurrent runs per core: the module's initial limit with SCGI servers
 OTHER_KEY = b"this key came with another body"
 
--- a/beechrock/edges/words.py
+++ b/beechrock/edges/words.py
@@ -16,6 +16,7 @@
 
 NO_ROOM = "no room"  # Reason of a LATER because live requests took the capacity that was given as credit
 MIN_FENCE = -(1 << 62)
+KEEP_S = 86_400.0  # seconds for which a write is kept, unless its contract says otherwise
 MAX_MESSAGE_BYTES = 900_000  # Maximum bytes of a message; the link's bound is 1 MB
 
 
@@ -56,7 +57,7 @@
     digest: bytes
     subject: str = ""
     when_gone: WhenGone = WhenGone.HOLD
-    keep_s: float = 86_400.0
+    keep_s: float = KEEP_S
     accepted_at: float = 0.0  # Unix seconds; used for ``keep_s`` and for display, never for ordering
 
     def pack(self) -> bytes:
@@ -323,7 +324,7 @@
     session: str = ""
     subject: str = ""
     when_gone: WhenGone = WhenGone.HOLD
-    keep_s: float = 86_400.0
+    keep_s: float = KEEP_S
     copies: int = 0  # Number of durable copies required; 0 means the edge's default
     retry: bool = False
     due_s: float = 1e18  # Deadline of the answer, in monotonic seconds
